--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits bound a queue.
+type Limits struct {
+	// Waiters is the largest number of waiting requests.
+	Waiters int
+	// Bytes is the largest sum of their bodies.
+	Bytes int
+}
+
+// Queue holds the waiting requests of one pool.
+//
+// Invariants: every list in units is sorted by rank and not empty; count and
+// bytes are the sums over all lists and stay within limits.
+type Queue struct {
+	limits Limits
+	units  map[string][]*Waiter
+	count  int
+	bytes  int
+	drain  drainRate
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(l Limits) *Queue {
+	return &Queue{limits: l, units: map[string][]*Waiter{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.count }
+
+// Waiting tells whether requests for the unit wait.
+func (q *Queue) Waiting(unit string) bool { return len(q.units[unit]) > 0 }
+
+// Arrive puts a waiter in the queue and returns those refused for it: the
+// waiter itself, or waiters of lower rank that made room.
+func (q *Queue) Arrive(now time.Time, w *Waiter) []Refusal {
+	if wait := q.expectedWait(w); now.Add(wait).After(w.StartBy) {
+		return []Refusal{{Waiter: w, Reason: ReasonTooLate, RetryAfter: q.retryAfter()}}
+	}
+	var refused []Refusal
+	for q.count+1 > q.limits.Waiters || q.bytes+w.Bytes > q.limits.Bytes {
+		last := q.last()
+		if last == nil || !w.rank().Before(last.rank()) {
+			return append(refused, Refusal{Waiter: w, Reason: ReasonQueueFull, RetryAfter: q.retryAfter()})
+		}
+		q.remove(last)
+		refused = append(refused, Refusal{Waiter: last, Reason: ReasonQueueFull, RetryAfter: q.retryAfter()})
+	}
+	q.insert(w)
+	return refused
+}
+
+// Offer admits waiters in the order of their rank as long as take reserves a
+// place for them. It also refuses those whose time has passed.
+func (q *Queue) Offer(now time.Time, take func(*Waiter) bool) (admitted []*Waiter, refused []Refusal) {
+	refused = q.expire(now)
+	full := make(map[string]bool)
+	for {
+		w := q.first(full)
+		if w == nil {
+			return admitted, refused
+		}
+		if !take(w) {
+			full[w.Unit] = true
+			continue
+		}
+		q.remove(w)
+		admitted = append(admitted, w)
+	}
+}
+
+// Cancel takes a waiter out; it reports whether the waiter was still there.
+func (q *Queue) Cancel(w *Waiter) bool { return q.remove(w) }
+
+// Completed records that a request has left, for the drain rate.
+func (q *Queue) Completed(now time.Time) { q.drain.add(now) }
+
+// expire refuses the waiters whose time has passed.
+func (q *Queue) expire(now time.Time) []Refusal {
+	var refused []Refusal
+	for _, list := range q.units {
+		for _, w := range slices.Clone(list) {
+			if now.Before(w.StartBy) {
+				continue
+			}
+			q.remove(w)
+			refused = append(refused, Refusal{Waiter: w, Reason: ReasonExpired, RetryAfter: q.retryAfter()})
+		}
+	}
+	slices.SortFunc(refused, func(a, b Refusal) int { return compare(a.Waiter, b.Waiter) })
+	return refused
+}
+
+// expectedWait is how long those ahead of w take at the measured drain rate.
+func (q *Queue) expectedWait(w *Waiter) time.Duration {
+	ahead := 0
+	for _, list := range q.units {
+		n, _ := slices.BinarySearchFunc(list, w, compare)
+		ahead += n
+	}
+	return q.drain.timeFor(ahead)
+}
+
+// Bounds of Retry-After.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+func (q *Queue) retryAfter() time.Duration {
+	return min(max(q.drain.timeFor(q.count+1), minRetryAfter), maxRetryAfter)
+}
+
+func (q *Queue) insert(w *Waiter) {
+	list := q.units[w.Unit]
+	i, _ := slices.BinarySearchFunc(list, w, compare)
+	q.units[w.Unit] = slices.Insert(list, i, w)
+	q.count++
+	q.bytes += w.Bytes
+}
+
+func (q *Queue) remove(w *Waiter) bool {
+	list := q.units[w.Unit]
+	i, found := slices.BinarySearchFunc(list, w, compare)
+	if !found {
+		return false
+	}
+	q.count--
+	q.bytes -= w.Bytes
+	if len(list) == 1 {
+		delete(q.units, w.Unit)
+		return true
+	}
+	q.units[w.Unit] = slices.Delete(list, i, i+1)
+	return true
+}
+
+// first returns the waiter of lowest rank whose unit is not in skip.
+func (q *Queue) first(skip map[string]bool) *Waiter {
+	var best *Waiter
+	for unit, list := range q.units {
+		if !skip[unit] && (best == nil || compare(list[0], best) < 0) {
+			best = list[0]
+		}
+	}
+	return best
+}
+
+func (q *Queue) last() *Waiter {
+	var worst *Waiter
+	for _, list := range q.units {
+		if w := list[len(list)-1]; worst == nil || compare(w, worst) > 0 {
+			worst = w
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/cmd/eiderspring/main.go
@@ -0,0 +1,50 @@
+// Command eiderspring runs and operates instances of the serving system.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eiderspring/eiderspring/jsonc"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	// exitInvalid is for arguments, configuration or settings that are refused.
+	exitInvalid = 2
+	// exitConflict is for an edit that lost against another.
+	exitConflict = 3
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "eiderspring",
+		Usage: "serve many models from fewer accelerators",
+		Commands: []*cli.Command{
+			serveCommand(), checkCommand(), settingsCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderspring:", trace.UserMessage(err))
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var refused *jsonc.Error
+	if errors.As(err, &refused) {
+		return exitInvalid
+	}
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/daemon/config.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/eiderspring/eiderspring/jsonc"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// Config is the settings of one instance, as its file gives them.
+type Config struct {
+	// Instance is the instance's name on the platform's list.
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failureDomain"`
+	// Callers is the address for callers, Operators that for operators.
+	Callers   string   `json:"callers"`
+	Operators string   `json:"operators"`
+	Platform  Platform `json:"platform"`
+	// RoutingPolicy names one of routing.Policies.
+	RoutingPolicy string `json:"routingPolicy"`
+	Limits        Limits `json:"limits"`
+	// LogLevel is debug, info or error.
+	LogLevel string `json:"logLevel"`
+}
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	ObjectAPI string `json:"objectAPI"`
+	Members   string `json:"members"`
+}
+
+// Limits bound what one instance takes on.
+type Limits struct {
+	HeaderBytes int `json:"headerBytes"`
+	BodyBytes   int `json:"bodyBytes"`
+	IdleMS      int `json:"idleMS"`
+	// ReadMS bounds the time to read a request, in milliseconds.
+	ReadMS int `json:"readMS"`
+	// QueueRequests and QueueBytes bound the queue of each pool.
+	QueueRequests int `json:"queueRequests"`
+	QueueBytes    int `json:"queueBytes"`
+	// LoadPollsPerSecond bounds the load reports asked for.
+	LoadPollsPerSecond float64 `json:"loadPollsPerSecond"`
+	// DrainGraceMS is how long a planned stop still takes the callers that the
+	// balancer sends before it has seen that the instance is not ready.
+	DrainGraceMS int `json:"drainGraceMS"`
+	// DrainMS bounds a planned stop, in milliseconds.
+	DrainMS int `json:"drainMS"`
+}
+
+// DefaultConfig returns the values of fields that a file leaves out.
+func DefaultConfig() Config {
+	return Config{
+		RoutingPolicy: routing.DefaultPolicy,
+		LogLevel:      "info",
+		Limits: Limits{
+			HeaderBytes: 32 << 10, BodyBytes: 4 << 20, IdleMS: 60_000, ReadMS: 15_000,
+			QueueRequests: 1024, QueueBytes: 64 << 20, LoadPollsPerSecond: 10, DrainGraceMS: 1_500, DrainMS: 120_000,
+		},
+	}
+}
+
+// LoadConfig reads a configuration file. Faults come in one *jsonc.Error.
+func LoadConfig(path string) (Config, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, err
+	}
+	return ParseConfig(path, src)
+}
+
+// ParseConfig reads and checks a configuration text.
+func ParseConfig(file string, src []byte) (Config, error) {
+	cfg := DefaultConfig()
+	doc, err := jsonc.Parse(file, src)
+	if err != nil {
+		return cfg, err
+	}
+	if err := doc.Decode(&cfg); err != nil {
+		return cfg, err
+	}
+	c := configChecker{doc: doc}
+	c.check(cfg)
+	if len(c.faults) > 0 {
+		return cfg, &jsonc.Error{Faults: c.faults}
+	}
+	return cfg, nil
+}
+
+type configChecker struct {
+	doc    *jsonc.Document
+	faults []jsonc.Fault
+}
+
+func (c *configChecker) add(path, reason string) {
+	c.faults = append(c.faults, c.doc.Fault(path, reason))
+}
+
+func (c *configChecker) check(cfg Config) {
+	if cfg.Instance == "" {
+		c.add("/instance", "missing")
+	}
+	if cfg.FailureDomain == "" {
+		c.add("/failureDomain", "missing")
+	}
+	c.address("/callers", cfg.Callers)
+	c.address("/operators", cfg.Operators)
+	c.url("/platform/objectAPI", cfg.Platform.ObjectAPI)
+	c.url("/platform/members", cfg.Platform.Members)
+	if _, known := routing.Policies()[cfg.RoutingPolicy]; !known {
+		c.add("/routingPolicy", "no such policy")
+	}
+	if _, known := logLevels[cfg.LogLevel]; !known {
+		c.add("/logLevel", "must be debug, info or error")
+	}
+	c.limits(cfg.Limits)
+}
+
+func (c *configChecker) limits(l Limits) {
+	for _, bound := range []struct {
+		path string
+		n    float64
+	}{
+		{"headerBytes", float64(l.HeaderBytes)}, {"bodyBytes", float64(l.BodyBytes)}, {"idleMS", float64(l.IdleMS)},
+		{"readMS", float64(l.ReadMS)}, {"queueRequests", float64(l.QueueRequests)}, {"queueBytes", float64(l.QueueBytes)},
+		{"loadPollsPerSecond", l.LoadPollsPerSecond}, {"drainGraceMS", float64(l.DrainGraceMS)},
+		{"drainMS", float64(l.DrainMS)},
+	} {
+		if bound.n <= 0 {
+			c.add("/limits/"+bound.path, "must be above 0")
+		}
+	}
+}
+
+func (c *configChecker) address(path, address string) {
+	if address == "" {
+		c.add(path, "missing address")
+		return
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		c.add(path, "must be IP:PORT: "+err.Error())
+		return
+	}
+	if net.ParseIP(host) == nil {
+		c.add(path, "must be an IP number and a port")
+	}
+}
+
+func (c *configChecker) url(path, text string) {
+	if text == "" {
+		c.add(path, "missing address")
+		return
+	}
+	if u, err := url.Parse(text); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.add(path, "must be an http or https URL")
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/daemon/duties.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
+
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// settingsDuty watches the root object and fetches each newer revision.
+type settingsDuty struct {
+	client  store.Client
+	fetcher *revision.Fetcher
+	events  *ring.Ring[event]
+	log     logr.Logger
+	newest  int64
+}
+
+func (d *settingsDuty) run(ctx context.Context) {
+	r := store.NewReflector(d.client, store.KindSettings,
+		func(l store.List) {
+			for _, o := range l.Items {
+				d.root(ctx, o)
+			}
+		},
+		func(e store.Event) {
+			if e.Type != store.EventDeleted {
+				d.root(ctx, e.Object)
+			}
+		},
+		func(err error) { d.log.Info("settings watch interrupted", "error", err.Error()) })
+	r.Run(ctx)
+}
+
+func (d *settingsDuty) root(ctx context.Context, o store.Object) {
+	if o.Metadata.Name != revision.RootName {
+		return
+	}
+	root, err := revision.DecodeRoot(o)
+	if err != nil {
+		d.log.Error(err, "settings root unreadable")
+		return
+	}
+	if root.Current.Revision <= d.newest {
+		return
+	}
+	accepted, err := d.fetcher.Fetch(ctx, root.Current)
+	if err != nil {
+		d.log.Info("settings not fetched", "revision", root.Current.Revision, "error", err.Error())
+		return
+	}
+	d.newest = accepted.Entry.Revision
+	_ = d.events.Put(ctx, settingsAccepted{accepted})
+}
+
+// membersDuty follows the platform's list.
+type membersDuty struct {
+	source *membership.Source
+	events *ring.Ring[event]
+	log    logr.Logger
+}
+
+// membersPause is the pause after a failure to read the list.
+const membersPause = 300 * time.Millisecond
+
+func (d *membersDuty) run(ctx context.Context) {
+	var version int64
+	for ctx.Err() == nil {
+		listing, err := d.source.Next(ctx, version)
+		if err != nil {
+			if ctx.Err() == nil {
+				d.log.Info("members not read", "error", err.Error())
+			}
+			sleep(ctx, jitter(membersPause))
+			continue
+		}
+		version = listing.Version
+		_ = d.events.Put(ctx, membersListed{listing})
+	}
+}
+
+// loadDuty asks the engines for their load in turn. Its rate does not grow
+// with the number of endpoints; reports only become older.
+type loadDuty struct {
+	router  *routing.Router
+	client  *engine.Client
+	catalog func() *settings.Catalog
+	events  *ring.Ring[event]
+	limiter *rate.Limiter
+	log     logr.Logger
+}
+
+// loadTimeout bounds one report.
+const loadTimeout = time.Second
+
+// idlePause is the pause while there is no endpoint to ask.
+const idlePause = 100 * time.Millisecond
+
+func (d *loadDuty) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := 0
+		for name, pool := range d.pools() {
+			if pool.Kind != settings.KindEngine {
+				continue
+			}
+			for _, e := range d.router.View().Pools[name] {
+				if d.limiter.Wait(ctx) != nil {
+					return
+				}
+				asked++
+				go d.ask(ctx, e)
+			}
+		}
+		if asked == 0 {
+			sleep(ctx, idlePause)
+		}
+	}
+}
+
+func (d *loadDuty) pools() map[string]*settings.Pool {
+	if c := d.catalog(); c != nil {
+		return c.Tree.Pools
+	}
+	return nil
+}
+
+func (d *loadDuty) ask(ctx context.Context, e *routing.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	own := e.Own()
+	report, err := d.client.Load(ctx, e.Name, e.Address)
+	if err != nil {
+		d.log.V(1).Info("load not reported", "endpoint", e.Name, "error", err.Error())
+		return
+	}
+	_ = d.events.Put(ctx, loadReported{endpoint: e.Name, own: own, report: report})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// jitter spreads d by half to either side.
+func jitter(d time.Duration) time.Duration { return time.Duration(float64(d) * (0.5 + rand.Float64())) }
--- /dev/null
+++ b/daemon/events.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+)
+
+// event is an input of the view duty.
+type event interface{ isEvent() }
+
+// settingsAccepted is a newer revision of the settings.
+type settingsAccepted struct{ accepted *revision.Accepted }
+
+// membersListed is a newer answer of the platform's list.
+type membersListed struct{ listing membership.Listing }
+
+// loadReported is an endpoint's report of its load.
+type loadReported struct {
+	endpoint string
+	own      int64
+	report   engine.Report
+}
+
+func (settingsAccepted) isEvent() {}
+func (membersListed) isEvent()    {}
+func (loadReported) isEvent()     {}
--- /dev/null
+++ b/daemon/instance.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"expvar"
+	"fmt"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/claim"
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/pipeline"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// Deps is what an instance takes from outside, so that tests can replace it.
+// Zero fields get what the operating system provides.
+type Deps struct {
+	Callers, Operators net.Listener
+	Dial               engine.Dialer
+	// Platform carries calls to the platform's services.
+	Platform http.RoundTripper
+	Now      func() time.Time
+	Log      logr.Logger
+}
+
+// Instance is one instance of the system.
+type Instance struct {
+	cfg     Config
+	deps    Deps
+	log     logr.Logger
+	vars    *expvar.Map
+	engine  *engine.Client
+	router  *routing.Router
+	gates   *pipeline.Gates
+	events  *ring.Ring[event]
+	catalog atomic.Pointer[settings.Catalog]
+	current atomic.Pointer[revision.Entry]
+	// draining is set once a planned stop has begun.
+	draining atomic.Bool
+
+	callers, operators *http.Server
+	// work ends when the instance stops; duties stop with it.
+	work context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// eventsCapacity bounds the events that wait for the view duty.
+const eventsCapacity = 1024
+
+// New returns an instance that has its listeners but serves nothing yet.
+func New(cfg Config, deps Deps) (*Instance, error) {
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	var err error
+	if deps.Callers, err = listen(deps.Callers, cfg.Callers); err != nil {
+		return nil, trace.Wrap(err, "callers' address")
+	}
+	if deps.Operators, err = listen(deps.Operators, cfg.Operators); err != nil {
+		deps.Callers.Close()
+		return nil, trace.Wrap(err, "operators' address")
+	}
+	i := &Instance{
+		cfg: cfg, deps: deps, log: deps.Log.WithValues("instance", cfg.Instance), vars: new(expvar.Map).Init(),
+		engine: engine.NewClient(engine.Config{Dial: deps.Dial}),
+		router: routing.NewRouter(routing.Policies()[cfg.RoutingPolicy], randv2.Float64),
+		events: ring.New[event](eventsCapacity, ring.Block),
+	}
+	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
+	i.work, i.stop = context.WithCancel(context.Background())
+	i.build()
+	return i, nil
+}
+
+func listen(given net.Listener, address string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	return net.Listen("tcp", address)
+}
+
+func (i *Instance) build() {
+	calls := new(expvar.Map).Init()
+	i.vars.Set("store_calls", calls)
+	i.vars.Set("queue_length", expvar.Func(func() any { return i.gates.Len() }))
+	i.vars.Set("events_waiting", expvar.Func(func() any { return i.events.Len() }))
+	i.vars.Set("settings_revision", expvar.Func(func() any { return i.Revision() }))
+	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: i.deps.Platform})
+	handler := pipeline.New(pipeline.Config{
+		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
+		Claims: claim.NewKeeper(objects, i.cfg.Instance+"/"+rand.Text(), i.deps.Now),
+		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
+		FailureDomain: i.cfg.FailureDomain, MaxBody: int64(i.cfg.Limits.BodyBytes),
+	})
+	i.callers = i.server(i.guard(handler))
+	i.operators = i.server(i.operatorHandler())
+	i.duties(objects)
+}
+
+func (i *Instance) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: i.cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: milliseconds(i.cfg.Limits.ReadMS), ReadTimeout: milliseconds(i.cfg.Limits.ReadMS),
+		IdleTimeout: milliseconds(i.cfg.Limits.IdleMS),
+	}
+}
+
+// guard refuses callers while there are no settings to serve them by.
+func (i *Instance) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.catalog.Load() == nil {
+			w.Header().Set("Retry-After", "1")
+			w.Header().Set("Eiderspring-Outcome", "not-run")
+			http.Error(w, `{"error":{"code":"not_run","message":"the instance has no settings yet"}}`, http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (i *Instance) duties(objects store.Client) {
+	view := &viewDuty{
+		events: i.events, router: i.router, log: i.log, now: i.deps.Now, kick: i.gates.Kick,
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, ready: map[string][]string{},
+		catalog: func(a *revision.Accepted) {
+			i.catalog.Store(settings.NewCatalog(a.Tree))
+			i.current.Store(&a.Entry)
+		},
+	}
+	settingsWatch := &settingsDuty{client: objects, fetcher: revision.NewFetcher(objects), events: i.events, log: i.log}
+	members := &membersDuty{source: membership.NewSource(i.cfg.Platform.Members, i.deps.Platform), events: i.events, log: i.log}
+	load := &loadDuty{
+		router: i.router, client: i.engine, catalog: i.catalog.Load, events: i.events, log: i.log,
+		limiter: rate.NewLimiter(rate.Limit(i.cfg.Limits.LoadPollsPerSecond), 1),
+	}
+	for _, run := range []func(context.Context){view.run, settingsWatch.run, members.run, load.run, i.kickDuty} {
+		i.done.Go(func() { run(i.work) })
+	}
+}
+
+// kickInterval is how often waiting requests are offered to the router apart
+// from the events that are known to free a place.
+const kickInterval = 50 * time.Millisecond
+
+func (i *Instance) kickDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, kickInterval)
+		i.gates.Kick()
+	}
+}
+
+// Run serves until ctx ends, then makes a planned stop: not ready at once, no
+// new work, everything in progress finished.
+func (i *Instance) Run(ctx context.Context) error {
+	failed := make(chan error, 2)
+	for _, s := range []struct {
+		server   *http.Server
+		listener net.Listener
+	}{{i.callers, i.deps.Callers}, {i.operators, i.deps.Operators}} {
+		i.done.Go(func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	i.log.Info("serving", "callers", i.deps.Callers.Addr().String(), "operators", i.deps.Operators.Addr().String())
+	var err error
+	select {
+	case <-ctx.Done():
+		err = i.drain()
+	case err = <-failed:
+	case <-i.work.Done():
+	}
+	i.Kill()
+	i.done.Wait()
+	return trace.Wrap(err)
+}
+
+// drain makes a planned stop. Not ready comes first; callers that the balancer
+// sends until it has noticed are still served, on connections that end with
+// their answer. Then the listener closes and what is in progress is finished.
+func (i *Instance) drain() error {
+	i.draining.Store(true)
+	i.callers.SetKeepAlivesEnabled(false)
+	i.log.Info("draining", "waiting", i.gates.Len())
+	sleep(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
+	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(i.cfg.Limits.DrainMS))
+	defer cancel()
+	if err := i.callers.Shutdown(ctx); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	i.log.Info("drained")
+	return nil
+}
+
+// Kill stops at once, as a crash would: connections are cut.
+func (i *Instance) Kill() {
+	i.stop()
+	i.callers.Close()
+	i.operators.Close()
+	i.engine.Close()
+}
+
+// Ready tells whether the instance takes callers.
+func (i *Instance) Ready() bool {
+	return i.catalog.Load() != nil && i.router.View().Instances > 0 && !i.draining.Load()
+}
+
+// Revision returns the revision of the settings in force, 0 for none.
+func (i *Instance) Revision() int64 {
+	if e := i.current.Load(); e != nil {
+		return e.Revision
+	}
+	return 0
+}
+
+// CallersAddr returns the address for callers.
+func (i *Instance) CallersAddr() string { return i.deps.Callers.Addr().String() }
+
+// OperatorsAddr returns the address for operators.
+func (i *Instance) OperatorsAddr() string { return i.deps.Operators.Addr().String() }
--- /dev/null
+++ b/daemon/log.go
@@ -0,0 +1,16 @@
+package daemon
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+var logLevels = map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "error": slog.LevelError}
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event, at the level that a Config names.
+func NewLogger(w io.Writer, level string) logr.Logger {
+	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: logLevels[level]}))
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// operatorHandler serves health, readiness and metrics.
+func (i *Instance) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !i.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		fmt.Fprintln(w, i.vars.String())
+	})
+	return mux
+}
--- /dev/null
+++ b/daemon/view.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// viewDuty builds the routing view from what the other duties learn. It alone
+// writes the fields below.
+type viewDuty struct {
+	events  *ring.Ring[event]
+	router  *routing.Router
+	log     logr.Logger
+	now     func() time.Time
+	catalog func(*revision.Accepted)
+	kick    func()
+
+	accepted  *revision.Accepted
+	resolved  *settings.Catalog
+	list      *membership.List
+	endpoints map[string]*routing.Endpoint
+	// ready holds the units that each endpoint reports as ready.
+	ready map[string][]string
+}
+
+func (d *viewDuty) run(ctx context.Context) {
+	for {
+		e, err := d.events.Take(ctx)
+		if err != nil {
+			return
+		}
+		if d.apply(e) {
+			d.rebuild()
+		}
+		d.kick()
+	}
+}
+
+// apply records an event and tells whether the view must be rebuilt.
+func (d *viewDuty) apply(e event) bool {
+	switch e := e.(type) {
+	case settingsAccepted:
+		return d.accept(e.accepted)
+	case membersListed:
+		changes := d.list.Step(d.now(), membership.Listed{Listing: e.listing})
+		for _, c := range changes {
+			d.log.Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
+		}
+		return len(changes) > 0
+	case loadReported:
+		return d.report(e)
+	default:
+		return false
+	}
+}
+
+// accept takes a revision, never one below that in force.
+func (d *viewDuty) accept(a *revision.Accepted) bool {
+	if d.accepted != nil && a.Entry.Revision <= d.accepted.Entry.Revision {
+		return false
+	}
+	d.accepted = a
+	d.catalog(a)
+	d.resolved = settings.NewCatalog(a.Tree)
+	d.log.Info("settings in force", "revision", a.Entry.Revision, "author", a.Entry.Author)
+	return true
+}
+
+func (d *viewDuty) report(e loadReported) bool {
+	endpoint, known := d.endpoints[e.endpoint]
+	if !known || endpoint.Incarnation != e.report.Incarnation {
+		return false
+	}
+	endpoint.Report(routing.Load{At: d.now(), Running: e.report.Running, Waiting: e.report.Waiting, OwnAtReport: e.own})
+	var ready []string
+	for _, u := range e.report.Units {
+		if u.Ready {
+			ready = append(ready, u.Name)
+		}
+	}
+	changed := !sameSet(d.ready[e.endpoint], ready)
+	d.ready[e.endpoint] = ready
+	return changed
+}
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	in := make(map[string]bool, len(a))
+	for _, s := range a {
+		in[s] = true
+	}
+	for _, s := range b {
+		if !in[s] {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *viewDuty) rebuild() {
+	if d.resolved == nil {
+		return
+	}
+	v := &routing.View{Replicas: map[string][]*routing.Endpoint{}, Pools: map[string][]*routing.Endpoint{}}
+	present := map[string]bool{}
+	for _, m := range d.list.Members() {
+		if m.Pool == membership.InstancePool {
+			if m.State == membership.Live {
+				v.Instances++
+			}
+			continue
+		}
+		pool := d.resolved.Tree.Pools[m.Pool]
+		if pool == nil {
+			continue
+		}
+		present[m.Name] = true
+		e := d.endpoint(m, pool.Concurrency)
+		v.Pools[m.Pool] = append(v.Pools[m.Pool], e)
+		for _, unit := range d.ready[m.Name] {
+			v.Replicas[unit] = append(v.Replicas[unit], e)
+		}
+	}
+	for name := range d.endpoints {
+		if !present[name] {
+			delete(d.endpoints, name)
+			delete(d.ready, name)
+		}
+	}
+	d.router.SetView(v)
+}
+
+// endpoint returns the endpoint of a member. A new incarnation is a new
+// endpoint: nothing that was counted at the old one holds for it.
+func (d *viewDuty) endpoint(m membership.Member, concurrency int) *routing.Endpoint {
+	e := d.endpoints[m.Name]
+	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency {
+		e = &routing.Endpoint{
+			Name: m.Name, Address: m.Address, Pool: m.Pool, FailureDomain: m.FailureDomain,
+			Incarnation: m.Incarnation, Concurrency: concurrency,
+		}
+		d.endpoints[m.Name] = e
+		delete(d.ready, m.Name)
+	}
+	e.SetLeaving(m.State != membership.Live)
+	return e
+}
--- /dev/null
+++ b/membership/member.go
@@ -0,0 +1,39 @@
+package membership
+
+import "time"
+
+// State is where a member is in its life.
+type State string
+
+// States of a member.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+	Gone    State = "gone"
+)
+
+// InstancePool is the pool name under which the platform lists instances.
+const InstancePool = "instances"
+
+// Member is one instance or endpoint.
+type Member struct {
+	Name          string `json:"name"`
+	Pool          string `json:"pool"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	// Incarnation changes whenever the member is started anew.
+	Incarnation string `json:"incarnation"`
+	State       State  `json:"state"`
+}
+
+// Listing is one answer of the platform's list.
+type Listing struct {
+	Version int64    `json:"version"`
+	Members []Member `json:"members"`
+}
+
+// Change is a member whose state, address or incarnation changed.
+type Change struct {
+	Member Member
+	At     time.Time
+}
--- /dev/null
+++ b/pipeline/admit.go
@@ -0,0 +1,112 @@
+package pipeline
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// Gates holds the admission gate of each pool.
+type Gates struct {
+	limits admission.Limits
+	now    func() time.Time
+	gates  sync.Map
+}
+
+// NewGates returns gates that are made when first used.
+func NewGates(l admission.Limits, now func() time.Time) *Gates {
+	return &Gates{limits: l, now: now}
+}
+
+// Pool returns the gate of a pool.
+func (g *Gates) Pool(name string) *admission.Gate {
+	if gate, ok := g.gates.Load(name); ok {
+		return gate.(*admission.Gate)
+	}
+	gate, _ := g.gates.LoadOrStore(name, admission.NewGate(g.limits, g.now))
+	return gate.(*admission.Gate)
+}
+
+// Kick lets every gate admit whoever can be admitted now.
+func (g *Gates) Kick() {
+	g.gates.Range(func(_, gate any) bool {
+		gate.(*admission.Gate).Kick()
+		return true
+	})
+}
+
+// Len returns the number of requests waiting at all gates.
+func (g *Gates) Len() int {
+	n := 0
+	g.gates.Range(func(_, gate any) bool {
+		n += gate.(*admission.Gate).Len()
+		return true
+	})
+	return n
+}
+
+// admit waits until the router has a place for the next attempt.
+type admit struct {
+	gates         *Gates
+	router        *routing.Router
+	failureDomain string
+	now           func() time.Time
+}
+
+// Process implements Filter. It adds an attempt with its reserved place.
+func (f admit) Process(ctx context.Context, x *Exchange) error {
+	now := f.now()
+	req := routing.Request{
+		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool, Prefix: xxhash.Sum64String(x.Call.fields.prefix),
+		FailureDomain: f.failureDomain, Excluded: x.tried(),
+	}
+	var decision routing.Decision
+	var pickErr error
+	take := func() bool {
+		req.Now = f.now()
+		decision, pickErr = f.router.Pick(&req)
+		// No wait helps where nothing is left to try; the error ends it below.
+		return pickErr == nil || errors.Is(pickErr, routing.ErrNoneLeft)
+	}
+	w := &admission.Waiter{
+		ID: x.ID, Unit: x.Target.Unit, Priority: x.Target.Policy.Priority,
+		Arrived: now, StartBy: startBy(x), Bytes: len(x.Call.Body),
+	}
+	if err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take); err != nil {
+		return admitError(err)
+	}
+	if pickErr != nil {
+		return &RouteError{Err: pickErr}
+	}
+	x.Attempts = append(x.Attempts, Attempt{ID: rand.Text(), Decision: decision})
+	return nil
+}
+
+// startBy is when starting the request has become pointless.
+func startBy(x *Exchange) time.Time {
+	p := x.Target.Policy
+	if p.MayWait {
+		return x.Received.Add(p.Deadline)
+	}
+	return x.Received.Add(min(p.FirstToken, p.Deadline))
+}
+
+func admitError(err error) error {
+	var refused *admission.RefusedError
+	if !errors.As(err, &refused) {
+		return &AdmitError{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Err: err}
+	}
+	status := http.StatusServiceUnavailable
+	if refused.Reason == admission.ReasonQueueFull {
+		status = http.StatusTooManyRequests
+	}
+	return &AdmitError{Status: status, RetryAfter: refused.RetryAfter, Err: err}
+}
--- /dev/null
+++ b/pipeline/body.go
@@ -0,0 +1,113 @@
+package pipeline
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+)
+
+// span is a part of a body, as byte offsets; an empty span is absent.
+type span struct{ start, end int }
+
+func (s span) present() bool { return s.end > s.start }
+
+// bodyFields is what the pipeline needs of a completion request's body.
+type bodyFields struct {
+	model    span
+	priority span
+	// open is the offset just behind the opening brace.
+	open   int
+	name   string
+	stream bool
+	// prefix is the beginning of the first message or prompt.
+	prefix string
+}
+
+// scanBody finds the fields of a JSON object without building the rest of it.
+func scanBody(body []byte) (bodyFields, error) {
+	var f bodyFields
+	dec := json.NewDecoder(bytes.NewReader(body))
+	token, err := dec.Token()
+	if err != nil {
+		return f, err
+	}
+	if token != json.Delim('{') {
+		return f, errNotObject
+	}
+	f.open = int(dec.InputOffset())
+	for dec.More() {
+		key, err := dec.Token()
+		if err != nil {
+			return f, err
+		}
+		var raw json.RawMessage
+		if err := dec.Decode(&raw); err != nil {
+			return f, err
+		}
+		end := int(dec.InputOffset())
+		if err := f.note(key.(string), raw, span{start: end - len(raw), end: end}); err != nil {
+			return f, err
+		}
+	}
+	_, err = dec.Token()
+	return f, err
+}
+
+func (f *bodyFields) note(key string, raw json.RawMessage, at span) error {
+	switch key {
+	case "model":
+		f.model = at
+		return json.Unmarshal(raw, &f.name)
+	case "stream":
+		return json.Unmarshal(raw, &f.stream)
+	case "priority":
+		f.priority = at
+	case "messages", "prompt":
+		f.prefix = string(raw[:min(len(raw), prefixBytes)])
+	}
+	return nil
+}
+
+// prefixBytes is how much of a prompt identifies it for cache affinity.
+const prefixBytes = 512
+
+type bodyError string
+
+func (e bodyError) Error() string { return string(e) }
+
+const errNotObject = bodyError("the body is not a JSON object")
+
+// rewrite returns the body with the unit's name and the policy's priority in
+// place of the caller's.
+func (f *bodyFields) rewrite(body []byte, unit string, priority int) []byte {
+	model := strconv.AppendQuote(nil, unit)
+	level := strconv.AppendInt(nil, int64(priority), 10)
+	out := make([]byte, 0, len(body)+len(model)+len(level)+len(priorityMember)+1)
+	out = append(out, body[:f.open]...)
+	if !f.priority.present() {
+		out = append(out, priorityMember...)
+		out = append(out, level...)
+		out = append(out, ',')
+	}
+	first, second := edit{f.model, model}, edit{f.priority, level}
+	if f.priority.present() && f.priority.start < f.model.start {
+		first, second = second, first
+	}
+	at := f.open
+	for _, e := range []edit{first, second} {
+		if !e.at.present() {
+			continue
+		}
+		out = append(out, body[at:e.at.start]...)
+		out = append(out, e.text...)
+		at = e.at.end
+	}
+	return append(out, body[at:]...)
+}
+
+const priorityMember = `"priority":`
+
+type edit struct {
+	at   span
+	text []byte
+}
--- /dev/null
+++ b/pipeline/errors.go
@@ -0,0 +1,220 @@
+package pipeline
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/eiderspring/eiderspring/outcome"
+)
+
+// Answer is what a failure tells the caller.
+type Answer struct {
+	Status  int
+	Code    string
+	Message string
+	// Field names the part of the request that is at fault, if any.
+	Field      string
+	RetryAfter time.Duration
+}
+
+// Failure is an error of a filter. It says what became of the request and
+// what to tell the caller.
+type Failure interface {
+	error
+	Outcome() outcome.Outcome
+	Answer() Answer
+}
+
+// Error codes in answers.
+const (
+	codeInvalid        = "invalid_request"
+	codeUnauthorized   = "unauthorized"
+	codeForbidden      = "forbidden"
+	codeNotFound       = "not_found"
+	codeTooLarge       = "request_too_large"
+	codeKeyReused      = "idempotency_key_reused"
+	codeNotRun         = "not_run"
+	codeOutcomeUnknown = "outcome_unknown"
+)
+
+// DecodeError is a request that cannot be understood.
+type DecodeError struct {
+	Status int
+	Field  string
+	Reason string
+}
+
+func (e *DecodeError) Error() string            { return "decode: " + e.Field + ": " + e.Reason }
+func (e *DecodeError) Outcome() outcome.Outcome { return outcome.Rejected }
+
+// Answer implements Failure.
+func (e *DecodeError) Answer() Answer {
+	code := codeInvalid
+	if e.Status == http.StatusRequestEntityTooLarge {
+		code = codeTooLarge
+	}
+	return Answer{Status: e.Status, Code: code, Message: e.Reason, Field: e.Field}
+}
+
+// AuthError is a caller who is not known or may not use what it asks for.
+type AuthError struct {
+	Status int
+	Reason string
+}
+
+func (e *AuthError) Error() string            { return "authenticate: " + e.Reason }
+func (e *AuthError) Outcome() outcome.Outcome { return outcome.Rejected }
+
+// Answer implements Failure.
+func (e *AuthError) Answer() Answer {
+	code := codeUnauthorized
+	if e.Status == http.StatusForbidden {
+		code = codeForbidden
+	}
+	return Answer{Status: e.Status, Code: code, Message: e.Reason, Field: "Authorization"}
+}
+
+// ResolveError is a name that stands for nothing.
+type ResolveError struct{ Name string }
+
+func (e *ResolveError) Error() string            { return fmt.Sprintf("resolve: nothing is named %q", e.Name) }
+func (e *ResolveError) Outcome() outcome.Outcome { return outcome.Rejected }
+
+// Answer implements Failure.
+func (e *ResolveError) Answer() Answer {
+	return Answer{Status: http.StatusNotFound, Code: codeNotFound, Message: fmt.Sprintf("no model or service %q", e.Name), Field: "model"}
+}
+
+// ClaimError is an idempotency key that cannot be claimed.
+type ClaimError struct {
+	// Reused is set when the key was used with another request.
+	Reused bool
+	Err    error
+}
+
+func (e *ClaimError) Error() string { return "claim: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ClaimError) Unwrap() error { return e.Err }
+
+// Outcome implements Failure.
+func (e *ClaimError) Outcome() outcome.Outcome {
+	if e.Reused {
+		return outcome.Rejected
+	}
+	return outcome.Unknown
+}
+
+// Answer implements Failure.
+func (e *ClaimError) Answer() Answer {
+	if e.Reused {
+		return Answer{Status: http.StatusBadRequest, Code: codeKeyReused, Message: e.Err.Error(), Field: "Idempotency-Key"}
+	}
+	return unknownAnswer(http.StatusBadGateway, e.Err.Error())
+}
+
+// AdmitError is a request that was not let in; no endpoint has started it.
+type AdmitError struct {
+	Status     int
+	RetryAfter time.Duration
+	Err        error
+}
+
+func (e *AdmitError) Error() string { return "admit: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AdmitError) Unwrap() error { return e.Err }
+
+// Outcome implements Failure.
+func (e *AdmitError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// Answer implements Failure.
+func (e *AdmitError) Answer() Answer {
+	return Answer{Status: e.Status, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: e.RetryAfter}
+}
+
+// RouteError is a request for which no endpoint is left.
+type RouteError struct{ Err error }
+
+func (e *RouteError) Error() string { return "route: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RouteError) Unwrap() error { return e.Err }
+
+// Outcome implements Failure.
+func (e *RouteError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// defaultRetryAfter is told where nothing better is known.
+const defaultRetryAfter = time.Second
+
+// Answer implements Failure.
+func (e *RouteError) Answer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
+}
+
+// DispatchError is an attempt that failed before its answer began.
+type DispatchError struct {
+	// NotStarted is proof that the endpoint did not start the attempt.
+	NotStarted bool
+	// TimedOut is set when the request's deadline passed.
+	TimedOut bool
+	Err      error
+}
+
+func (e *DispatchError) Error() string { return "dispatch: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DispatchError) Unwrap() error { return e.Err }
+
+// Outcome implements Failure.
+func (e *DispatchError) Outcome() outcome.Outcome {
+	if e.NotStarted {
+		return outcome.NotRun
+	}
+	return outcome.Unknown
+}
+
+// Answer implements Failure.
+func (e *DispatchError) Answer() Answer {
+	if e.NotStarted {
+		return Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
+	}
+	if e.TimedOut {
+		return unknownAnswer(http.StatusGatewayTimeout, e.Err.Error())
+	}
+	return unknownAnswer(http.StatusBadGateway, e.Err.Error())
+}
+
+// RelayError is an answer that broke on its way to the caller.
+type RelayError struct {
+	// CallerGone is set when it was the caller who left.
+	CallerGone bool
+	TimedOut   bool
+	Err        error
+}
+
+func (e *RelayError) Error() string { return "relay: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RelayError) Unwrap() error { return e.Err }
+
+// Outcome implements Failure.
+func (e *RelayError) Outcome() outcome.Outcome {
+	if e.CallerGone {
+		return outcome.Cancelled
+	}
+	return outcome.Unknown
+}
+
+// Answer implements Failure.
+func (e *RelayError) Answer() Answer {
+	if e.TimedOut {
+		return unknownAnswer(http.StatusGatewayTimeout, e.Err.Error())
+	}
+	return unknownAnswer(http.StatusBadGateway, e.Err.Error())
+}
+
+func unknownAnswer(status int, message string) Answer {
+	return Answer{Status: status, Code: codeOutcomeUnknown, Message: message}
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,211 @@
+package pipeline
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/outcome"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// Filter is one step of the pipeline. An error ends the way forward; it is a
+// Failure that says what became of the request.
+type Filter interface {
+	Process(ctx context.Context, x *Exchange) error
+}
+
+// Config sets up a pipeline.
+type Config struct {
+	// Catalog returns the settings in force.
+	Catalog func() *settings.Catalog
+	Router  *routing.Router
+	Gates   *Gates
+	Claims  Claims
+	Engine  *engine.Client
+	Metrics *Metrics
+	Log     logr.Logger
+	Now     func() time.Time
+	// FailureDomain is the instance's own.
+	FailureDomain string
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int64
+}
+
+// Pipeline serves callers. It is an http.Handler.
+type Pipeline struct {
+	cfg      Config
+	auth     authenticate
+	prepare  []Filter
+	attempt  []Filter
+	settle   settle
+	retries  *retryBudget
+	deadline time.Duration
+}
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 4
+
+// prepareTimeout bounds the filters that run before the deadline is known.
+const prepareTimeout = 30 * time.Second
+
+// New returns a pipeline.
+func New(cfg Config) *Pipeline {
+	auth := authenticate{catalog: cfg.Catalog}
+	return &Pipeline{
+		cfg:  cfg,
+		auth: auth,
+		prepare: []Filter{
+			decode{maxBody: cfg.MaxBody}, auth, resolve{catalog: cfg.Catalog},
+		},
+		attempt: []Filter{
+			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, now: cfg.Now},
+			route{log: cfg.Log}, dispatch{client: cfg.Engine}, relay{client: cfg.Engine, now: cfg.Now},
+		},
+		settle:   settle{log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
+		retries:  newRetryBudget(),
+		deadline: prepareTimeout,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathModels && r.Method == http.MethodGet {
+		p.listModels(w, r)
+		return
+	}
+	x := &Exchange{ID: rand.Text(), Received: p.cfg.Now(), Writer: w, Request: r}
+	p.settle.end(r.Context(), x, p.serve(r.Context(), x))
+}
+
+func (p *Pipeline) serve(ctx context.Context, x *Exchange) error {
+	if err := run(ctx, p.prepare, x); err != nil {
+		return err
+	}
+	if !x.Target.Policy.Repeatable && x.Call.Key != "" {
+		// A claimed request goes on without its caller, who may ask again.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.Received.Add(x.Target.Policy.Deadline))
+	defer cancel()
+	if err := (claimKey{claims: p.cfg.Claims}).Process(ctx, x); err != nil {
+		return err
+	}
+	p.retries.earn()
+	for {
+		err := p.try(ctx, x)
+		if err == nil || !p.again(ctx, x, err) {
+			return err
+		}
+	}
+}
+
+// try makes one attempt and gives its place back.
+func (p *Pipeline) try(ctx context.Context, x *Exchange) error {
+	before := len(x.Attempts)
+	err := run(ctx, p.attempt, x)
+	if len(x.Attempts) == before {
+		return err
+	}
+	a := x.attempt()
+	p.rate(ctx, a, err)
+	p.cfg.Router.Release(a.Decision.Endpoint)
+	p.cfg.Gates.Pool(x.Target.Pool).Completed()
+	if err != nil && a.response != nil && x.Target.Kind == settings.KindEngine {
+		p.cancel(ctx, x, a)
+	}
+	return err
+}
+
+// rate tells the endpoint's record how the attempt went.
+func (p *Pipeline) rate(ctx context.Context, a *Attempt, err error) {
+	var notStarted *engine.NotStartedError
+	switch {
+	case err == nil:
+		a.Decision.Endpoint.Succeeded()
+	case ctx.Err() != nil:
+		// The caller's leaving or deadline says nothing of the endpoint.
+	case errors.As(err, &notStarted) && (notStarted.NotResident || notStarted.Busy):
+		// A refusal is no failure of the endpoint.
+	default:
+		a.Decision.Endpoint.Failed(p.cfg.Now())
+	}
+}
+
+// cancelTimeout bounds the word to an engine that nobody waits any more.
+const cancelTimeout = 2 * time.Second
+
+func (p *Pipeline) cancel(ctx context.Context, x *Exchange, a *Attempt) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	go func() {
+		defer cancel()
+		if err := p.cfg.Engine.Cancel(ctx, a.Decision.Endpoint.Address, a.ID); err != nil {
+			p.cfg.Log.Info("cancel failed", "request", x.ID, "attempt", a.ID, "error", err.Error())
+		}
+	}()
+}
+
+// again tells whether another attempt is sound and worth making.
+func (p *Pipeline) again(ctx context.Context, x *Exchange, err error) bool {
+	failure := classify(err)
+	var fromEndpoint bool
+	switch failure.(type) {
+	case *DispatchError, *RelayError:
+		fromEndpoint = true
+	}
+	if !fromEndpoint || ctx.Err() != nil || x.reached || len(x.Attempts) >= maxAttempts {
+		return false
+	}
+	if failure.Outcome() != outcome.NotRun && !x.Target.Policy.Repeatable {
+		return false
+	}
+	return p.retries.spend()
+}
+
+func run(ctx context.Context, filters []Filter, x *Exchange) error {
+	for _, f := range filters {
+		if err := f.Process(ctx, x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// listModels answers with what the caller may use.
+func (p *Pipeline) listModels(w http.ResponseWriter, r *http.Request) {
+	caller, err := p.auth.identify(r)
+	if err != nil {
+		x := &Exchange{Writer: w, Request: r}
+		x.answer(classify(err).Answer())
+		return
+	}
+	catalog := p.cfg.Catalog()
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range slices.Sorted(maps.Keys(catalog.Targets)) {
+		if caller.May(name) {
+			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: catalog.Tree.Deployment})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/pipeline/relay.go
@@ -0,0 +1,256 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
+)
+
+// relay passes the endpoint's answer on to the caller.
+type relay struct {
+	client *engine.Client
+	now    func() time.Time
+}
+
+// Bounds of relaying.
+const (
+	// maxEventBytes bounds one line of an event stream.
+	maxEventBytes = 256 << 10
+	// copyBytes is the size of the buffers that answers are copied through.
+	copyBytes = 32 << 10
+	// maxIdleResumes bounds how often in a row a broken stream is resumed
+	// without a further token.
+	maxIdleResumes = 3
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+var lineReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, copyBytes) }}
+
+// errTruncated is an event stream that ended without its terminator.
+var errTruncated = errors.New("the stream ended without its terminator")
+
+// Process implements Filter.
+func (f relay) Process(ctx context.Context, x *Exchange) error {
+	if isEventStream(x.attempt().response) {
+		return f.stream(ctx, x)
+	}
+	return f.whole(ctx, x)
+}
+
+func isEventStream(r *http.Response) bool {
+	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// whole relays an answer that is not a stream of events.
+func (f relay) whole(ctx context.Context, x *Exchange) error {
+	resp := x.attempt().response
+	defer resp.Body.Close()
+	buf := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buf)
+	// The first read comes before the header goes out: an answer that breaks
+	// before any of it has reached the caller may still be tried elsewhere.
+	n, err := resp.Body.Read(buf[:])
+	if err != nil && err != io.EOF {
+		return f.broken(ctx, err)
+	}
+	x.FirstToken = f.now().Sub(x.Received)
+	x.writeHeader(resp)
+	for {
+		if writeErr := x.write(buf[:n]); writeErr != nil {
+			return &RelayError{CallerGone: true, Err: writeErr}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return f.broken(ctx, err)
+		}
+		n, err = resp.Body.Read(buf[:])
+		if err != nil && err != io.EOF {
+			return f.broken(ctx, err)
+		}
+	}
+}
+
+// stream relays events one by one and resumes the stream if it breaks.
+func (f relay) stream(ctx context.Context, x *Exchange) error {
+	a := x.attempt()
+	s := eventRelay{exchange: x, now: f.now, offset: -1}
+	idle := 0
+	for {
+		before := s.offset
+		err := s.run(a.response)
+		a.response.Body.Close()
+		var failure *RelayError
+		if err == nil || errors.As(err, &failure) {
+			return err
+		}
+		if s.offset > before {
+			idle = 0
+		}
+		if ctx.Err() != nil || idle == maxIdleResumes {
+			return f.broken(ctx, err)
+		}
+		idle++
+		a.Resumes++
+		resp, resumeErr := f.client.Resume(ctx, a.Decision.Endpoint.Name, a.Decision.Endpoint.Address, a.ID, s.offset)
+		if resumeErr != nil {
+			return f.broken(ctx, errors.Join(err, resumeErr))
+		}
+		if !isEventStream(resp) {
+			resp.Body.Close()
+			return f.broken(ctx, err)
+		}
+		a.response = resp
+	}
+}
+
+func (f relay) broken(ctx context.Context, err error) error {
+	return &RelayError{
+		CallerGone: errors.Is(ctx.Err(), context.Canceled),
+		TimedOut:   errors.Is(ctx.Err(), context.DeadlineExceeded), Err: err,
+	}
+}
+
+// eventRelay is the state of one event stream across its resumptions.
+type eventRelay struct {
+	exchange *Exchange
+	now      func() time.Time
+	// offset is that of the last token that was relayed whole; -1 for none.
+	offset int64
+	// pending is the event being assembled.
+	pending []byte
+	// next is the offset of the pending event, if it has one.
+	next int64
+	done bool
+}
+
+var (
+	idField    = []byte("id:")
+	dataField  = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// run relays until the terminator (nil), the caller leaves (*RelayError), or
+// the stream breaks (any other error). Only whole events are passed on, so
+// that a resumption continues exactly behind the last of them.
+func (s *eventRelay) run(resp *http.Response) error {
+	lines := lineReaders.Get().(*bufio.Reader)
+	lines.Reset(resp.Body)
+	defer lineReaders.Put(lines)
+	s.pending, s.next = s.pending[:0], -1
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return endOfStream(err)
+		}
+		s.pending = append(s.pending, line...)
+		if len(s.pending) > maxEventBytes {
+			return bufio.ErrTooLong
+		}
+		if err != nil {
+			continue
+		}
+		if len(bytes.TrimSpace(line)) > 0 {
+			s.field(line)
+			continue
+		}
+		if err := s.flush(resp); err != nil {
+			return err
+		}
+		if s.done {
+			return nil
+		}
+	}
+}
+
+func endOfStream(err error) error {
+	if err == io.EOF {
+		return errTruncated
+	}
+	return err
+}
+
+func (s *eventRelay) field(line []byte) {
+	if value, ok := bytes.CutPrefix(line, idField); ok {
+		if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+			s.next = n
+		}
+		return
+	}
+	if value, ok := bytes.CutPrefix(line, dataField); ok && bytes.Equal(bytes.TrimSpace(value), doneMarker) {
+		s.done = true
+	}
+}
+
+// flush passes the pending event on. A token that was already relayed, as a
+// resumption may repeat it, is dropped.
+func (s *eventRelay) flush(resp *http.Response) error {
+	event, offset := s.pending, s.next
+	s.pending, s.next = s.pending[:0], -1
+	if offset >= 0 && offset <= s.offset {
+		return nil
+	}
+	x := s.exchange
+	if !x.reached {
+		x.FirstToken = s.now().Sub(x.Received)
+		x.writeHeader(resp)
+	}
+	if err := x.write(event); err != nil {
+		return &RelayError{CallerGone: true, Err: err}
+	}
+	if offset >= 0 {
+		s.offset = offset
+	}
+	return x.flush()
+}
+
+// writeHeader passes the answer's status and end-to-end headers on.
+func (x *Exchange) writeHeader(resp *http.Response) {
+	h := x.Writer.Header()
+	for name, values := range resp.Header {
+		if !withheld[name] {
+			h[name] = values
+		}
+	}
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	h.Set(engine.RequestIDHeader, x.ID)
+	x.Writer.WriteHeader(resp.StatusCode)
+	x.reached = true
+	if x.record != nil {
+		x.record.result.Status = resp.StatusCode
+		x.record.result.ContentType = resp.Header.Get("Content-Type")
+	}
+}
+
+// write passes bytes to the caller. The caller of a claimed request may be
+// gone: its answer is still read to the end, to be recorded.
+func (x *Exchange) write(b []byte) error {
+	x.record.write(b)
+	n, err := x.Writer.Write(b)
+	x.Bytes += int64(n)
+	if x.Claim != nil {
+		return nil
+	}
+	return err
+}
+
+func (x *Exchange) flush() error {
+	err := http.NewResponseController(x.Writer).Flush()
+	if err != nil && x.Claim == nil && !errors.Is(err, http.ErrNotSupported) {
+		return &RelayError{CallerGone: true, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/resolve.go
@@ -0,0 +1,25 @@
+package pipeline
+
+import (
+	"context"
+
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// resolve finds what the name in the request stands for.
+type resolve struct {
+	catalog func() *settings.Catalog
+}
+
+// Process implements Filter.
+func (f resolve) Process(_ context.Context, x *Exchange) error {
+	target, known := f.catalog().Targets[x.Call.Name]
+	if !known || (target.Kind == settings.KindPlain) != x.Call.Plain {
+		return &ResolveError{Name: x.Call.Name}
+	}
+	x.Target = target
+	if !x.Call.Plain {
+		x.Call.Body = x.Call.fields.rewrite(x.Call.Body, target.Unit, target.Policy.Priority)
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/route.go
@@ -0,0 +1,24 @@
+package pipeline
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+)
+
+// route logs the decision by which the attempt's endpoint was chosen. The
+// choice itself is made under the admission gate, so that a place is never
+// promised twice.
+type route struct {
+	log logr.Logger
+}
+
+// Process implements Filter.
+func (f route) Process(_ context.Context, x *Exchange) error {
+	a := x.attempt()
+	d := a.Decision
+	f.log.Info("route", "request", x.ID, "attempt", a.ID, "try", len(x.Attempts), "name", x.Call.Name,
+		"unit", x.Target.Unit, "endpoint", d.Endpoint.Name, "policy", d.Policy, "score", d.Score,
+		"estimate", d.Estimate, "own", d.Endpoint.Own(), "eligible", d.Eligible, "candidates", d.Candidates)
+	return nil
+}
--- /dev/null
+++ b/pipeline/settle.go
@@ -0,0 +1,133 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/outcome"
+)
+
+// Headers of answers to callers.
+const (
+	outcomeHeader  = "Eiderspring-Outcome"
+	replayedHeader = "Eiderspring-Replayed"
+)
+
+// settle ends an exchange: the caller gets its final answer, the claim is
+// finished or freed, and the log line and metrics are written.
+type settle struct {
+	log     logr.Logger
+	metrics *Metrics
+	now     func() time.Time
+}
+
+// claimTimeout bounds the writes that end a claim.
+const claimTimeout = 5 * time.Second
+
+// end settles the exchange with the error that ended it, nil for none.
+func (f settle) end(ctx context.Context, x *Exchange, err error) {
+	failure := classify(err)
+	x.Outcome = outcome.Complete
+	if failure != nil {
+		x.Outcome = failure.Outcome()
+		// A retry may fail with not_run after an attempt that may have run.
+		if x.Outcome == outcome.NotRun && x.dispatched {
+			failure = &DispatchError{Err: err}
+			x.Outcome = outcome.Unknown
+		}
+	}
+	f.endClaim(ctx, x)
+	f.report(x, err)
+	if failure != nil {
+		x.answer(failure.Answer())
+	}
+}
+
+// classify returns the failure behind an error, nil for a success.
+func classify(err error) Failure {
+	var failure Failure
+	switch {
+	case err == nil || errors.Is(err, errReplayed):
+		return nil
+	case errors.As(err, &failure):
+		return failure
+	default:
+		return &DispatchError{Err: err}
+	}
+}
+
+// endClaim records the outcome of a claimed request before the caller is told
+// of a failure. An unknown outcome leaves the claim as it is.
+func (f settle) endClaim(ctx context.Context, x *Exchange) {
+	if x.Claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	var err error
+	switch x.Outcome {
+	case outcome.Complete:
+		err = x.Claim.Finish(ctx, x.record.result)
+	case outcome.NotRun:
+		err = x.Claim.Cancel(ctx)
+	}
+	if err != nil {
+		f.log.Info("claim left open", "request", x.ID, "outcome", x.Outcome, "error", err.Error())
+	}
+}
+
+func (f settle) report(x *Exchange, err error) {
+	took := f.now().Sub(x.Received)
+	f.metrics.count(x, took)
+	values := []any{
+		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "name", x.Call.Name,
+		"attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
+	}
+	if err != nil {
+		values = append(values, "error", err.Error())
+	}
+	f.log.Info("settle", values...)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+}
+
+// answer gives the caller the failure. Behind a partial answer only the break
+// itself can tell: an event stream gets an error event in place of its
+// terminator, and any other answer is cut so that the caller sees it broken.
+func (x *Exchange) answer(a Answer) {
+	body, _ := json.Marshal(errorBody{Error: errorDetail{Code: a.Code, Message: a.Message, Field: a.Field}})
+	if x.reached {
+		if x.Writer.Header().Get("Content-Type") == "text/event-stream" {
+			_, _ = x.Writer.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+			_ = http.NewResponseController(x.Writer).Flush()
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}
+	h := x.Writer.Header()
+	h.Set("Content-Type", "application/json")
+	switch a.Code {
+	case codeNotRun:
+		h.Set(outcomeHeader, "not-run")
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	case codeOutcomeUnknown:
+		h.Set(outcomeHeader, "unknown")
+	}
+	x.Writer.WriteHeader(a.Status)
+	_, _ = x.Writer.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/revision/root.go
@@ -0,0 +1,114 @@
+package revision
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// RootName is the name of the root object.
+const RootName = "root"
+
+// Entry is one accepted revision.
+type Entry struct {
+	Revision int64 `json:"revision"`
+	// Skeleton is the hash of the first chunk; it names all others.
+	Skeleton string    `json:"skeleton"`
+	Chunks   []string  `json:"chunks"`
+	Author   string    `json:"author,omitempty"`
+	At       time.Time `json:"at"`
+}
+
+// Root is the spec of the root object. The newest entry is Current; History
+// holds the ones before it, newest first, bounded by maxHistory.
+type Root struct {
+	Current Entry   `json:"current"`
+	History []Entry `json:"history,omitempty"`
+}
+
+// maxHistory bounds the history, and with it the chunks that are kept.
+const maxHistory = 50
+
+type chunkSpec struct {
+	Text string `json:"text"`
+}
+
+// Accepted is a revision with its text and tree.
+type Accepted struct {
+	Entry Entry
+	Text  []byte
+	Tree  *settings.Tree
+}
+
+// DecodeRoot reads a root object.
+func DecodeRoot(o store.Object) (Root, error) {
+	var r Root
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return r, &TextError{Err: err}
+	}
+	return r, nil
+}
+
+// Fetcher reads revisions and keeps the chunks of the last one.
+type Fetcher struct {
+	client store.Client
+	chunks map[string][]byte
+}
+
+// NewFetcher returns a fetcher with nothing kept. It is not safe for
+// concurrent use.
+func NewFetcher(c store.Client) *Fetcher {
+	return &Fetcher{client: c, chunks: map[string][]byte{}}
+}
+
+// Fetch returns the revision of an entry, reading only chunks that the last
+// revision did not have.
+func (f *Fetcher) Fetch(ctx context.Context, e Entry) (*Accepted, error) {
+	next := make(map[string][]byte, len(e.Chunks))
+	for _, hash := range e.Chunks {
+		text, err := f.chunk(ctx, hash)
+		if err != nil {
+			return nil, err
+		}
+		next[hash] = text
+	}
+	text, err := Join(next[e.Skeleton], func(hash string) ([]byte, error) {
+		if t, ok := next[hash]; ok {
+			return t, nil
+		}
+		return nil, &TextError{Err: fmt.Errorf("chunk %s is not listed", hash)}
+	})
+	if err != nil {
+		return nil, err
+	}
+	tree, err := settings.Load(fmt.Sprintf("revision %d", e.Revision), text)
+	if err != nil {
+		return nil, err
+	}
+	f.chunks = next
+	return &Accepted{Entry: e, Text: text, Tree: tree}, nil
+}
+
+func (f *Fetcher) chunk(ctx context.Context, hash string) ([]byte, error) {
+	if text, kept := f.chunks[hash]; kept {
+		return text, nil
+	}
+	o, err := f.client.Get(ctx, store.KindChunk, hash)
+	if err != nil {
+		return nil, err
+	}
+	var spec chunkSpec
+	if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		return nil, &TextError{Err: err}
+	}
+	if sum := sha256.Sum256([]byte(spec.Text)); hex.EncodeToString(sum[:]) != hash {
+		return nil, &TextError{Err: fmt.Errorf("chunk %s does not have its hash", hash)}
+	}
+	return []byte(spec.Text), nil
+}
--- /dev/null
+++ b/ring/ring.go
@@ -0,0 +1,164 @@
+// Package ring joins duties: a bounded ring buffer that one or more goroutines
+// put into and one takes from. Each ring names what happens when it is full.
+package ring
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// Policy says what Put does when the ring is full.
+type Policy int
+
+// Overflow policies.
+const (
+	// Block waits for room.
+	Block Policy = iota
+	// DropOldest makes room by dropping the oldest item.
+	DropOldest
+	// Reject returns ErrFull.
+	Reject
+)
+
+// Errors of Put and Take.
+var (
+	ErrFull   = errors.New("ring is full")
+	ErrClosed = errors.New("ring is closed")
+)
+
+// Ring is a bounded ring buffer, safe for concurrent use.
+//
+// Invariant: 0 <= size <= len(items); the oldest item is at head.
+type Ring[T any] struct {
+	policy Policy
+
+	mu      sync.Mutex
+	items   []T
+	head    int
+	size    int
+	dropped int64
+	closed  bool
+	// filled and freed each hold at most one wake-up.
+	filled chan struct{}
+	freed  chan struct{}
+}
+
+// New returns an empty ring for capacity items.
+func New[T any](capacity int, p Policy) *Ring[T] {
+	return &Ring[T]{policy: p, items: make([]T, capacity), filled: make(chan struct{}, 1), freed: make(chan struct{}, 1)}
+}
+
+// Put adds an item. It fails with ErrFull, ErrClosed or ctx's error.
+func (r *Ring[T]) Put(ctx context.Context, item T) error {
+	for {
+		done, err := r.tryPut(item)
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.freed:
+		}
+	}
+}
+
+func (r *Ring[T]) tryPut(item T) (done bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false, ErrClosed
+	}
+	if r.size == len(r.items) {
+		switch r.policy {
+		case Block:
+			return false, nil
+		case Reject:
+			r.dropped++
+			return false, ErrFull
+		case DropOldest:
+			r.dropped++
+			r.pop()
+		}
+	}
+	r.items[(r.head+r.size)%len(r.items)] = item
+	r.size++
+	wake(r.filled)
+	if r.size < len(r.items) {
+		wake(r.freed)
+	}
+	return true, nil
+}
+
+// Take returns the oldest item. It fails with ErrClosed once the ring is
+// closed and empty, or with ctx's error.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	for {
+		item, ok, closed := r.tryTake()
+		if ok {
+			return item, nil
+		}
+		if closed {
+			return item, ErrClosed
+		}
+		select {
+		case <-ctx.Done():
+			return item, ctx.Err()
+		case <-r.filled:
+		}
+	}
+}
+
+func (r *Ring[T]) tryTake() (item T, ok, closed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.size == 0 {
+		return item, false, r.closed
+	}
+	item = r.pop()
+	if r.size > 0 || r.closed {
+		wake(r.filled)
+	}
+	wake(r.freed)
+	return item, true, false
+}
+
+func (r *Ring[T]) pop() T {
+	var zero T
+	item := r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.size--
+	return item
+}
+
+// Close ends the ring; what is in it can still be taken.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	wake(r.filled)
+	wake(r.freed)
+}
+
+// Len returns the number of items.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size
+}
+
+// Dropped returns how many items were dropped or rejected.
+func (r *Ring[T]) Dropped() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/routing/endpoint.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Load is the last that is known of an endpoint's load.
+type Load struct {
+	// At is when the endpoint observed it, on this instance's clock.
+	At time.Time
+	// Running and Waiting are the requests at the endpoint, of all instances.
+	Running, Waiting int
+	// OwnAtReport is how many of them were this instance's.
+	OwnAtReport int64
+}
+
+// Endpoint is one endpoint as this instance sees it. The identity fields never
+// change; the rest is updated by atomics, without a lock.
+type Endpoint struct {
+	Name          string
+	Address       string
+	Pool          string
+	FailureDomain string
+	Incarnation   string
+	// Concurrency is how many requests the endpoint runs at once.
+	Concurrency int
+
+	own      atomic.Int64
+	load     atomic.Pointer[Load]
+	failures atomic.Int64
+	// retryAt is the Unix time in nanoseconds before which an endpoint that
+	// failed is avoided.
+	retryAt atomic.Int64
+	leaving atomic.Bool
+}
+
+// Own returns the number of attempts of this instance at the endpoint.
+func (e *Endpoint) Own() int64 { return e.own.Load() }
+
+// Reported returns the last load report, or a zero Load.
+func (e *Endpoint) Reported() Load {
+	if l := e.load.Load(); l != nil {
+		return *l
+	}
+	return Load{}
+}
+
+// Report records a load report. sentOwn is Own when the report was asked for.
+func (e *Endpoint) Report(l Load) { e.load.Store(&l) }
+
+// SetLeaving marks the endpoint as leaving, or not.
+func (e *Endpoint) SetLeaving(leaving bool) { e.leaving.Store(leaving) }
+
+// Leaving tells whether the endpoint takes no new work.
+func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
+
+// Estimate is the load that the endpoint has now: what it reported, less what
+// was this instance's then, plus what is this instance's now.
+func (e *Endpoint) Estimate() int64 {
+	l := e.Reported()
+	others := int64(l.Running+l.Waiting) - l.OwnAtReport
+	return max(others, 0) + e.own.Load()
+}
+
+// Bounds of the time for which an endpoint that failed is avoided.
+const (
+	ejectBase = 250 * time.Millisecond
+	ejectMax  = 10 * time.Second
+)
+
+// Failed records that the endpoint could not be reached or broke an answer.
+func (e *Endpoint) Failed(now time.Time) {
+	n := min(e.failures.Add(1), 8)
+	pause := min(ejectBase<<(n-1), ejectMax)
+	e.retryAt.Store(now.Add(pause).UnixNano())
+}
+
+// Succeeded records a whole answer.
+func (e *Endpoint) Succeeded() {
+	if e.failures.Load() != 0 {
+		e.failures.Store(0)
+		e.retryAt.Store(0)
+	}
+}
+
+// Ejected tells whether the endpoint is avoided for its recent failures.
+func (e *Endpoint) Ejected(now time.Time) bool { return now.UnixNano() < e.retryAt.Load() }
--- /dev/null
+++ b/routing/filters.go
@@ -0,0 +1,37 @@
+package routing
+
+import "slices"
+
+// liveFilter keeps endpoints that take new work.
+type liveFilter struct{}
+
+func (liveFilter) Name() string                      { return "live" }
+func (liveFilter) Keep(_ *Request, e *Endpoint) bool { return !e.Leaving() }
+
+// untriedFilter keeps endpoints that this request has not tried.
+type untriedFilter struct{}
+
+func (untriedFilter) Name() string { return "untried" }
+func (untriedFilter) Keep(r *Request, e *Endpoint) bool {
+	return !slices.Contains(r.Excluded, e.Name)
+}
+
+// headroomFilter keeps endpoints whose estimated load leaves room. An instance
+// also keeps to its share of the endpoint, with slack for an uneven balancer,
+// so that instances that see the same stale report do not overrun it together.
+type headroomFilter struct {
+	// fill is the share of Concurrency up to which the estimate may go.
+	fill float64
+	// slack multiplies an instance's even share.
+	slack float64
+}
+
+func (headroomFilter) Name() string { return "headroom" }
+func (f headroomFilter) Keep(r *Request, e *Endpoint) bool {
+	limit := float64(e.Concurrency) * f.fill
+	if float64(e.Estimate()) >= limit {
+		return false
+	}
+	share := max(1, limit*f.slack/float64(max(1, r.Instances)))
+	return float64(e.Own()) < share
+}
--- /dev/null
+++ b/routing/policies.go
@@ -0,0 +1,42 @@
+package routing
+
+// Names of the policies that are kept runnable for comparison.
+const (
+	// PolicyRandom picks any live endpoint.
+	PolicyRandom = "random"
+	// PolicyReported picks the least load as reported.
+	PolicyReported = "reported"
+	// PolicyTwoChoices picks the better of two by report.
+	PolicyTwoChoices = "two-choices"
+	// PolicyEstimate picks the least load as reported and corrected by the
+	// instance's own attempts, within the instance's share.
+	PolicyEstimate = "estimate"
+)
+
+// DefaultPolicy is the policy that instances use unless told otherwise.
+const DefaultPolicy = PolicyEstimate
+
+// Weights and bounds of the estimate policy.
+const (
+	estimateWeight = 1.0
+	domainWeight   = 0.05
+	headroomFill   = 1.0
+	headroomSlack  = 2.0
+)
+
+// Policies returns the policies by name.
+func Policies() map[string]Policy {
+	base := []Filter{liveFilter{}, untriedFilter{}}
+	reported := []WeightedScorer{{reportedScorer{}, 1}}
+	return map[string]Policy{
+		PolicyRandom:     {Name: PolicyRandom, Filters: base, Picker: randomPicker{}},
+		PolicyReported:   {Name: PolicyReported, Filters: base, Scorers: reported, Picker: bestPicker{}},
+		PolicyTwoChoices: {Name: PolicyTwoChoices, Filters: base, Scorers: reported, Picker: twoChoicesPicker{}},
+		PolicyEstimate: {
+			Name:    PolicyEstimate,
+			Filters: append(base[:2:2], headroomFilter{fill: headroomFill, slack: headroomSlack}),
+			Scorers: []WeightedScorer{{estimateScorer{}, estimateWeight}, {domainScorer{}, domainWeight}},
+			Picker:  bestPicker{},
+		},
+	}
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,58 @@
+package routing
+
+import "time"
+
+// Request is what routing knows of an attempt.
+type Request struct {
+	ID   string
+	Unit string
+	Pool string
+	// Prefix identifies the beginning of the prompt; 0 means none.
+	Prefix uint64
+	// FailureDomain is the instance's own.
+	FailureDomain string
+	// Excluded are endpoints that an earlier attempt has tried.
+	Excluded []string
+	// Instances is the number of live instances that share the endpoints.
+	Instances int
+	Now       time.Time
+}
+
+// Filter drops endpoints that must not be chosen.
+type Filter interface {
+	Name() string
+	Keep(r *Request, e *Endpoint) bool
+}
+
+// Scorer rates an endpoint from 0 (worst) to 1 (best).
+type Scorer interface {
+	Name() string
+	Score(r *Request, e *Endpoint) float64
+}
+
+// Scored is an endpoint with its total score.
+type Scored struct {
+	Endpoint *Endpoint
+	Score    float64
+}
+
+// Picker chooses one of the candidates, which are never empty. random returns
+// numbers in [0,1).
+type Picker interface {
+	Name() string
+	Pick(candidates []Scored, random func() float64) Scored
+}
+
+// WeightedScorer is a scorer with its weight in the sum.
+type WeightedScorer struct {
+	Scorer Scorer
+	Weight float64
+}
+
+// Policy is a whole way of choosing.
+type Policy struct {
+	Name    string
+	Filters []Filter
+	Scorers []WeightedScorer
+	Picker  Picker
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"errors"
+	"sync/atomic"
+)
+
+// Errors of Router.Pick.
+var (
+	// ErrNoReplica means that no endpoint holds the unit.
+	ErrNoReplica = errors.New("no endpoint holds the unit")
+	// ErrNoneLeft means that every endpoint that holds the unit was tried or
+	// is leaving.
+	ErrNoneLeft = errors.New("no endpoint is left to try")
+	// ErrNoRoom means that the endpoints that hold the unit are full.
+	ErrNoRoom = errors.New("no endpoint has room")
+)
+
+// Decision is a choice with the numbers that led to it.
+type Decision struct {
+	Endpoint *Endpoint
+	Policy   string
+	Score    float64
+	// Candidates is how many endpoints held the unit, Eligible how many of
+	// them passed the filters.
+	Candidates, Eligible int
+	// Estimate is the load that the endpoint was taken to have.
+	Estimate int64
+}
+
+// Router chooses endpoints and counts what is under way at each.
+type Router struct {
+	policy Policy
+	random func() float64
+	view   atomic.Pointer[View]
+}
+
+// NewRouter returns a router with an empty view. random returns numbers in
+// [0,1) and must be safe for concurrent use.
+func NewRouter(p Policy, random func() float64) *Router {
+	r := &Router{policy: p, random: random}
+	r.view.Store(&View{})
+	return r
+}
+
+// SetView replaces the view.
+func (r *Router) SetView(v *View) { r.view.Store(v) }
+
+// View returns the view in force.
+func (r *Router) View() *View { return r.view.Load() }
+
+// Pick chooses an endpoint and reserves a place at it; Release gives it back.
+func (r *Router) Pick(req *Request) (Decision, error) {
+	view := r.view.Load()
+	req.Instances = view.Instances
+	candidates := view.Candidates(req.Unit, req.Pool)
+	if len(candidates) == 0 {
+		return Decision{}, ErrNoReplica
+	}
+	scored := r.score(req, candidates)
+	if len(scored) == 0 {
+		return Decision{}, whyNone(req, candidates)
+	}
+	chosen := r.policy.Picker.Pick(scored, r.random)
+	d := Decision{
+		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
+		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
+	}
+	chosen.Endpoint.own.Add(1)
+	return d, nil
+}
+
+// Release gives back a place that Pick reserved.
+func (r *Router) Release(e *Endpoint) { e.own.Add(-1) }
+
+// score filters and rates. Endpoints that failed lately are used only if
+// nothing else is left, so ejection never makes a unit unreachable.
+func (r *Router) score(req *Request, candidates []*Endpoint) []Scored {
+	healthy := make([]Scored, 0, len(candidates))
+	var ejected []Scored
+	for _, e := range candidates {
+		if !r.keep(req, e) {
+			continue
+		}
+		s := Scored{Endpoint: e}
+		for _, w := range r.policy.Scorers {
+			s.Score += w.Weight * w.Scorer.Score(req, e)
+		}
+		if e.Ejected(req.Now) {
+			ejected = append(ejected, s)
+			continue
+		}
+		healthy = append(healthy, s)
+	}
+	if len(healthy) == 0 {
+		return ejected
+	}
+	return healthy
+}
+
+func (r *Router) keep(req *Request, e *Endpoint) bool {
+	for _, f := range r.policy.Filters {
+		if !f.Keep(req, e) {
+			return false
+		}
+	}
+	return true
+}
+
+// whyNone tells a full unit from one with no endpoint left to try.
+func whyNone(req *Request, candidates []*Endpoint) error {
+	for _, e := range candidates {
+		if (liveFilter{}).Keep(req, e) && (untriedFilter{}).Keep(req, e) {
+			return ErrNoRoom
+		}
+	}
+	return ErrNoneLeft
+}
--- /dev/null
+++ b/settings/policy.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Policy is how requests and replicas are treated. A nil field is inherited.
+type Policy struct {
+	// Priority orders waiting requests; higher goes first.
+	Priority *int `json:"priority,omitempty"`
+	// FirstTokenMS is the target for the first token, in milliseconds.
+	FirstTokenMS *int64 `json:"firstTokenMS,omitempty"`
+	// BetweenTokensMS is the target between tokens, in milliseconds.
+	BetweenTokensMS *int64 `json:"betweenTokensMS,omitempty"`
+	// DeadlineMS bounds the whole request, in milliseconds.
+	DeadlineMS *int64 `json:"deadlineMS,omitempty"`
+	// Repeatable tells whether a request may run more than once.
+	Repeatable *bool `json:"repeatable,omitempty"`
+	// MayWait tells whether a request waits in the queue up to its deadline
+	// rather than being refused when its first-token target cannot be met.
+	MayWait *bool `json:"mayWait,omitempty"`
+	// Replicas is the least number of replicas to keep.
+	Replicas *int `json:"replicas,omitempty"`
+	// MovePrice is the cost of one load, in requests that miss their target.
+	MovePrice *float64 `json:"movePrice,omitempty"`
+}
+
+// Effective is a policy with every field decided.
+type Effective struct {
+	Priority      int
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Deadline      time.Duration
+	Repeatable    bool
+	MayWait       bool
+	Replicas      int
+	MovePrice     float64
+}
+
+// Defaults are the values of fields that no node sets.
+func Defaults() Policy {
+	return Policy{
+		Priority: new(0), FirstTokenMS: new(int64(2000)), BetweenTokensMS: new(int64(200)),
+		DeadlineMS: new(int64(60000)), Repeatable: new(true), MayWait: new(false),
+		Replicas: new(1), MovePrice: new(1.0),
+	}
+}
+
+// Node is a policy with the path of the node that carries it.
+type Node struct {
+	Path   string
+	Policy Policy
+}
+
+// Value is the effective value of one field and the node it comes from.
+type Value struct {
+	Field  string
+	Value  any
+	Origin string
+}
+
+// DefaultOrigin is the Origin of a value that no node sets.
+const DefaultOrigin = "(default)"
+
+// Inherit returns every field's effective value along a chain of nodes,
+// given from the root to the leaf.
+func Inherit(chain []Node) []Value {
+	nodes := append([]Node{{Path: DefaultOrigin, Policy: Defaults()}}, chain...)
+	t := reflect.TypeFor[Policy]()
+	values := make([]Value, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		values[i].Field = name
+		for _, n := range nodes {
+			f := reflect.ValueOf(n.Policy).Field(i)
+			if f.IsNil() {
+				continue
+			}
+			values[i].Value = f.Elem().Interface()
+			values[i].Origin = n.Path
+		}
+	}
+	return values
+}
+
+// Resolve merges a chain of nodes, root first, into an effective policy.
+func Resolve(chain []Node) Effective {
+	p := Defaults()
+	merged := reflect.ValueOf(&p).Elem()
+	for _, n := range chain {
+		v := reflect.ValueOf(n.Policy)
+		for i := range v.NumField() {
+			if f := v.Field(i); !f.IsNil() {
+				merged.Field(i).Set(f)
+			}
+		}
+	}
+	return Effective{
+		Priority:      *p.Priority,
+		FirstToken:    milliseconds(*p.FirstTokenMS),
+		BetweenTokens: milliseconds(*p.BetweenTokensMS),
+		Deadline:      milliseconds(*p.DeadlineMS),
+		Repeatable:    *p.Repeatable,
+		MayWait:       *p.MayWait,
+		Replicas:      *p.Replicas,
+		MovePrice:     *p.MovePrice,
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,92 @@
+package settings
+
+// Kind says how the endpoints of a pool are spoken to.
+type Kind string
+
+// Kinds of pool.
+const (
+	// KindEngine is a pool of model engines with the OpenAI API.
+	KindEngine Kind = "engine"
+	// KindPlain is a pool of plain HTTP services.
+	KindPlain Kind = "plain"
+)
+
+// Tree is a whole deployment's settings.
+type Tree struct {
+	Deployment     string              `json:"deployment"`
+	FailureDomains []string            `json:"failureDomains"`
+	WeightStore    WeightStore         `json:"weightStore"`
+	Policy         Policy              `json:"policy"`
+	Pools          map[string]*Pool    `json:"pools"`
+	Services       map[string]*Service `json:"services"`
+	Callers        map[string]*Caller  `json:"callers"`
+}
+
+// WeightStore is what the platform's weight store allows.
+type WeightStore struct {
+	// LoadsPerSecond is the rate at which loads may be started.
+	LoadsPerSecond float64 `json:"loadsPerSecond"`
+	// Concurrent is the number of loads that run at full speed together.
+	Concurrent int `json:"concurrent"`
+}
+
+// Pool is a set of endpoints of one kind.
+type Pool struct {
+	Kind Kind `json:"kind"`
+	// Endpoints is the number of endpoints that the pool should have.
+	Endpoints int `json:"endpoints"`
+	// MemoryMB is the accelerator memory of one endpoint, in MiB.
+	MemoryMB int64 `json:"memoryMB,omitempty"`
+	// ChecksFencing tells whether the endpoints refuse orders with an old epoch.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// Concurrency is how many requests one endpoint runs at once.
+	Concurrency int               `json:"concurrency"`
+	Policy      Policy            `json:"policy"`
+	Models      map[string]*Model `json:"models,omitempty"`
+}
+
+// Model is a base model and what derives from it.
+type Model struct {
+	// WeightsMB is the size of the weights in MiB.
+	WeightsMB int64 `json:"weightsMB"`
+	// KVMB is the KV cache reserved for each replica in MiB.
+	KVMB     int64               `json:"kvMB"`
+	Policy   Policy              `json:"policy"`
+	Adapters map[string]*Adapter `json:"adapters,omitempty"`
+	Versions map[string]*Version `json:"versions,omitempty"`
+	// Current names the version that the bare model name stands for; empty
+	// means the model's own weights.
+	Current string `json:"current,omitempty"`
+}
+
+// Adapter is a small set of weights on top of a base model.
+type Adapter struct {
+	SizeMB int64  `json:"sizeMB"`
+	Policy Policy `json:"policy"`
+}
+
+// Version is another set of weights of the same model.
+type Version struct {
+	WeightsMB int64  `json:"weightsMB"`
+	Policy    Policy `json:"policy"`
+}
+
+// Service is a name that callers use, with a treatment of its own.
+type Service struct {
+	// Model is the model, adapter or version behind the service, or empty.
+	Model string `json:"model,omitempty"`
+	// Pool is the pool of plain endpoints behind the service, or empty.
+	Pool   string `json:"pool,omitempty"`
+	Policy Policy `json:"policy"`
+}
+
+// AllServices in Caller.Services permits every service and model.
+const AllServices = "*"
+
+// Caller is one who may send requests.
+type Caller struct {
+	// TokenSHA256 holds the hex SHA-256 of each valid bearer token.
+	TokenSHA256 []string `json:"tokenSHA256"`
+	// Services lists the services and models that the caller may use.
+	Services []string `json:"services"`
+}
--- /dev/null
+++ b/settings/unit.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// VersionSeparator joins a model's name and a version's in a unit's name.
+const VersionSeparator = "@"
+
+// Unit is something that is loaded on an endpoint as a whole: a model's
+// weights, a version of them, or an adapter.
+type Unit struct {
+	Name string
+	Pool string
+	// Base is the unit that must be resident with it; empty for weights.
+	Base string
+	// MemoryMB is weights plus reserved KV cache, in MiB.
+	MemoryMB int64
+	Policy   Effective
+}
+
+// Target is what a name in a request stands for.
+type Target struct {
+	// Name is the service or unit as the caller wrote it.
+	Name string
+	// Unit is the unit to run, or empty for a plain service.
+	Unit string
+	Pool string
+	Kind Kind
+	// Policy is the treatment of the request.
+	Policy Effective
+}
+
+// Catalog is the tree resolved for use: every unit and every name that a
+// request may carry. It is immutable.
+type Catalog struct {
+	Tree    *Tree
+	Units   map[string]Unit
+	Targets map[string]Target
+	callers map[string]callerEntry
+}
+
+type callerEntry struct {
+	name     string
+	services map[string]bool
+}
+
+// NewCatalog resolves a tree that Check accepts.
+func NewCatalog(t *Tree) *Catalog {
+	c := &Catalog{Tree: t, Units: map[string]Unit{}, Targets: map[string]Target{}, callers: map[string]callerEntry{}}
+	root := Node{Path: "/policy", Policy: t.Policy}
+	for poolName, pool := range t.Pools {
+		chain := []Node{root, {Path: "/pools/" + poolName + "/policy", Policy: pool.Policy}}
+		for modelName, model := range pool.Models {
+			c.addModel(poolName, modelName, model, chain)
+		}
+	}
+	for name, s := range t.Services {
+		c.addService(name, s, root)
+	}
+	for name, caller := range t.Callers {
+		c.addCaller(name, caller)
+	}
+	return c
+}
+
+func (c *Catalog) addModel(pool, name string, m *Model, parents []Node) {
+	chain := append(slices.Clone(parents), Node{Path: "/pools/" + pool + "/models/" + name + "/policy", Policy: m.Policy})
+	c.addUnit(Unit{Name: name, Pool: pool, MemoryMB: m.WeightsMB + m.KVMB, Policy: Resolve(chain)})
+	for v, version := range m.Versions {
+		leaf := append(slices.Clone(chain), Node{Policy: version.Policy})
+		c.addUnit(Unit{Name: name + VersionSeparator + v, Pool: pool, MemoryMB: version.WeightsMB + m.KVMB, Policy: Resolve(leaf)})
+	}
+	current := name
+	if m.Current != "" {
+		current = name + VersionSeparator + m.Current
+		target := c.Targets[name]
+		target.Unit = current
+		c.Targets[name] = target
+	}
+	for a, adapter := range m.Adapters {
+		leaf := append(slices.Clone(chain), Node{Policy: adapter.Policy})
+		c.addUnit(Unit{Name: a, Pool: pool, Base: current, MemoryMB: adapter.SizeMB, Policy: Resolve(leaf)})
+	}
+}
+
+func (c *Catalog) addUnit(u Unit) {
+	c.Units[u.Name] = u
+	c.Targets[u.Name] = Target{Name: u.Name, Unit: u.Name, Pool: u.Pool, Kind: KindEngine, Policy: u.Policy}
+}
+
+func (c *Catalog) addService(name string, s *Service, root Node) {
+	policy := Resolve([]Node{root, {Path: "/services/" + name + "/policy", Policy: s.Policy}})
+	target := Target{Name: name, Pool: s.Pool, Kind: KindPlain, Policy: policy}
+	if s.Model != "" {
+		model := c.Targets[s.Model]
+		target.Unit, target.Pool, target.Kind = model.Unit, model.Pool, KindEngine
+	}
+	c.Targets[name] = target
+}
+
+func (c *Catalog) addCaller(name string, caller *Caller) {
+	allowed := make(map[string]bool, len(caller.Services))
+	for _, s := range caller.Services {
+		allowed[s] = true
+	}
+	for _, hash := range caller.TokenSHA256 {
+		c.callers[strings.ToLower(hash)] = callerEntry{name: name, services: allowed}
+	}
+}
+
+// Identity is an authenticated caller.
+type Identity struct {
+	Name     string
+	services map[string]bool
+}
+
+// May tells whether the caller may use the service or unit of that name.
+func (i Identity) May(name string) bool {
+	return i.services[AllServices] || i.services[name]
+}
+
+// Caller returns the caller whose token has the given lower-case hex SHA-256.
+func (c *Catalog) Caller(tokenSHA256 string) (Identity, bool) {
+	e, ok := c.callers[tokenSHA256]
+	return Identity{Name: e.name, services: e.services}, ok
+}
+
+// UnitNames returns the names of all units in order.
+func (c *Catalog) UnitNames() []string {
+	return slices.Sorted(maps.Keys(c.Units))
+}
--- /dev/null
+++ b/standin/members.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Member is one instance or endpoint on the platform's list.
+type Member struct {
+	Name          string `json:"name"`
+	Pool          string `json:"pool"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Incarnation   string `json:"incarnation"`
+	// State is "live" or "leaving"; a member that is gone is not listed.
+	State string `json:"state"`
+}
+
+// States of a member.
+const (
+	MemberLive    = "live"
+	MemberLeaving = "leaving"
+)
+
+// Members is the platform's list of instances and endpoints. Changes show
+// after a lag.
+type Members struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	version int64
+	members map[string]Member
+	changed chan struct{}
+}
+
+// NewMembers returns an empty list with the given lag.
+func NewMembers(lag time.Duration) *Members {
+	return &Members{lag: lag, version: 1, members: map[string]Member{}, changed: make(chan struct{})}
+}
+
+// Set puts a member on the list after the lag.
+func (m *Members) Set(member Member) {
+	m.later(func() { m.members[member.Name] = member })
+}
+
+// Remove takes a member off the list after the lag.
+func (m *Members) Remove(name string) {
+	m.later(func() { delete(m.members, name) })
+}
+
+func (m *Members) later(change func()) {
+	apply := func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		change()
+		m.version++
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	if m.lag == 0 {
+		apply()
+		return
+	}
+	time.AfterFunc(m.lag, apply)
+}
+
+// longPoll bounds how long an unchanged list holds a request.
+const longPoll = 10 * time.Second
+
+// ServeHTTP answers GET ?after=VERSION once the list is newer than VERSION.
+func (m *Members) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	timeout := time.NewTimer(longPoll)
+	defer timeout.Stop()
+	for {
+		m.mu.Lock()
+		version, changed := m.version, m.changed
+		list := make([]Member, 0, len(m.members))
+		for _, member := range m.members {
+			list = append(list, member)
+		}
+		m.mu.Unlock()
+		if version > after {
+			writeJSON(w, http.StatusOK, map[string]any{"version": version, "members": list})
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-timeout.C:
+			after = 0
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/standin/objectapi.go
@@ -0,0 +1,246 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// StoreMode is how the object API stand-in behaves.
+type StoreMode string
+
+// Modes of the object API.
+const (
+	// StoreUp answers at once.
+	StoreUp StoreMode = "up"
+	// StoreDown cuts every call and watch.
+	StoreDown StoreMode = "down"
+	// StoreSlow delays every call.
+	StoreSlow StoreMode = "slow"
+	// StoreLostAnswers cuts every tenth answer after the effect.
+	StoreLostAnswers StoreMode = "lost-answers"
+)
+
+const (
+	objectPathPrefix = "/apis/eiderspring.dev/v1/"
+	slowDelay        = 400 * time.Millisecond
+	lostAnswerEvery  = 10
+	eventsKept       = 4096
+	maxValueBytes    = 1 << 20
+)
+
+type object struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       string          `json:"kind"`
+	Metadata   objectMeta      `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
+}
+
+type objectMeta struct {
+	Name            string            `json:"name"`
+	ResourceVersion string            `json:"resourceVersion,omitempty"`
+	Annotations     map[string]string `json:"annotations,omitempty"`
+}
+
+type objectEvent struct {
+	Type    string `json:"type"`
+	Object  object `json:"object"`
+	version int64
+}
+
+// ObjectAPI is the platform's object API, in memory.
+type ObjectAPI struct {
+	Reads, Writes, Watches atomic.Int64
+
+	mu      sync.Mutex
+	mode    StoreMode
+	version int64
+	objects map[string]map[string]object
+	events  map[string][]objectEvent
+	// changed is closed and replaced whenever an object or the mode changes.
+	changed chan struct{}
+	calls   int64
+}
+
+// NewObjectAPI returns an empty API that is up.
+func NewObjectAPI() *ObjectAPI {
+	return &ObjectAPI{
+		mode: StoreUp, objects: map[string]map[string]object{},
+		events: map[string][]objectEvent{}, changed: make(chan struct{}),
+	}
+}
+
+// SetMode changes the behaviour; going down cuts the open watches.
+func (a *ObjectAPI) SetMode(m StoreMode) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mode = m
+	a.announce()
+}
+
+func (a *ObjectAPI) announce() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (a *ObjectAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectPathPrefix), "/")
+	mode, lose := a.admit()
+	switch {
+	case mode == StoreDown:
+		panic(http.ErrAbortHandler)
+	case mode == StoreSlow:
+		time.Sleep(slowDelay)
+	}
+	if r.URL.Query().Get("watch") == "1" {
+		a.Watches.Add(1)
+		a.watch(w, r, kind)
+		return
+	}
+	code, body := a.handle(r, kind, name)
+	if lose && mode == StoreLostAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (a *ObjectAPI) admit() (StoreMode, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	return a.mode, a.calls%lostAnswerEvery == 0
+}
+
+func (a *ObjectAPI) handle(r *http.Request, kind, name string) (int, any) {
+	if r.Method == http.MethodGet {
+		a.Reads.Add(1)
+		return a.read(kind, name)
+	}
+	a.Writes.Add(1)
+	if r.Method == http.MethodDelete {
+		return a.remove(kind, name)
+	}
+	var o object
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxValueBytes)).Decode(&o); err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	return a.write(r.Method, kind, o)
+}
+
+func (a *ObjectAPI) read(kind, name string) (int, any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if name != "" {
+		if o, ok := a.objects[kind][name]; ok {
+			return http.StatusOK, o
+		}
+		return http.StatusNotFound, "not found"
+	}
+	items := make([]object, 0, len(a.objects[kind]))
+	for _, o := range a.objects[kind] {
+		items = append(items, o)
+	}
+	return http.StatusOK, map[string]any{
+		"metadata": objectMeta{ResourceVersion: strconv.FormatInt(a.version, 10)}, "items": items,
+	}
+}
+
+func (a *ObjectAPI) write(method, kind string, o object) (int, any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old, exists := a.objects[kind][o.Metadata.Name]
+	event := "MODIFIED"
+	switch {
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, "already exists"
+	case method == http.MethodPost:
+		event = "ADDED"
+	case !exists:
+		return http.StatusNotFound, "not found"
+	case old.Metadata.ResourceVersion != o.Metadata.ResourceVersion:
+		return http.StatusConflict, "the version is " + old.Metadata.ResourceVersion
+	}
+	a.version++
+	o.Metadata.ResourceVersion = strconv.FormatInt(a.version, 10)
+	if a.objects[kind] == nil {
+		a.objects[kind] = map[string]object{}
+	}
+	a.objects[kind][o.Metadata.Name] = o
+	a.record(kind, event, o)
+	return http.StatusOK, o
+}
+
+func (a *ObjectAPI) remove(kind, name string) (int, any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o, exists := a.objects[kind][name]
+	if !exists {
+		return http.StatusNotFound, "not found"
+	}
+	delete(a.objects[kind], name)
+	a.version++
+	o.Metadata.ResourceVersion = strconv.FormatInt(a.version, 10)
+	a.record(kind, "DELETED", o)
+	return http.StatusOK, o
+}
+
+func (a *ObjectAPI) record(kind, event string, o object) {
+	log := append(a.events[kind], objectEvent{Type: event, Object: o, version: a.version})
+	if len(log) > eventsKept {
+		log = log[len(log)-eventsKept:]
+	}
+	a.events[kind] = log
+	a.announce()
+}
+
+func (a *ObjectAPI) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("resourceVersion"), 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("resourceVersion: %v", err), http.StatusBadRequest)
+		return
+	}
+	flusher := w.(http.Flusher)
+	enc := json.NewEncoder(w)
+	for {
+		events, changed, mode, gone := a.since(kind, after)
+		if mode == StoreDown {
+			panic(http.ErrAbortHandler)
+		}
+		if gone {
+			http.Error(w, "too old", http.StatusGone)
+			return
+		}
+		for _, e := range events {
+			after = e.version
+			_ = enc.Encode(e)
+		}
+		flusher.Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (a *ObjectAPI) since(kind string, after int64) (events []objectEvent, changed <-chan struct{}, mode StoreMode, gone bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	log := a.events[kind]
+	if len(log) == eventsKept && after < log[0].version {
+		return nil, a.changed, a.mode, true
+	}
+	for i := len(log); i > 0 && log[i-1].version > after; i-- {
+		events = log[i-1:]
+	}
+	return append([]objectEvent(nil), events...), a.changed, a.mode, false
+}
