--- /dev/null
+++ b/lease/machine_test.go
@@ -0,0 +1,229 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// simStore is the object API with one lease object, as an adversary runs it.
+type simStore struct {
+	record  Record
+	version int
+	// late are writes that were given up on but have not taken effect yet.
+	late []Write
+}
+
+func (s *simStore) write(w Write) (WriteResult, string) {
+	current := ""
+	if s.version > 0 {
+		current = fmt.Sprint(s.version)
+	}
+	if w.Version != current && w.Version != anyVersion {
+		return WriteConflict, ""
+	}
+	s.record = w.Record
+	s.version++
+	return WriteDone, fmt.Sprint(s.version)
+}
+
+// anyVersion makes a write unconditional, for broken variants.
+const anyVersion = "any"
+
+// simNode is an instance whose calls to the store the adversary delays.
+type simNode struct {
+	machine *Machine
+	clock   time.Time
+	// pending are the store calls that have not been answered.
+	pending []Action
+}
+
+// simulation is a schedule of pauses, delays, lost answers and late writes.
+type simulation struct {
+	draw   func(n int) int
+	mutate func(Write) Write
+	store  simStore
+	nodes  []*simNode
+	// owner is the node that acquired each epoch.
+	owner map[int64]int
+	fault error
+}
+
+const (
+	simNodes = 3
+	simSteps = 150
+)
+
+// simulate returns the first violation: an epoch acquired twice, or one that
+// is not above all before it. An endpoint that checks fencing numbers then
+// obeys one holder only, whatever the pauses between check and order.
+func simulate(draw func(n int) int, mutate func(Write) Write) error {
+	s := &simulation{draw: draw, mutate: mutate, owner: map[int64]int{}}
+	for i := range simNodes {
+		s.nodes = append(s.nodes, &simNode{machine: NewMachine(NewConfig(fmt.Sprintf("node-%d", i))), clock: time.Unix(1000, 0)})
+		s.step(i, Campaign{Want: true})
+	}
+	for range simSteps {
+		s.turn()
+	}
+	return s.fault
+}
+
+func (s *simulation) step(i int, e Event) {
+	n := s.nodes[i]
+	for _, a := range n.machine.Step(n.clock, e) {
+		switch a := a.(type) {
+		case Acquired:
+			if owner, taken := s.owner[a.Epoch]; taken && owner != i {
+				s.fault = fmt.Errorf("epoch %d acquired by nodes %d and %d", a.Epoch, owner, i)
+			}
+			s.owner[a.Epoch] = i
+		case Read:
+			n.pending = append(n.pending, a)
+		case Write:
+			n.pending = append(n.pending, s.mutate(a))
+		}
+	}
+}
+
+func (s *simulation) turn() {
+	i := s.draw(len(s.nodes))
+	n := s.nodes[i]
+	switch s.draw(8) {
+	case 0, 1, 2:
+		n.clock = n.clock.Add(time.Duration(1+s.draw(9000)) * time.Millisecond)
+		s.step(i, Tick{})
+	case 3, 4, 5:
+		if len(n.pending) > 0 {
+			call := n.pending[0]
+			n.pending = n.pending[1:]
+			s.answer(i, call)
+		}
+	case 6:
+		if len(s.store.late) > 0 {
+			s.store.write(s.store.late[0])
+			s.store.late = s.store.late[1:]
+		}
+	case 7:
+		s.step(i, Campaign{Want: s.draw(4) > 0})
+	}
+}
+
+func (s *simulation) answer(i int, call Action) {
+	fate := s.draw(6)
+	switch call := call.(type) {
+	case Read:
+		switch {
+		case fate == 0:
+		case s.store.version == 0:
+			s.step(i, Missing{})
+		default:
+			s.step(i, Seen{Record: s.store.record, Version: fmt.Sprint(s.store.version)})
+		}
+	case Write:
+		if fate == 0 {
+			s.store.late = append(s.store.late, call)
+			s.step(i, Wrote{Result: WriteUnknown})
+			return
+		}
+		result, version := s.store.write(call)
+		if fate == 1 {
+			result = WriteUnknown
+		}
+		s.step(i, Wrote{Result: result, Version: version})
+	}
+}
+
+func asDesigned(w Write) Write { return w }
+
+func TestEpochsAreAcquiredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+		require.NoError(t, simulate(draw, asDesigned))
+	})
+}
+
+func TestEpochsAreAcquiredOnceInManySchedules(t *testing.T) {
+	for seed := range uint64(5000) {
+		require.NoError(t, simulate(rand.New(rand.NewPCG(seed, 0)).IntN, asDesigned), "seed %d", seed)
+	}
+}
+
+// TestBrokenVariantsAreCaught shows that the judge above can fail.
+func TestBrokenVariantsAreCaught(t *testing.T) {
+	for name, mutate := range map[string]func(Write) Write{
+		"epoch does not grow": func(w Write) Write {
+			w.Record.Epoch = 1
+			return w
+		},
+		"write is not conditional": func(w Write) Write {
+			w.Version = anyVersion
+			return w
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5000) {
+				if simulate(rand.New(rand.NewPCG(seed, 0)).IntN, mutate) != nil {
+					return
+				}
+			}
+			t.Fatal("no schedule catches this variant")
+		})
+	}
+}
+
+func TestTwoCampaigners(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := NewMachine(NewConfig("a"))
+	require.Equal(t, []Action{Read{}}, a.Step(now, Campaign{Want: true}))
+	first := Write{Record: Record{Holder: "a", Epoch: 1}}
+	require.Equal(t, []Action{first}, a.Step(now, Missing{}))
+	require.Equal(t, []Action{Acquired{Epoch: 1}}, a.Step(now, Wrote{Result: WriteDone, Version: "1"}))
+
+	b := NewMachine(NewConfig("b"))
+	b.Step(now, Campaign{Want: true})
+	require.Empty(t, b.Step(now, Seen{Record: first.Record, Version: "1"}))
+	almost := now.Add(DefaultDuration)
+	require.Equal(t, []Action{Read{}}, b.Step(almost, Tick{}), "the challenger waits for the drift too")
+	_, held := a.Held(almost)
+	require.False(t, held, "the holder's own lease ends first")
+	takeover := b.Step(now.Add(DefaultDuration+DefaultDrift), Tick{})
+	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 2}, Version: "1"}}, takeover)
+}
+
+func TestLostAnswerOfRenewalCountsFromItsSending(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := NewMachine(NewConfig("a"))
+	m.Step(now, Campaign{Want: true})
+	m.Step(now, Missing{})
+	m.Step(now, Wrote{Result: WriteDone, Version: "1"})
+	sent := now.Add(DefaultRenewEvery)
+	renewal := m.Step(sent, Tick{})
+	require.Len(t, renewal, 1)
+	read := sent.Add(2 * time.Second)
+	require.Equal(t, []Action{Read{}}, m.Step(read, Wrote{Result: WriteUnknown}))
+	m.Step(read.Add(time.Second), Seen{Record: renewal[0].(Write).Record, Version: "2"})
+	_, held := m.Held(sent.Add(DefaultDuration - DefaultDrift - 1))
+	require.True(t, held)
+	_, held = m.Held(sent.Add(DefaultDuration - DefaultDrift))
+	require.False(t, held)
+}
+
+func TestHandOverFreesTheLeaseAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := NewMachine(NewConfig("a"))
+	a.Step(now, Campaign{Want: true})
+	a.Step(now, Missing{})
+	a.Step(now, Wrote{Result: WriteDone, Version: "1"})
+	release := a.Step(now, Campaign{Want: false})
+	require.Equal(t, []Action{Write{Record: Record{Epoch: 1, Renewals: 1}, Version: "1"}}, release)
+	require.Equal(t, []Action{Lost{Epoch: 1}}, a.Step(now, Wrote{Result: WriteDone, Version: "2"}))
+	b := NewMachine(NewConfig("b"))
+	b.Step(now, Campaign{Want: true})
+	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 2}, Version: "2"}},
+		b.Step(now, Seen{Record: release[0].(Write).Record, Version: "2"}))
+}
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,106 @@
+package lease
+
+import "time"
+
+// Record is what is stored of a lease.
+type Record struct {
+	// Holder is the instance and its incarnation; empty means released.
+	Holder string `json:"holder"`
+	// Epoch is the fencing number. It grows with every acquisition.
+	Epoch int64 `json:"epoch"`
+	// Renewals makes every renewal a change.
+	Renewals int64 `json:"renewals"`
+}
+
+// Config sets up a Machine.
+type Config struct {
+	// Holder names this instance and its incarnation.
+	Holder string
+	// Duration is how long the lease lasts without a renewal.
+	Duration time.Duration
+	// RenewEvery is the time between renewals.
+	RenewEvery time.Duration
+	// Drift is what a challenger waits longer, and a holder stops earlier, for
+	// clocks that do not run at the same rate.
+	Drift time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultDuration   = 6 * time.Second
+	DefaultRenewEvery = 2 * time.Second
+	DefaultDrift      = 250 * time.Millisecond
+)
+
+// NewConfig returns the defaults for a holder.
+func NewConfig(holder string) Config {
+	return Config{Holder: holder, Duration: DefaultDuration, RenewEvery: DefaultRenewEvery, Drift: DefaultDrift}
+}
+
+// Event is an input of a Machine.
+type Event interface{ isEvent() }
+
+// Seen is the record as read or watched, with its resource version.
+type Seen struct {
+	Record  Record
+	Version string
+}
+
+// Missing says that there is no record.
+type Missing struct{}
+
+// Wrote is the end of a Write.
+type Wrote struct {
+	Result WriteResult
+	// Version is the new resource version if the write took effect.
+	Version string
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Campaign turns the wish to hold the lease on or off. Turning it off while
+// holding releases the lease.
+type Campaign struct{ Want bool }
+
+func (Seen) isEvent()     {}
+func (Missing) isEvent()  {}
+func (Wrote) isEvent()    {}
+func (Tick) isEvent()     {}
+func (Campaign) isEvent() {}
+
+// WriteResult is what became of a write.
+type WriteResult int
+
+// Results of a write.
+const (
+	// WriteDone means that it took effect.
+	WriteDone WriteResult = iota
+	// WriteConflict means that it did not and will not.
+	WriteConflict
+	// WriteUnknown means that it may have, or may yet.
+	WriteUnknown
+)
+
+// Action is an output of a Machine.
+type Action interface{ isAction() }
+
+// Read asks for the record.
+type Read struct{}
+
+// Write asks for a conditional write; an empty Version means a create.
+type Write struct {
+	Record  Record
+	Version string
+}
+
+// Acquired says that the lease is held with this epoch.
+type Acquired struct{ Epoch int64 }
+
+// Lost says that the lease is no longer held.
+type Lost struct{ Epoch int64 }
+
+func (Read) isAction()     {}
+func (Write) isAction()    {}
+func (Acquired) isAction() {}
+func (Lost) isAction()     {}
--- /dev/null
+++ b/lease/runner.go
@@ -0,0 +1,119 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// Runner carries out a Machine's actions on a lease object.
+type Runner struct {
+	name    string
+	machine *Machine
+	client  store.Client
+	now     func() time.Time
+	// changed gets Acquired and Lost.
+	changed func(Action)
+	// campaign tells at each tick whether this instance wants the lease.
+	campaign func() bool
+}
+
+// RunnerConfig sets up a Runner.
+type RunnerConfig struct {
+	// Name is the lease object's name.
+	Name   string
+	Lease  Config
+	Client store.Client
+	Now    func() time.Time
+	// Changed gets Acquired and Lost, on the runner's goroutine.
+	Changed func(Action)
+	// Campaign tells whether this instance wants the lease now.
+	Campaign func() bool
+}
+
+// NewRunner returns a runner; Run starts it.
+func NewRunner(cfg RunnerConfig) *Runner {
+	return &Runner{
+		name: cfg.Name, machine: NewMachine(cfg.Lease), client: cfg.Client,
+		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign,
+	}
+}
+
+// tickEvery is the time between ticks of the machine.
+const tickEvery = 200 * time.Millisecond
+
+// releaseTimeout bounds the hand-over at the end of Run.
+const releaseTimeout = 2 * time.Second
+
+// Run campaigns until ctx ends, then hands the lease over if it is held.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.release()
+			return
+		case <-ticker.C:
+			r.step(ctx, Campaign{Want: r.campaign()})
+		}
+	}
+}
+
+func (r *Runner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	r.step(ctx, Campaign{Want: false})
+}
+
+// step runs an event and all that follows from it.
+func (r *Runner) step(ctx context.Context, e Event) {
+	for _, a := range r.machine.Step(r.now(), e) {
+		switch a := a.(type) {
+		case Read:
+			if next := r.read(ctx); next != nil {
+				r.step(ctx, next)
+			}
+		case Write:
+			r.step(ctx, r.write(ctx, a))
+		default:
+			r.changed(a)
+		}
+	}
+}
+
+func (r *Runner) read(ctx context.Context) Event {
+	o, err := r.client.Get(ctx, store.KindLease, r.name)
+	if store.IsNotFound(err) {
+		return Missing{}
+	}
+	var record Record
+	if err != nil || json.Unmarshal(o.Spec, &record) != nil {
+		return nil
+	}
+	return Seen{Record: record, Version: o.Metadata.ResourceVersion}
+}
+
+// write does not resolve a lost answer itself: the machine reads again.
+func (r *Runner) write(ctx context.Context, w Write) Event {
+	o, err := store.NewObject(store.KindLease, r.name, w.Record)
+	if err != nil {
+		return Wrote{Result: WriteConflict}
+	}
+	o.Metadata.ResourceVersion = w.Version
+	send := r.client.Update
+	if w.Version == "" {
+		send = r.client.Create
+	}
+	written, err := send(ctx, o)
+	switch {
+	case err == nil:
+		return Wrote{Result: WriteDone, Version: written.Metadata.ResourceVersion}
+	case store.IsUnanswered(err):
+		return Wrote{Result: WriteUnknown}
+	default:
+		return Wrote{Result: WriteConflict}
+	}
+}
--- /dev/null
+++ b/placement/applier.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
+)
+
+// plan makes a plan if one is due, and applies it to the working ledger. Each
+// move is checked again by the ledger's own rules, which do not trust the
+// planner; a move that they refuse is dropped and planned anew.
+func (c *Controller) plan(now time.Time) []Action {
+	if now.Before(c.planAt) || c.settings.Units == nil || c.members == nil {
+		return nil
+	}
+	c.planAt = now.Add(c.cfg.PlanEvery)
+	var actions []Action
+	for _, m := range Plan(c.snapshot(now)) {
+		if err := c.apply(now, m); err != nil {
+			actions = append(actions, Noted{What: "move refused", Endpoint: m.Endpoint, Unit: m.Unit, Detail: err.Error()})
+			continue
+		}
+		c.dirty = true
+		if m.Op == OpLoad {
+			c.budget.spend()
+		}
+		actions = append(actions, Decided{Move: m})
+	}
+	c.trackOrders()
+	return actions
+}
+
+// errNotQuiet refuses a load while copies of this controller's own unload may
+// still arrive.
+var errNotQuiet = errors.New("an unload of the unit was sent too lately")
+
+func (c *Controller) apply(now time.Time, m Move) error {
+	if m.Op == OpLoad {
+		if u := c.working.unit(m.Endpoint, m.Unit); u != nil && !c.history.quiet(now, m.Endpoint, m.Unit, c.cfg.MaxOrderDelay) {
+			return &RuleError{Endpoint: m.Endpoint, Unit: m.Unit, Err: errNotQuiet}
+		}
+		return c.working.IntendLoad(m.Endpoint, m.Unit, m.Base, c.newOrderID(), m.MemoryMB)
+	}
+	return c.working.IntendUnload(m.Endpoint, m.Unit, c.newOrderID(), m.Reason != ReasonUnwanted)
+}
+
+// snapshot is what the planner sees.
+func (c *Controller) snapshot(now time.Time) Snapshot {
+	s := Snapshot{Units: slices.Clone(c.settings.Units), Loads: c.loadsAllowed(now)}
+	for i := range s.Units {
+		s.Units[i].Demand = c.demand.of(s.Units[i].Name)
+	}
+	for _, m := range c.members {
+		use := c.working.Endpoints[m.Name]
+		if use == nil {
+			continue
+		}
+		s.Endpoints = append(s.Endpoints, c.endpointState(now, m, use))
+	}
+	return s
+}
+
+func (c *Controller) endpointState(now time.Time, m Member, use *EndpointUse) EndpointState {
+	e := EndpointState{
+		Name: m.Name, FailureDomain: m.FailureDomain, CapacityMB: use.CapacityMB, FreeMB: use.FreeMB(),
+		Concurrency: c.settings.Concurrency, Takes: !m.Leaving && c.known(m.Name), Serves: !m.Leaving,
+		Units: make(map[string]Placed, len(use.Units)),
+	}
+	for name, u := range use.Units {
+		e.Units[name] = Placed{
+			State: u.State, MemoryMB: u.MemoryMB, Base: u.Base, Certain: u.Certain(),
+			Blocked: u.State == Absent && (len(u.LateUnloads) > 0 || !c.history.quiet(now, m.Name, name, c.cfg.MaxOrderDelay)),
+		}
+	}
+	return e
+}
+
+// loadsAllowed is the weight store's budget: its rate, and how many loads run
+// at full speed.
+func (c *Controller) loadsAllowed(now time.Time) int {
+	open := 0
+	for _, o := range c.orders {
+		if o.op == engine.OpLoad {
+			open++
+		}
+	}
+	return max(0, min(c.budget.available(now), c.settings.ConcurrentLoads-open))
+}
--- /dev/null
+++ b/placement/controller.go
@@ -0,0 +1,281 @@
+package placement
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
+)
+
+// ControllerConfig sets up a Controller.
+type ControllerConfig struct {
+	// Cell names the cell.
+	Cell string
+	// Holder names this instance: NAME/INCARNATION, and more behind a slash.
+	Holder string
+	// MaxOrderDelay is the longest time for which the network may hold an
+	// order that was sent.
+	MaxOrderDelay time.Duration
+	// ResendEvery is the pause before an order that was not taken goes again.
+	ResendEvery time.Duration
+	// InventoryEvery is the time between inventories of an endpoint without
+	// open orders, InventoryFast that of one with some.
+	InventoryEvery, InventoryFast time.Duration
+	// PlanEvery is the time between plans.
+	PlanEvery time.Duration
+}
+
+// NewControllerConfig returns the defaults for a cell.
+func NewControllerConfig(cell, holder string) ControllerConfig {
+	return ControllerConfig{
+		Cell: cell, Holder: holder, MaxOrderDelay: 10 * time.Second, ResendEvery: time.Second,
+		InventoryEvery: 2 * time.Second, InventoryFast: 250 * time.Millisecond, PlanEvery: 250 * time.Millisecond,
+	}
+}
+
+// phase is how far a controller is in taking the ledger over.
+type phase int
+
+const (
+	// phaseIdle: the lease is not held.
+	phaseIdle phase = iota
+	// phaseReading: the ledger is being read.
+	phaseReading
+	// phaseTakingOver: the commit that raises the epoch is under way. Nothing
+	// is decided and nothing is sent before it has taken effect.
+	phaseTakingOver
+	// phaseRunning: decisions are made.
+	phaseRunning
+)
+
+// Controller decides for one cell while its instance holds the cell's lease.
+//
+// Invariants: an order is sent only if it stands in committed, under this
+// controller's epoch; working is committed plus what the next commit will
+// add; at most one commit is under way.
+type Controller struct {
+	cfg   ControllerConfig
+	phase phase
+	epoch int64
+
+	settings  Configured
+	members   []Member
+	instances map[string]string
+	// listVersion is the version of the list that members and instances are of.
+	listVersion int64
+
+	committed *Ledger
+	working   *Ledger
+	version   string
+	dirty     bool
+	// committing is the ledger under way to the store, nil for none.
+	committing *Ledger
+	commitSeq  int64
+
+	orders  map[string]*openOrder
+	nextID  int64
+	history sendHistory
+	fences  map[string]*fence
+	asked   map[string]time.Time
+	asking  map[string]bool
+	demand  demandEstimates
+	budget  loadBudget
+	planAt  time.Time
+	// goneAt is when each earlier holder was first missing on the list,
+	// unlisted when each endpoint on record was.
+	goneAt   map[string]time.Time
+	unlisted map[string]time.Time
+	// settledEpoch is the epoch for which WriteSettled was last asked for.
+	settledEpoch  int64
+	settledReadAt time.Time
+	// settledAt is when this controller last learnt that an earlier one's
+	// orders can no longer arrive.
+	settledAt time.Time
+	readAt    time.Time
+}
+
+// openOrder is what is known of the sendings of an order in the ledger.
+type openOrder struct {
+	endpoint, unit string
+	op             engine.OrderOp
+	memoryMB       int64
+	inFlight       bool
+	sent           bool
+	taken          bool
+	// endedAt is when the last sending ended.
+	endedAt time.Time
+}
+
+// NewController returns a controller that does not hold the lease.
+func NewController(cfg ControllerConfig) *Controller {
+	return &Controller{
+		cfg: cfg, orders: map[string]*openOrder{}, fences: map[string]*fence{}, asked: map[string]time.Time{},
+		asking: map[string]bool{}, history: newSendHistory(), demand: newDemandEstimates(), goneAt: map[string]time.Time{}, unlisted: map[string]time.Time{},
+	}
+}
+
+// Step applies an event and returns what to do, in order.
+func (c *Controller) Step(now time.Time, e Event) []Action {
+	var actions []Action
+	switch e := e.(type) {
+	case LeaseAcquired:
+		c.settledEpoch = 0
+		c.phase, c.epoch = phaseReading, e.Epoch
+		c.readAt = time.Time{}
+		// What an earlier epoch of this process sent is left to the history.
+		// Fences belong to the epoch: taking over once more in the same epoch
+		// must not adopt an inventory anew, as that would not shut out the
+		// copies of orders already sent in it.
+		clear(c.orders)
+		clear(c.fences)
+	case LeaseLost:
+		c.phase = phaseIdle
+	case LedgerRead:
+		actions = c.ledgerRead(now, e)
+	case CommitEnded:
+		actions = c.commitEnded(now, e)
+	case Configured:
+		c.settings = e
+		c.budget.configure(now, e.LoadsPerSecond)
+	case Listed:
+		c.members, c.instances, c.listVersion = e.Endpoints, e.Instances, e.Version
+	case HolderSettled:
+		c.holderSettled(now, e)
+	case Inventory:
+		actions = c.inventory(now, e)
+	case OrderEnded:
+		actions = c.orderEnded(now, e)
+	}
+	return append(actions, c.advance(now)...)
+}
+
+// Running tells whether the controller decides.
+func (c *Controller) Running() bool { return c.phase == phaseRunning }
+
+// Ledger returns the ledger as last committed; it must not be changed.
+func (c *Controller) Ledger() *Ledger { return c.committed }
+
+// advance does whatever is due.
+func (c *Controller) advance(now time.Time) []Action {
+	switch c.phase {
+	case phaseReading:
+		return c.read(now)
+	case phaseTakingOver:
+		return c.commit()
+	case phaseRunning:
+		actions := c.reconcileMembers(now)
+		actions = append(actions, c.settleEarlier(now)...)
+		actions = append(actions, c.plan(now)...)
+		actions = append(actions, c.commit()...)
+		actions = append(actions, c.send(now)...)
+		return append(actions, c.ask(now)...)
+	default:
+		return c.settleSelf(now)
+	}
+}
+
+// rereadEvery is the pause between reads of the ledger.
+const rereadEvery = 500 * time.Millisecond
+
+func (c *Controller) read(now time.Time) []Action {
+	if now.Sub(c.readAt) < rereadEvery || c.holderGone(c.cfg.Holder) {
+		// A holder that the list does not show yet would be taken for gone.
+		return nil
+	}
+	c.readAt = now
+	return []Action{ReadLedger{}}
+}
+
+// ledgerRead starts the takeover. A commit of ours whose answer was lost shows
+// here as a ledger that carries our epoch already; it is taken over once more,
+// which is harmless.
+func (c *Controller) ledgerRead(now time.Time, e LedgerRead) []Action {
+	if c.phase != phaseReading {
+		return nil
+	}
+	l := e.Ledger
+	if l == nil {
+		l = NewLedger()
+	}
+	if l.Epoch > c.epoch || l.Epoch == c.epoch && l.Holder != c.cfg.Holder {
+		return []Action{Noted{What: "ledger has a newer epoch", Detail: strconv.FormatInt(l.Epoch, 10)}}
+	}
+	c.working, c.version, c.committed = l.Clone(), e.Version, nil
+	c.noteList()
+	c.working.TakeOver(c.epoch, c.cfg.Holder, c.newOrderID)
+	c.history.takeover(now)
+	clear(c.asked)
+	c.dirty, c.committing, c.phase = true, nil, phaseTakingOver
+	c.trackOrders()
+	return nil
+}
+
+// trackOrders makes the open orders of working known. Orders that are no
+// longer in the ledger are forgotten.
+func (c *Controller) trackOrders() {
+	next := make(map[string]*openOrder)
+	for name, e := range c.working.Endpoints {
+		for unit, u := range e.Units {
+			if u.Order == "" {
+				continue
+			}
+			if known := c.orders[u.Order]; known != nil {
+				next[u.Order] = known
+				continue
+			}
+			op := engine.OpLoad
+			if u.State == Unloading {
+				op = engine.OpUnload
+			}
+			next[u.Order] = &openOrder{endpoint: name, unit: unit, op: op, memoryMB: u.MemoryMB}
+		}
+	}
+	c.orders = next
+}
+
+func (c *Controller) newOrderID() string {
+	c.nextID++
+	return c.cfg.Cell + "." + strconv.FormatInt(c.epoch, 10) + "." + strconv.FormatInt(c.nextID, 10)
+}
+
+// commit starts a commit if there is something to commit and none under way.
+func (c *Controller) commit() []Action {
+	if !c.dirty || c.committing != nil {
+		return nil
+	}
+	c.committing, c.dirty = c.working.Clone(), false
+	c.commitSeq++
+	return []Action{Commit{Seq: c.commitSeq, Ledger: c.committing, Version: c.version}}
+}
+
+func (c *Controller) commitEnded(_ time.Time, e CommitEnded) []Action {
+	sent := c.committing
+	if sent == nil || e.Seq != c.commitSeq {
+		return nil
+	}
+	c.committing = nil
+	if c.phase == phaseIdle {
+		return nil
+	}
+	if e.Result == CommitDone {
+		c.committed, c.version = sent, e.Version
+		if c.phase == phaseTakingOver {
+			c.phase = phaseRunning
+			return []Action{Noted{What: "took the cell over", Detail: strconv.FormatInt(c.epoch, 10)}}
+		}
+		return nil
+	}
+	// What is stored is no longer known. Reading tells; until then nothing that
+	// is not committed may be sent, and the takeover is made anew.
+	c.phase, c.readAt = phaseReading, time.Time{}
+	return []Action{Noted{What: "commit not confirmed"}}
+}
+
+// noteList records the version of the list that is acted on, and tells whether
+// the list is as new as any that was.
+func (c *Controller) noteList() bool {
+	if c.listVersion > c.working.ListVersion {
+		c.working.ListVersion, c.dirty = c.listVersion, true
+	}
+	return c.listVersion == c.working.ListVersion
+}
--- /dev/null
+++ b/placement/inventory.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
+)
+
+// ask emits the inventories that are due.
+func (c *Controller) ask(now time.Time) []Action {
+	open := map[string]bool{}
+	for _, o := range c.orders {
+		open[o.endpoint] = true
+	}
+	var actions []Action
+	for _, m := range c.members {
+		every := c.cfg.InventoryEvery
+		if open[m.Name] || !c.known(m.Name) {
+			every = c.cfg.InventoryFast
+		}
+		if c.asking[m.Name] || now.Sub(c.asked[m.Name]) < every {
+			continue
+		}
+		c.asking[m.Name], c.asked[m.Name] = true, now
+		actions = append(actions, AskInventory{Endpoint: m.Name, Address: m.Address})
+	}
+	return actions
+}
+
+func (c *Controller) inventory(now time.Time, e Inventory) []Action {
+	delete(c.asking, e.Endpoint)
+	m, listed := c.member(e.Endpoint)
+	if c.phase != phaseRunning || e.Report == nil || !listed || e.Report.Incarnation != m.Incarnation {
+		return nil
+	}
+	if !e.AskedAt.After(c.history.tookOver) {
+		// It may be older than what an earlier controller has recorded since.
+		return nil
+	}
+	c.demand.observe(now, e.Endpoint, e.Report)
+	use := c.working.Endpoints[e.Endpoint]
+	if use == nil || use.Incarnation != m.Incarnation || c.mustAdopt(e) {
+		return c.adopt(e)
+	}
+	if !c.known(e.Endpoint) {
+		return nil
+	}
+	return c.compare(e, use)
+}
+
+// mustAdopt tells whether the inventory is the first since the endpoint was
+// fenced: it then replaces the record, as no earlier order can take effect.
+func (c *Controller) mustAdopt(e Inventory) bool {
+	f := c.fences[e.Endpoint]
+	return c.settings.ChecksFencing && f != nil && !f.adopted && !f.takenAt.IsZero() && e.AskedAt.After(f.takenAt)
+}
+
+// adopt makes an inventory the record of an endpoint. That is sound for an
+// endpoint that no order of this cell can reach: one that is not on record,
+// one with a new incarnation, and one that was fenced.
+func (c *Controller) adopt(e Inventory) []Action {
+	f := c.fences[e.Endpoint]
+	if c.settings.ChecksFencing && (f == nil || f.takenAt.IsZero() || !e.AskedAt.After(f.takenAt)) {
+		return nil
+	}
+	if f != nil {
+		f.adopted = true
+	}
+	use := &EndpointUse{
+		Incarnation: e.Report.Incarnation, CapacityMB: min(c.settings.CapacityMB, e.Report.CapacityMB),
+		ChecksFencing: c.settings.ChecksFencing, Units: map[string]*Unit{},
+	}
+	for _, r := range e.Report.Units {
+		use.Units[r.Name] = c.found(r)
+	}
+	c.working.Reset(e.Endpoint, use)
+	c.dirty = true
+	c.trackOrders()
+	return []Action{Noted{What: "adopted inventory", Endpoint: e.Endpoint}}
+}
+
+// found is the record of a unit that an endpoint holds though no order for it
+// is on record. One that is still loading is waited for with an order of this
+// controller, which finds it loaded or loads it.
+func (c *Controller) found(r engine.UnitReport) *Unit {
+	u := &Unit{State: Ready, MemoryMB: r.MemoryMB, Base: c.baseOf(r.Name)}
+	if !r.Ready {
+		u.State, u.Order = Loading, c.newOrderID()
+	}
+	return u
+}
+
+func (c *Controller) baseOf(unit string) string {
+	for i := range c.settings.Units {
+		if c.settings.Units[i].Name == unit {
+			return c.settings.Units[i].Base
+		}
+	}
+	return ""
+}
+
+// compare brings the record up to date with an inventory.
+func (c *Controller) compare(e Inventory, use *EndpointUse) []Action {
+	var actions []Action
+	seen := make(map[string]engine.UnitReport, len(e.Report.Units))
+	for _, r := range e.Report.Units {
+		seen[r.Name] = r
+		if use.Units[r.Name] == nil {
+			c.working.AddFound(e.Endpoint, r.Name, *c.found(r))
+			c.dirty = true
+			actions = append(actions, Noted{What: "found a unit not on record", Endpoint: e.Endpoint, Unit: r.Name})
+		}
+	}
+	for _, unit := range use.UnitNames() {
+		r, resident := seen[unit]
+		if what := c.compareUnit(e, unit, use.Units[unit], resident, r.Ready); what != "" {
+			c.dirty = true
+			actions = append(actions, Noted{What: what, Endpoint: e.Endpoint, Unit: unit})
+		}
+	}
+	c.trackOrders()
+	return actions
+}
+
+// compareUnit applies what an inventory shows of one unit and returns what
+// changed, or "". An order is resolved only when none of its sendings is under
+// way, so that a paused sender cannot follow its resolution.
+func (c *Controller) compareUnit(e Inventory, unit string, u *Unit, resident, ready bool) string {
+	o := c.orders[u.Order]
+	switch {
+	case u.Order != "" && (o == nil || !o.sent || !c.history.idle(e.Endpoint, unit)):
+		return ""
+	case u.State == Loading && ready:
+		c.working.ConfirmLoaded(e.Endpoint, unit)
+		return "loaded"
+	case o != nil && o.taken && e.AskedAt.After(o.endedAt) && o.undone(resident, ready):
+		// The endpoint took the order, but its effect is not there: it was lost,
+		// or a late copy of an earlier order undid it. It goes again.
+		o.taken = false
+		return ""
+	case u.State == Unloading && o.taken && e.AskedAt.After(o.endedAt) && !resident:
+		c.working.ConfirmUnloaded(e.Endpoint, unit)
+		return "unloaded"
+	case u.State == Absent && !resident && c.stayedAway(e, unit) && c.working.Free(e.Endpoint, unit):
+		return "memory freed"
+	case c.working.Observe(e.Endpoint, unit, resident, ready):
+		return "changed by itself"
+	default:
+		return ""
+	}
+}
+
+// stayedAway tells whether the inventory was asked for after every order that
+// could have brought the unit back had arrived, if it ever will. An earlier
+// inventory does not count: the last copy may have come in between.
+func (c *Controller) stayedAway(e Inventory, unit string) bool {
+	return e.AskedAt.After(c.settledAt) && c.history.quiet(e.AskedAt, e.Endpoint, unit, c.cfg.MaxOrderDelay)
+}
+
+// reconcileMembers drops endpoints that are gone from the record. One that is
+// listed in a new incarnation is dropped at once, as nothing that was sent to
+// the old one counts for it. One that is no longer listed might be listed again
+// in the same incarnation, so it is kept until no order can reach it any more.
+func (c *Controller) reconcileMembers(now time.Time) []Action {
+	if c.members == nil || !c.noteList() {
+		return nil
+	}
+	var actions []Action
+	for _, name := range sortedKeys(c.working.Endpoints) {
+		m, listed := c.member(name)
+		use := c.working.Endpoints[name]
+		if listed && m.Incarnation == use.Incarnation {
+			delete(c.unlisted, name)
+			continue
+		}
+		if !listed && !c.unreachable(now, name, use) {
+			continue
+		}
+		c.working.Forget(name)
+		delete(c.fences, name)
+		delete(c.unlisted, name)
+		c.dirty = true
+		actions = append(actions, Noted{What: "endpoint gone", Endpoint: name})
+	}
+	if len(actions) > 0 {
+		c.trackOrders()
+	}
+	return actions
+}
+
+// unreachable tells whether no order can reach an endpoint that is no longer
+// listed.
+func (c *Controller) unreachable(now time.Time, name string, use *EndpointUse) bool {
+	c.demand.forget(name)
+	since, known := c.unlisted[name]
+	if !known {
+		c.unlisted[name] = now
+		return false
+	}
+	if now.Sub(since) < c.cfg.MaxOrderDelay {
+		return false
+	}
+	for unit, u := range use.Units {
+		if len(u.LateLoads) > 0 || len(u.LateUnloads) > 0 || !c.history.idle(name, unit) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placement/ledger.go
@@ -0,0 +1,337 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// UnitState is where a unit is at an endpoint, as far as is on record.
+type UnitState string
+
+// States of a unit at an endpoint.
+const (
+	// Loading means that a load order is open.
+	Loading UnitState = "loading"
+	// Ready means that the unit was seen ready after its load was ordered.
+	Ready UnitState = "ready"
+	// Unloading means that an unload order is open.
+	Unloading UnitState = "unloading"
+	// Absent means that the unit was seen gone, but an order that is still on
+	// its way may bring it back; its memory stays counted.
+	Absent UnitState = "absent"
+)
+
+// Ledger is the record of one cell. It is stored as one object.
+type Ledger struct {
+	// Epoch is the fencing number of the newest controller.
+	Epoch int64 `json:"epoch"`
+	// Holder is that controller: instance and incarnation.
+	Holder string `json:"holder"`
+	// ListVersion is the newest version of the platform's list that any
+	// controller has acted on. A controller whose list is older concludes from
+	// it that nothing is gone.
+	ListVersion int64                   `json:"listVersion"`
+	Endpoints   map[string]*EndpointUse `json:"endpoints"`
+}
+
+// EndpointUse is the record of one endpoint.
+type EndpointUse struct {
+	Incarnation   string           `json:"incarnation"`
+	CapacityMB    int64            `json:"capacityMB"`
+	ChecksFencing bool             `json:"checksFencing,omitempty"`
+	Units         map[string]*Unit `json:"units"`
+}
+
+// Unit is the record of one unit at one endpoint.
+type Unit struct {
+	State    UnitState `json:"state"`
+	MemoryMB int64     `json:"memoryMB"`
+	// Base is the unit that must be resident with it, or empty.
+	Base string `json:"base,omitempty"`
+	// Order is the open order, if State is Loading or Unloading.
+	Order string `json:"order,omitempty"`
+	// LateLoads and LateUnloads name earlier controllers whose orders for this
+	// unit may still arrive, however long they were paused.
+	LateLoads   []Sender `json:"lateLoads,omitempty"`
+	LateUnloads []Sender `json:"lateUnloads,omitempty"`
+}
+
+// Sender is an earlier controller: its holder and its last epoch.
+type Sender struct {
+	Holder string `json:"holder"`
+	Epoch  int64  `json:"epoch"`
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{Endpoints: map[string]*EndpointUse{}} }
+
+// Clone returns a deep copy.
+func (l *Ledger) Clone() *Ledger {
+	c := &Ledger{Epoch: l.Epoch, Holder: l.Holder, ListVersion: l.ListVersion, Endpoints: make(map[string]*EndpointUse, len(l.Endpoints))}
+	for name, e := range l.Endpoints {
+		use := *e
+		use.Units = make(map[string]*Unit, len(e.Units))
+		for unit, u := range e.Units {
+			copied := *u
+			copied.LateLoads, copied.LateUnloads = slices.Clone(u.LateLoads), slices.Clone(u.LateUnloads)
+			use.Units[unit] = &copied
+		}
+		c.Endpoints[name] = &use
+	}
+	return c
+}
+
+// CountedMB is the memory that the endpoint may come to hold by anything on
+// record.
+func (e *EndpointUse) CountedMB() int64 {
+	var mb int64
+	for _, u := range e.Units {
+		mb += u.MemoryMB
+	}
+	return mb
+}
+
+// FreeMB is what is left for loads.
+func (e *EndpointUse) FreeMB() int64 { return e.CapacityMB - e.CountedMB() }
+
+// UnitNames returns the names of the units on record, in order.
+func (e *EndpointUse) UnitNames() []string { return slices.Sorted(maps.Keys(e.Units)) }
+
+// Errors of the ledger's rules.
+var (
+	ErrNoEndpoint  = errors.New("no such endpoint")
+	ErrNoUnit      = errors.New("the unit is not on record at the endpoint")
+	ErrMemory      = errors.New("counted use would exceed the endpoint's memory")
+	ErrBusy        = errors.New("an order for the unit is open")
+	ErrLateUnload  = errors.New("an earlier unload of the unit may still arrive")
+	ErrNoBase      = errors.New("the base unit is not ready at the endpoint")
+	ErrBaseInUse   = errors.New("adapters on the unit are on record at the endpoint")
+	ErrLastReplica = errors.New("no other replica is certain to stay")
+)
+
+// RuleError is a change that a rule of the ledger refused.
+type RuleError struct {
+	Endpoint, Unit string
+	Err            error
+}
+
+// Error names the pair and the rule.
+func (e *RuleError) Error() string {
+	return fmt.Sprintf("%s at %s: %v", e.Unit, e.Endpoint, e.Err)
+}
+
+// Unwrap returns the rule.
+func (e *RuleError) Unwrap() error { return e.Err }
+
+// Certain tells whether the unit is a replica that no order on its way can
+// take away.
+func (u *Unit) Certain() bool { return u.State == Ready && len(u.LateUnloads) == 0 }
+
+// Replicas returns the endpoints at which the unit is certain, in order.
+func (l *Ledger) Replicas(unit string) []string {
+	var names []string
+	for name, e := range l.Endpoints {
+		if u := e.Units[unit]; u != nil && u.Certain() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// IntendLoad records a load order, if the rules allow it.
+func (l *Ledger) IntendLoad(endpoint, unit, base, order string, memoryMB int64) error {
+	refuse := func(err error) error { return &RuleError{Endpoint: endpoint, Unit: unit, Err: err} }
+	e := l.Endpoints[endpoint]
+	if e == nil {
+		return refuse(ErrNoEndpoint)
+	}
+	free := e.FreeMB()
+	u := e.Units[unit]
+	if u != nil {
+		if u.State != Absent {
+			return refuse(ErrBusy)
+		}
+		if len(u.LateUnloads) > 0 {
+			return refuse(ErrLateUnload)
+		}
+		free += u.MemoryMB
+	}
+	if memoryMB > free {
+		return refuse(ErrMemory)
+	}
+	if b := e.Units[base]; base != "" && (b == nil || !b.Certain()) {
+		return refuse(ErrNoBase)
+	}
+	next := &Unit{State: Loading, MemoryMB: memoryMB, Base: base, Order: order}
+	if u != nil {
+		next.LateLoads = u.LateLoads
+	}
+	e.Units[unit] = next
+	return nil
+}
+
+// IntendUnload records an unload order, if the rules allow it. wanted tells
+// whether the unit must stay reachable; then another certain replica is needed.
+func (l *Ledger) IntendUnload(endpoint, unit, order string, wanted bool) error {
+	refuse := func(err error) error { return &RuleError{Endpoint: endpoint, Unit: unit, Err: err} }
+	e := l.Endpoints[endpoint]
+	if e == nil {
+		return refuse(ErrNoEndpoint)
+	}
+	u := e.Units[unit]
+	if u == nil || u.State == Absent {
+		return refuse(ErrNoUnit)
+	}
+	if u.State != Ready {
+		return refuse(ErrBusy)
+	}
+	for _, other := range e.Units {
+		if other.Base == unit && other.State != Absent {
+			return refuse(ErrBaseInUse)
+		}
+	}
+	if wanted && !l.certainElsewhere(endpoint, unit) {
+		return refuse(ErrLastReplica)
+	}
+	u.State, u.Order = Unloading, order
+	return nil
+}
+
+func (l *Ledger) certainElsewhere(endpoint, unit string) bool {
+	for name, e := range l.Endpoints {
+		if u := e.Units[unit]; name != endpoint && u != nil && u.Certain() {
+			return true
+		}
+	}
+	return false
+}
+
+// ConfirmLoaded records that the unit was seen ready after its load order.
+func (l *Ledger) ConfirmLoaded(endpoint, unit string) {
+	if u := l.unit(endpoint, unit); u != nil && u.State == Loading {
+		u.State, u.Order = Ready, ""
+	}
+}
+
+// ConfirmUnloaded records that the unit was seen gone after its unload order
+// was answered. Its memory stays counted until Free.
+func (l *Ledger) ConfirmUnloaded(endpoint, unit string) {
+	if u := l.unit(endpoint, unit); u != nil && u.State == Unloading {
+		u.State, u.Order = Absent, ""
+	}
+}
+
+// Observe corrects the record of a unit with no open order by what an inventory
+// shows. A replica that is gone stays counted until Free; one that an order of
+// an earlier controller brought back is a replica again. It reports whether
+// anything changed.
+func (l *Ledger) Observe(endpoint, unit string, resident, ready bool) bool {
+	u := l.unit(endpoint, unit)
+	switch {
+	case u == nil:
+		return false
+	case u.State == Ready && !resident:
+		u.State = Absent
+		return true
+	case u.State == Absent && ready:
+		u.State = Ready
+		return true
+	default:
+		return false
+	}
+}
+
+// AddFound records a unit that an inventory shows though nothing is on record.
+func (l *Ledger) AddFound(endpoint, unit string, found Unit) {
+	l.Endpoints[endpoint].Units[unit] = &found
+}
+
+// Free drops an absent unit, unless an earlier controller's orders for it may
+// still arrive. The caller has seen it absent after the last of its own could.
+func (l *Ledger) Free(endpoint, unit string) bool {
+	u := l.unit(endpoint, unit)
+	if u == nil || u.State != Absent || len(u.LateLoads) > 0 || len(u.LateUnloads) > 0 {
+		return false
+	}
+	delete(l.Endpoints[endpoint].Units, unit)
+	return true
+}
+
+// Settled drops the senders whose orders can no longer arrive. It reports
+// whether anything changed.
+func (l *Ledger) Settled(gone func(Sender) bool) bool {
+	changed := false
+	for _, e := range l.Endpoints {
+		for _, u := range e.Units {
+			before := len(u.LateLoads) + len(u.LateUnloads)
+			u.LateLoads = slices.DeleteFunc(u.LateLoads, gone)
+			u.LateUnloads = slices.DeleteFunc(u.LateUnloads, gone)
+			changed = changed || before != len(u.LateLoads)+len(u.LateUnloads)
+		}
+	}
+	return changed
+}
+
+// LateHolders returns the holders of the senders on record, in order.
+func (l *Ledger) LateHolders() []string {
+	holders := map[string]bool{}
+	for _, e := range l.Endpoints {
+		for _, u := range e.Units {
+			for _, s := range append(slices.Clone(u.LateLoads), u.LateUnloads...) {
+				holders[s.Holder] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(holders))
+}
+
+// TakeOver raises the epoch for a new controller. Every order that was open
+// stays open under a new id, and where the endpoint does not check fencing
+// numbers the earlier controller is noted as one whose copy of the order may
+// arrive at any time. newOrder makes order ids.
+func (l *Ledger) TakeOver(epoch int64, holder string, newOrder func() string) {
+	previous := Sender{Holder: l.Holder, Epoch: l.Epoch}
+	l.Epoch, l.Holder = epoch, holder
+	for _, name := range slices.Sorted(maps.Keys(l.Endpoints)) {
+		e := l.Endpoints[name]
+		for _, unit := range e.UnitNames() {
+			u := e.Units[unit]
+			if u.Order == "" {
+				continue
+			}
+			u.Order = newOrder()
+			if e.ChecksFencing || previous.Holder == holder {
+				continue
+			}
+			if u.State == Loading {
+				u.LateLoads = addOnce(u.LateLoads, previous)
+			} else {
+				u.LateUnloads = addOnce(u.LateUnloads, previous)
+			}
+		}
+	}
+}
+
+// Reset replaces the record of an endpoint, for one that is new, has a new
+// incarnation, or has been fenced and has given its inventory.
+func (l *Ledger) Reset(endpoint string, use *EndpointUse) { l.Endpoints[endpoint] = use }
+
+// Forget drops an endpoint that is gone.
+func (l *Ledger) Forget(endpoint string) { delete(l.Endpoints, endpoint) }
+
+func (l *Ledger) unit(endpoint, unit string) *Unit {
+	if e := l.Endpoints[endpoint]; e != nil {
+		return e.Units[unit]
+	}
+	return nil
+}
+
+func addOnce(list []Sender, s Sender) []Sender {
+	if slices.Contains(list, s) {
+		return list
+	}
+	return append(list, s)
+}
--- /dev/null
+++ b/placement/room.go
@@ -0,0 +1,214 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// makeRoom frees memory for a unit that fits nowhere. The cheapest way first:
+// unload replicas that can be spared; failing that, load the only replica of
+// some unit elsewhere, so that it can be spared here later. Room is made at
+// one endpoint at a time for each unit: what was freed may not suffice until
+// the orders are confirmed, and the next plan sees that they are under way.
+func (p *planner) makeRoom(u *UnitSpec) {
+	if p.roomIsComing(u) {
+		return
+	}
+	var best *EndpointState
+	var bestEvictions []string
+	bestCost := 0.0
+	for _, e := range p.endpoints {
+		if !p.mayHold(u, e) {
+			continue
+		}
+		evictions, cost, ok := p.evictionsFor(u, e)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestEvictions, bestCost = e, evictions, cost
+		}
+	}
+	if best == nil {
+		if !p.relocateAdapters(u) {
+			p.relocateFor(u)
+		}
+		return
+	}
+	p.evicting[best.Name] = true
+	for _, name := range bestEvictions {
+		p.unload(best, name, ReasonMakeRoom, u.Name)
+	}
+}
+
+// mayHold tells whether the unit could be at the endpoint if there were room.
+func (p *planner) mayHold(u *UnitSpec, e *EndpointState) bool {
+	placed := e.Units[u.Name]
+	if !e.Takes || p.evicting[e.Name] || placed.Blocked || u.MemoryMB > e.CapacityMB {
+		return false
+	}
+	return u.Base == "" || e.Units[u.Base].Certain
+}
+
+// roomIsComing tells whether unloads under way will let the unit in.
+func (p *planner) roomIsComing(u *UnitSpec) bool {
+	for _, e := range p.endpoints {
+		if !e.Takes || u.Base != "" && !e.Units[u.Base].Certain {
+			continue
+		}
+		coming := e.FreeMB
+		for _, placed := range e.Units {
+			if placed.State == Unloading || placed.State == Absent && !placed.Blocked {
+				coming += placed.MemoryMB
+			}
+		}
+		if coming >= u.MemoryMB && !p.evicting[e.Name] {
+			p.evicting[e.Name] = true
+			return true
+		}
+	}
+	return false
+}
+
+// evictionsFor returns the replicas to unload at e so that u fits, adapters
+// before their base, and what it costs.
+func (p *planner) evictionsFor(u *UnitSpec, e *EndpointState) (names []string, cost float64, ok bool) {
+	free := e.FreeMB
+	for _, c := range p.spareable(u, e) {
+		if free >= u.MemoryMB {
+			break
+		}
+		free += c.memoryMB
+		cost += c.cost
+		names = append(names, c.names...)
+	}
+	return names, cost, free >= u.MemoryMB
+}
+
+// eviction is a replica, with the adapters on it, that can be spared.
+type eviction struct {
+	names    []string
+	memoryMB int64
+	cost     float64
+}
+
+// spareable returns what can be unloaded at e without making any unit
+// unreachable, the cheapest memory first.
+func (p *planner) spareable(u *UnitSpec, e *EndpointState) []eviction {
+	var found []eviction
+	for _, name := range sortedKeys(e.Units) {
+		placed := e.Units[name]
+		if placed.Base != "" || name == u.Base || !p.canSpare(name, e) {
+			continue
+		}
+		c := eviction{memoryMB: placed.MemoryMB, cost: p.evictionCost(name)}
+		ok := true
+		for _, adapter := range sortedKeys(e.Units) {
+			a := e.Units[adapter]
+			if a.Base != name || a.State == Absent {
+				continue
+			}
+			ok = ok && p.canSpare(adapter, e)
+			c.names = append(c.names, adapter)
+			c.memoryMB += a.MemoryMB
+			c.cost += p.evictionCost(adapter)
+		}
+		if ok {
+			c.names = append(c.names, name)
+			found = append(found, c)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b eviction) int {
+		return cmp.Compare(a.cost/float64(a.memoryMB), b.cost/float64(b.memoryMB))
+	})
+	return found
+}
+
+// canSpare tells whether the replica at e is ready and another is certain.
+func (p *planner) canSpare(unit string, e *EndpointState) bool {
+	if e.Units[unit].State != Ready {
+		return false
+	}
+	for _, h := range p.holders[unit] {
+		if h != e && h.Units[unit].Certain {
+			return true
+		}
+	}
+	return false
+}
+
+// evictionCost is what is lost with a replica: its price to load again, and
+// the demand that moves to the others.
+func (p *planner) evictionCost(unit string) float64 {
+	u := p.units[unit]
+	if u == nil {
+		return 0
+	}
+	return u.MovePrice + u.Demand/float64(max(1, len(p.holders[unit])))
+}
+
+// relocateAdapters loads elsewhere the adapters that alone keep a base from
+// being spared, and reports whether there were any to load.
+func (p *planner) relocateAdapters(u *UnitSpec) bool {
+	for _, e := range p.endpoints {
+		if !p.mayHold(u, e) {
+			continue
+		}
+		for _, base := range sortedKeys(e.Units) {
+			placed := e.Units[base]
+			if placed.Base != "" || base == u.Base || !p.canSpare(base, e) || e.FreeMB+placed.MemoryMB < u.MemoryMB {
+				continue
+			}
+			if p.loadAdaptersElsewhere(e, base, u.Name) {
+				p.evicting[e.Name] = true
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (p *planner) loadAdaptersElsewhere(e *EndpointState, base, forUnit string) bool {
+	started := false
+	for _, name := range sortedKeys(e.Units) {
+		adapter := p.units[name]
+		if adapter == nil || adapter.Base != base || len(p.holders[name]) > 1 {
+			continue
+		}
+		if to := p.place(adapter, 0); to != nil {
+			p.loadUnit(to, adapter, ReasonMakeRoom, forUnit)
+			started = true
+		}
+	}
+	return started
+}
+
+// relocateFor loads the only replica of some unit elsewhere, so that its room
+// can be given to u once the new replica is confirmed.
+func (p *planner) relocateFor(u *UnitSpec) {
+	var from, to *EndpointState
+	var moved *UnitSpec
+	for _, e := range p.endpoints {
+		if !p.mayHold(u, e) {
+			continue
+		}
+		for _, name := range sortedKeys(e.Units) {
+			candidate := p.units[name]
+			if candidate == nil || e.Units[name].Base != "" || name == u.Base || !e.Units[name].Certain {
+				continue
+			}
+			if e.FreeMB+candidate.MemoryMB < u.MemoryMB || len(p.holders[name]) > 1 {
+				continue
+			}
+			target := p.place(candidate, 0)
+			if target == nil || target == e {
+				continue
+			}
+			if moved == nil || candidate.MovePrice+candidate.Demand < moved.MovePrice+moved.Demand {
+				from, to, moved = e, target, candidate
+			}
+		}
+	}
+	if moved == nil {
+		return
+	}
+	p.evicting[from.Name] = true
+	p.loadUnit(to, moved, ReasonMakeRoom, u.Name)
+}
--- /dev/null
+++ b/placement/sending.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
+)
+
+// pair is a unit at an endpoint.
+type pair struct{ endpoint, unit string }
+
+// sendHistory remembers when this process last sent an order for each pair. It
+// outlives the epochs of the process, as its own copies may.
+type sendHistory struct {
+	last map[pair]time.Time
+	// underWay counts the sendings that have not ended, also those of orders
+	// that have since been replaced.
+	underWay map[pair]int
+	sending  map[string]sending
+	// endedAt is when the last sending of each epoch ended.
+	endedAt map[int64]time.Time
+	// tookOver is the last takeover: whatever an earlier controller had sent
+	// and seen resolved was on its way before then.
+	tookOver time.Time
+}
+
+// sending is one sending of an order that has not ended.
+type sending struct {
+	pair  pair
+	epoch int64
+}
+
+func newSendHistory() sendHistory {
+	return sendHistory{
+		last: map[pair]time.Time{}, underWay: map[pair]int{},
+		sending: map[string]sending{}, endedAt: map[int64]time.Time{},
+	}
+}
+
+func (h *sendHistory) takeover(now time.Time) { h.tookOver = now }
+
+func (h *sendHistory) begin(epoch int64, order, endpoint, unit string) {
+	p := pair{endpoint, unit}
+	h.sending[order] = sending{pair: p, epoch: epoch}
+	h.underWay[p]++
+}
+
+func (h *sendHistory) end(now time.Time, order string) {
+	s, known := h.sending[order]
+	if !known {
+		return
+	}
+	delete(h.sending, order)
+	h.endedAt[s.epoch] = now
+	p := s.pair
+	h.last[p] = now
+	if h.underWay[p]--; h.underWay[p] == 0 {
+		delete(h.underWay, p)
+	}
+}
+
+// idle tells whether no sending for the pair is under way.
+func (h *sendHistory) idle(endpoint, unit string) bool { return h.underWay[pair{endpoint, unit}] == 0 }
+
+// settledBefore tells whether nothing sent in an epoch below the given one can
+// still arrive.
+func (h *sendHistory) settledBefore(now time.Time, epoch int64, delay time.Duration) bool {
+	for _, s := range h.sending {
+		if s.epoch < epoch {
+			return false
+		}
+	}
+	for e, at := range h.endedAt {
+		if e >= epoch {
+			continue
+		}
+		if now.Sub(at) < delay {
+			return false
+		}
+		delete(h.endedAt, e)
+	}
+	return true
+}
+
+// quiet tells whether every copy of a resolved order for the pair has had time
+// to arrive.
+func (h *sendHistory) quiet(now time.Time, endpoint, unit string, delay time.Duration) bool {
+	if now.Sub(h.tookOver) < delay || !h.idle(endpoint, unit) {
+		return false
+	}
+	last, sent := h.last[pair{endpoint, unit}]
+	return !sent || now.Sub(last) >= delay
+}
+
+// undone tells whether an inventory shows the opposite of what a taken order
+// leads to. A unit that is still loading, or still finishing requests before
+// it goes, is resident but not ready.
+func (o *openOrder) undone(resident, ready bool) bool {
+	if o.op == engine.OpLoad {
+		return !resident
+	}
+	return ready
+}
+
+// fence is the state of fencing one endpoint in this epoch.
+type fence struct {
+	inFlight bool
+	endedAt  time.Time
+	// takenAt is when the endpoint answered; zero until then.
+	takenAt time.Time
+	// adopted is set once an inventory asked for after takenAt was taken in.
+	adopted bool
+}
+
+// fencePrefix marks the ids of fence orders; the epoch and the endpoint's name
+// follow.
+const fencePrefix = "fence:"
+
+func (c *Controller) fenceID(endpoint string) string {
+	return fencePrefix + strconv.FormatInt(c.epoch, 10) + ":" + endpoint
+}
+
+// send emits what may be sent now: fences, and orders that are committed.
+func (c *Controller) send(now time.Time) []Action {
+	actions := c.sendFences(now)
+	ids := sortedKeys(c.orders)
+	for _, id := range ids {
+		o := c.orders[id]
+		if !c.sendable(now, id, o) {
+			continue
+		}
+		m, listed := c.member(o.endpoint)
+		if !listed {
+			continue
+		}
+		o.inFlight, o.sent = true, true
+		c.history.begin(c.epoch, id, o.endpoint, o.unit)
+		actions = append(actions, SendOrder{Endpoint: m.Name, Address: m.Address, Order: engine.Order{
+			ID: id, Epoch: c.epoch, Op: o.op, Unit: o.unit, MemoryMB: o.memoryMB,
+		}})
+	}
+	return actions
+}
+
+func (c *Controller) sendable(now time.Time, id string, o *openOrder) bool {
+	e := c.committed.Endpoints[o.endpoint]
+	if e == nil || e.Units[o.unit] == nil || e.Units[o.unit].Order != id {
+		return false
+	}
+	if o.inFlight || o.taken || !c.known(o.endpoint) {
+		return false
+	}
+	return !o.sent || now.Sub(o.endedAt) >= c.cfg.ResendEvery
+}
+
+func (c *Controller) sendFences(now time.Time) []Action {
+	if !c.settings.ChecksFencing {
+		return nil
+	}
+	var actions []Action
+	for _, m := range c.members {
+		f := c.fences[m.Name]
+		if f == nil {
+			f = &fence{}
+			c.fences[m.Name] = f
+		}
+		if f.inFlight || !f.takenAt.IsZero() || !f.endedAt.IsZero() && now.Sub(f.endedAt) < c.cfg.ResendEvery {
+			continue
+		}
+		f.inFlight = true
+		actions = append(actions, SendOrder{Endpoint: m.Name, Address: m.Address, Order: engine.Order{
+			ID: c.fenceID(m.Name), Epoch: c.epoch, Op: engine.OpFence,
+		}})
+	}
+	return actions
+}
+
+func (c *Controller) orderEnded(now time.Time, e OrderEnded) []Action {
+	if strings.HasPrefix(e.Order, fencePrefix) {
+		return c.fenceEnded(now, e)
+	}
+	c.history.end(now, e.Order)
+	o := c.orders[e.Order]
+	if o == nil {
+		// It is of an earlier epoch of this process; only the history counts.
+		return nil
+	}
+	o.inFlight, o.endedAt = false, now
+	if e.Result == SendTaken {
+		o.taken = true
+	}
+	return c.refused(e)
+}
+
+func (c *Controller) fenceEnded(now time.Time, e OrderEnded) []Action {
+	endpoint := e.Order[strings.LastIndexByte(e.Order, ':')+1:]
+	f := c.fences[endpoint]
+	if f == nil || e.Order != c.fenceID(endpoint) {
+		return nil
+	}
+	f.inFlight, f.endedAt = false, now
+	if e.Result == SendTaken {
+		f.takenAt = now
+	}
+	return c.refused(e)
+}
+
+// refused stops a controller that an endpoint knows to be superseded.
+func (c *Controller) refused(e OrderEnded) []Action {
+	if e.Result != SendRefused || c.phase == phaseIdle {
+		return nil
+	}
+	c.phase = phaseIdle
+	return []Action{Noted{What: "superseded", Detail: e.Order}}
+}
+
+// known tells whether the record of an endpoint may be acted on: an endpoint
+// that checks fencing numbers must have been fenced and have given its
+// inventory in this epoch.
+func (c *Controller) known(endpoint string) bool {
+	e := c.working.Endpoints[endpoint]
+	if e == nil {
+		return false
+	}
+	if !e.ChecksFencing {
+		return true
+	}
+	f := c.fences[endpoint]
+	return f != nil && f.adopted
+}
+
+func (c *Controller) member(name string) (Member, bool) {
+	i, found := slices.BinarySearchFunc(c.members, name, func(m Member, n string) int {
+		switch {
+		case m.Name < n:
+			return -1
+		case m.Name > n:
+			return 1
+		default:
+			return 0
+		}
+	})
+	if !found {
+		return Member{}, false
+	}
+	return c.members[i], true
+}
