Add the demo, the load generator and the cell controllers

Cause: all later work is measured through the whole path, by stand-ins that judge it.

Change: a fleet in one process with faults, a checked workload, an open-loop load generator; each cell's controller runs under a lease on the instances.

Conclusion: the whole path runs; the faults come next.

--- a/cmd/eiderspring/main.go
+++ b/cmd/eiderspring/main.go
@@ -27,7 +27,7 @@
 		Name:  "eiderspring",
 		Usage: "serve many models from fewer accelerators",
 		Commands: []*cli.Command{
-			serveCommand(), checkCommand(), settingsCommand(),
+			serveCommand(), checkCommand(), settingsCommand(), demoCommand(), loadCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/daemon/cell.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/lease"
+	"github.com/eiderspring/eiderspring/placement"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+const (
+	// cellEvents bounds the events that wait for a cell's controller.
+	cellEvents = 1024
+	// cellTick is the time between ticks of a controller.
+	cellTick = 100 * time.Millisecond
+	// orderTimeout bounds one sending of an order, inventoryTimeout one
+	// inventory.
+	orderTimeout     = 2 * time.Second
+	inventoryTimeout = 2 * time.Second
+)
+
+// cellDuty feeds the controller of one cell and carries its actions out.
+type cellDuty struct {
+	cell       string
+	client     store.Client
+	writer     *store.Writer
+	engine     *engine.Client
+	log        logr.Logger
+	now        func() time.Time
+	controller *placement.Controller
+	events     *ring.Ring[placement.Event]
+}
+
+func (d *cellDuty) put(e placement.Event) { _ = d.events.Put(context.Background(), e) }
+
+func (d *cellDuty) leaseChanged(a lease.Action) {
+	switch a := a.(type) {
+	case lease.Acquired:
+		d.log.Info("lease acquired", "epoch", a.Epoch)
+		d.put(placement.LeaseAcquired{Epoch: a.Epoch})
+	case lease.Lost:
+		d.log.Info("lease lost", "epoch", a.Epoch)
+		d.put(placement.LeaseLost{})
+	}
+}
+
+func (d *cellDuty) run(ctx context.Context) {
+	go d.tick(ctx)
+	for {
+		e, err := d.events.Take(ctx)
+		if err != nil {
+			d.events.Close()
+			return
+		}
+		for _, a := range d.controller.Step(d.now(), e) {
+			d.carryOut(ctx, a)
+		}
+	}
+}
+
+func (d *cellDuty) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, cellTick)
+		d.put(placement.Tick{})
+	}
+}
+
+func (d *cellDuty) carryOut(ctx context.Context, a placement.Action) {
+	switch a := a.(type) {
+	case placement.Decided:
+		m := a.Move
+		d.log.Info("place", "op", m.Op, "unit", m.Unit, "endpoint", m.Endpoint, "reason", m.Reason, "for", m.For,
+			"replicas", m.Replicas, "demand", m.Demand, "memory_mb", m.MemoryMB, "free_mb", m.FreeMB)
+	case placement.Noted:
+		d.log.Info("placement", "event", a.What, "endpoint", a.Endpoint, "unit", a.Unit, "detail", a.Detail)
+	case placement.ReadLedger:
+		go d.readLedger(ctx)
+	case placement.Commit:
+		go d.commit(ctx, a)
+	case placement.SendOrder:
+		go d.send(ctx, a)
+	case placement.AskInventory:
+		go d.askInventory(ctx, a)
+	case placement.ReadSettled:
+		go d.readSettled(ctx, a)
+	case placement.WriteSettled:
+		go d.writeSettled(ctx, a)
+	}
+}
+
+func (d *cellDuty) readLedger(ctx context.Context) {
+	o, err := d.client.Get(ctx, store.KindLedger, d.cell)
+	if store.IsNotFound(err) {
+		d.put(placement.LedgerRead{})
+		return
+	}
+	if err != nil {
+		d.log.V(1).Info("ledger not read", "error", err.Error())
+		return
+	}
+	l := placement.NewLedger()
+	if err := json.Unmarshal(o.Spec, l); err != nil {
+		d.log.Error(err, "ledger unreadable")
+		return
+	}
+	d.put(placement.LedgerRead{Ledger: l, Version: o.Metadata.ResourceVersion})
+}
+
+// commit does not resolve a lost answer: the controller reads the ledger again.
+func (d *cellDuty) commit(ctx context.Context, c placement.Commit) {
+	o, err := store.NewObject(store.KindLedger, d.cell, c.Ledger)
+	if err != nil {
+		d.log.Error(err, "ledger not encoded")
+		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitConflict})
+		return
+	}
+	o.Metadata.ResourceVersion = c.Version
+	write := d.client.Update
+	if c.Version == "" {
+		write = d.client.Create
+	}
+	written, err := write(ctx, o)
+	switch {
+	case err == nil:
+		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitDone, Version: written.Metadata.ResourceVersion})
+	case store.IsUnanswered(err):
+		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitUnknown})
+	default:
+		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitConflict})
+	}
+}
+
+func (d *cellDuty) send(ctx context.Context, s placement.SendOrder) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := d.engine.Send(ctx, s.Endpoint, s.Address, s.Order)
+	var refused *engine.RefusedOrderError
+	result := placement.SendUnknown
+	switch {
+	case err == nil:
+		result = placement.SendTaken
+	case errors.As(err, &refused):
+		result = placement.SendRefused
+	}
+	d.put(placement.OrderEnded{Order: s.Order.ID, Result: result})
+}
+
+func (d *cellDuty) askInventory(ctx context.Context, a placement.AskInventory) {
+	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	defer cancel()
+	askedAt := d.now()
+	answer := placement.Inventory{Endpoint: a.Endpoint, AskedAt: askedAt}
+	if report, err := d.engine.Inventory(ctx, a.Endpoint, a.Address); err == nil {
+		answer.Report = &report
+	}
+	d.put(answer)
+}
+
+// settlement is the spec of a settlement object.
+type settlement struct {
+	Holder string `json:"holder"`
+	Epoch  int64  `json:"epoch"`
+}
+
+func (d *cellDuty) settlementName(holder string) string {
+	return d.cell + "." + objectNamePart(holder)
+}
+
+func (d *cellDuty) readSettled(ctx context.Context, a placement.ReadSettled) {
+	o, err := d.client.Get(ctx, store.KindSettlement, d.settlementName(a.Holder))
+	var s settlement
+	if err != nil || json.Unmarshal(o.Spec, &s) != nil {
+		return
+	}
+	d.put(placement.HolderSettled{Holder: s.Holder, Epoch: s.Epoch})
+}
+
+func (d *cellDuty) writeSettled(ctx context.Context, a placement.WriteSettled) {
+	name := d.settlementName(a.Holder)
+	o, err := store.NewObject(store.KindSettlement, name, settlement{Holder: a.Holder, Epoch: a.Epoch})
+	if err != nil {
+		return
+	}
+	if old, err := d.client.Get(ctx, store.KindSettlement, name); err == nil {
+		o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+		_, err = d.writer.Update(ctx, o)
+		d.logFailure(err)
+		return
+	}
+	_, err = d.writer.Create(ctx, o)
+	d.logFailure(err)
+}
+
+func (d *cellDuty) logFailure(err error) {
+	if err != nil {
+		d.log.Info("settlement not written", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/daemon/cells.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/lease"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/placement"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// campaigners is how many instances campaign for the lease of a cell. It does
+// not grow with the fleet, so neither do the store calls for leases.
+const campaigners = 3
+
+// cells runs a controller for each cell. Today a pool of engines is a cell.
+type cells struct {
+	ctx    context.Context
+	name   string
+	holder string
+	client store.Client
+	engine *engine.Client
+	log    logr.Logger
+	now    func() time.Time
+	done   *sync.WaitGroup
+	// stopping tells whether a planned stop has begun.
+	stopping func() bool
+
+	mu        sync.Mutex
+	running   map[string]*cellDuty
+	instances []string
+}
+
+// update gives the settings and the list to every cell, and starts cells that
+// are new. A cell that the settings no longer name plans nothing more.
+func (c *cells) update(catalog *settings.Catalog, list *membership.List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances = c.instances[:0]
+	for _, m := range list.Pool(membership.InstancePool) {
+		if m.State == membership.Live {
+			c.instances = append(c.instances, m.Name)
+		}
+	}
+	pools := enginePools(catalog)
+	for _, pool := range pools {
+		if c.running[pool] == nil {
+			c.running[pool] = c.start(pool)
+		}
+	}
+	for name, cell := range c.running {
+		if catalog.Tree.Pools[name] != nil {
+			cell.put(configured(catalog, name, len(pools)))
+		}
+		cell.put(listed(list, name))
+	}
+}
+
+func enginePools(catalog *settings.Catalog) []string {
+	var pools []string
+	for name, pool := range catalog.Tree.Pools {
+		if pool.Kind == settings.KindEngine {
+			pools = append(pools, name)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
+// campaigns tells whether this instance should hold the lease of a cell: it is
+// among the first by rendezvous hashing over the live instances.
+func (c *cells) campaigns(cell string) bool {
+	if c.stopping() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Contains(c.instances, c.name) {
+		return false
+	}
+	own := xxhash.Sum64String(cell + "\x00" + c.name)
+	ahead := 0
+	for _, other := range c.instances {
+		if xxhash.Sum64String(cell+"\x00"+other) > own {
+			ahead++
+		}
+	}
+	return ahead < campaigners
+}
+
+func (c *cells) start(cell string) *cellDuty {
+	d := &cellDuty{
+		cell: cell, client: c.client, writer: store.NewWriter(c.client), engine: c.engine, now: c.now,
+		log:        c.log.WithValues("cell", cell),
+		controller: placement.NewController(placement.NewControllerConfig(cell, c.holder)),
+		events:     ring.New[placement.Event](cellEvents, ring.Block),
+	}
+	runner := lease.NewRunner(lease.RunnerConfig{
+		Name: "cell-" + cell, Lease: lease.NewConfig(c.holder), Client: c.client, Now: c.now,
+		Changed: d.leaseChanged, Campaign: func() bool { return c.campaigns(cell) },
+	})
+	c.done.Go(func() { d.run(c.ctx) })
+	c.done.Go(func() { runner.Run(c.ctx) })
+	return d
+}
+
+// configured is what the settings say of a cell.
+func configured(catalog *settings.Catalog, pool string, cells int) placement.Configured {
+	p := catalog.Tree.Pools[pool]
+	c := placement.Configured{
+		CapacityMB: p.MemoryMB, Concurrency: p.Concurrency, ChecksFencing: p.ChecksFencing, Units: []placement.UnitSpec{},
+		LoadsPerSecond:  catalog.Tree.WeightStore.LoadsPerSecond / float64(cells),
+		ConcurrentLoads: max(1, catalog.Tree.WeightStore.Concurrent/cells),
+	}
+	for _, name := range catalog.UnitNames() {
+		u := catalog.Units[name]
+		if u.Pool != pool {
+			continue
+		}
+		c.Units = append(c.Units, placement.UnitSpec{
+			Name: u.Name, Base: u.Base, MemoryMB: u.MemoryMB, Replicas: u.Policy.Replicas, MovePrice: u.Policy.MovePrice,
+		})
+	}
+	return c
+}
+
+func listed(list *membership.List, pool string) placement.Listed {
+	l := placement.Listed{Version: list.Version(), Endpoints: []placement.Member{}, Instances: map[string]string{}}
+	for _, m := range list.Pool(membership.InstancePool) {
+		l.Instances[m.Name] = m.Incarnation
+	}
+	for _, m := range list.Pool(pool) {
+		l.Endpoints = append(l.Endpoints, placement.Member{
+			Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
+			Incarnation: m.Incarnation, Leaving: m.State != membership.Live,
+		})
+	}
+	return l
+}
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -13,7 +13,10 @@
 // Config is the settings of one instance, as its file gives them.
 type Config struct {
 	// Instance is the instance's name on the platform's list.
-	Instance      string `json:"instance"`
+	Instance string `json:"instance"`
+	// Incarnation is the instance's on the platform's list; it changes when the
+	// instance is started anew.
+	Incarnation   string `json:"incarnation"`
 	FailureDomain string `json:"failureDomain"`
 	// Callers is the address for callers, Operators that for operators.
 	Callers   string   `json:"callers"`
@@ -103,6 +106,9 @@
 	if cfg.Instance == "" {
 		c.add("/instance", "missing")
 	}
+	if cfg.Incarnation == "" {
+		c.add("/incarnation", "missing")
+	}
 	if cfg.FailureDomain == "" {
 		c.add("/failureDomain", "missing")
 	}
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
@@ -157,3 +159,8 @@
 
 // jitter spreads d by half to either side.
 func jitter(d time.Duration) time.Duration { return time.Duration(float64(d) * (0.5 + rand.Float64())) }
+
+// objectNamePart makes a text fit for a part of an object's name.
+func objectNamePart(s string) string {
+	return strconv.FormatUint(xxhash.Sum64String(s), 16)
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -48,12 +48,15 @@
 	vars    *expvar.Map
 	engine  *engine.Client
 	router  *routing.Router
+	cells   *cells
 	gates   *pipeline.Gates
 	events  *ring.Ring[event]
 	catalog atomic.Pointer[settings.Catalog]
 	current atomic.Pointer[revision.Entry]
 	// draining is set once a planned stop has begun.
 	draining atomic.Bool
+	// process tells this process from any other of the same instance.
+	process string
 
 	callers, operators *http.Server
 	// work ends when the instance stops; duties stop with it.
@@ -82,7 +85,7 @@
 		cfg: cfg, deps: deps, log: deps.Log.WithValues("instance", cfg.Instance), vars: new(expvar.Map).Init(),
 		engine: engine.NewClient(engine.Config{Dial: deps.Dial}),
 		router: routing.NewRouter(routing.Policies()[cfg.RoutingPolicy], randv2.Float64),
-		events: ring.New[event](eventsCapacity, ring.Block),
+		events: ring.New[event](eventsCapacity, ring.Block), process: rand.Text(),
 	}
 	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
 	i.work, i.stop = context.WithCancel(context.Background())
@@ -106,7 +109,7 @@
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: i.deps.Platform})
 	handler := pipeline.New(pipeline.Config{
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
-		Claims: claim.NewKeeper(objects, i.cfg.Instance+"/"+rand.Text(), i.deps.Now),
+		Claims: claim.NewKeeper(objects, i.holder(), i.deps.Now),
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
 		FailureDomain: i.cfg.FailureDomain, MaxBody: int64(i.cfg.Limits.BodyBytes),
 	})
@@ -115,6 +118,12 @@
 	i.duties(objects)
 }
 
+// holder names this process among all that ever run: the instance and the
+// incarnation as the platform lists them, and a part that no other process has.
+func (i *Instance) holder() string {
+	return i.cfg.Instance + "/" + i.cfg.Incarnation + "/" + i.process
+}
+
 func (i *Instance) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: i.cfg.Limits.HeaderBytes,
@@ -137,12 +146,18 @@
 }
 
 func (i *Instance) duties(objects store.Client) {
+	i.cells = &cells{
+		ctx: i.work, name: i.cfg.Instance, holder: i.holder(), client: objects, engine: i.engine, log: i.log, now: i.deps.Now,
+		done: &i.done, stopping: i.draining.Load, running: map[string]*cellDuty{},
+	}
 	view := &viewDuty{
-		events: i.events, router: i.router, log: i.log, now: i.deps.Now, kick: i.gates.Kick,
+		events: i.events, router: i.router, log: i.log, now: i.deps.Now, kick: i.gates.Kick, cells: i.cells.update,
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, ready: map[string][]string{},
-		catalog: func(a *revision.Accepted) {
-			i.catalog.Store(settings.NewCatalog(a.Tree))
+		catalog: func(a *revision.Accepted) *settings.Catalog {
+			c := settings.NewCatalog(a.Tree)
+			i.catalog.Store(c)
 			i.current.Store(&a.Entry)
+			return c
 		},
 	}
 	settingsWatch := &settingsDuty{client: objects, fetcher: revision.NewFetcher(objects), events: i.events, log: i.log}
@@ -237,3 +252,6 @@
 
 // OperatorsAddr returns the address for operators.
 func (i *Instance) OperatorsAddr() string { return i.deps.Operators.Addr().String() }
+
+// ReachableUnits returns how many units this instance knows an endpoint for.
+func (i *Instance) ReachableUnits() int { return len(i.router.View().Replicas) }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -16,12 +16,15 @@
 // viewDuty builds the routing view from what the other duties learn. It alone
 // writes the fields below.
 type viewDuty struct {
-	events  *ring.Ring[event]
-	router  *routing.Router
-	log     logr.Logger
-	now     func() time.Time
-	catalog func(*revision.Accepted)
-	kick    func()
+	events *ring.Ring[event]
+	router *routing.Router
+	log    logr.Logger
+	now    func() time.Time
+	// catalog puts a revision in force.
+	catalog func(*revision.Accepted) *settings.Catalog
+	// cells gives the settings and the list to the cells.
+	cells func(*settings.Catalog, *membership.List)
+	kick  func()
 
 	accepted  *revision.Accepted
 	resolved  *settings.Catalog
@@ -48,13 +51,13 @@
 func (d *viewDuty) apply(e event) bool {
 	switch e := e.(type) {
 	case settingsAccepted:
-		return d.accept(e.accepted)
+		return d.accept(e.accepted) && d.inform()
 	case membersListed:
 		changes := d.list.Step(d.now(), membership.Listed{Listing: e.listing})
 		for _, c := range changes {
 			d.log.Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
 		}
-		return len(changes) > 0
+		return len(changes) > 0 && d.inform()
 	case loadReported:
 		return d.report(e)
 	default:
@@ -62,14 +65,21 @@
 	}
 }
 
+// inform tells the cells what has changed.
+func (d *viewDuty) inform() bool {
+	if d.resolved != nil {
+		d.cells(d.resolved, d.list)
+	}
+	return true
+}
+
 // accept takes a revision, never one below that in force.
 func (d *viewDuty) accept(a *revision.Accepted) bool {
 	if d.accepted != nil && a.Entry.Revision <= d.accepted.Entry.Revision {
 		return false
 	}
 	d.accepted = a
-	d.catalog(a)
-	d.resolved = settings.NewCatalog(a.Tree)
+	d.resolved = d.catalog(a)
 	d.log.Info("settings in force", "revision", a.Entry.Revision, "author", a.Entry.Author)
 	return true
 }
--- /dev/null
+++ b/demo/tally.go
@@ -0,0 +1,120 @@
+package demo
+
+import (
+	"fmt"
+	"iter"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/eiderspring/eiderspring/load"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// tally counts what the callers saw.
+type tally struct {
+	mu       sync.Mutex
+	requests int
+	outcomes map[load.Outcome]int
+	cut      int
+	mixed    int
+	met      int
+	// byName counts requests and those that met their targets, by service.
+	byName map[string]*attainment
+	errors map[string]int
+}
+
+type attainment struct{ requests, met int }
+
+func newTally() *tally {
+	return &tally{outcomes: map[load.Outcome]int{}, byName: map[string]*attainment{}, errors: map[string]int{}}
+}
+
+func (t *tally) add(r load.Request, result load.Result, v verdict, met bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests++
+	t.outcomes[result.Outcome]++
+	a := t.byName[r.Name]
+	if a == nil {
+		a = &attainment{}
+		t.byName[r.Name] = a
+	}
+	a.requests++
+	if met {
+		t.met++
+		a.met++
+	}
+	switch v {
+	case verdictCut:
+		t.cut++
+	case verdictMixed:
+		t.mixed++
+	}
+	if result.Err != nil {
+		t.errors[shorten(result.Err.Error())]++
+	}
+}
+
+const maxErrorText = 110
+
+func shorten(s string) string {
+	if i := strings.Index(s, `"message":"`); i >= 0 {
+		s = s[i:]
+	}
+	return s[:min(len(s), maxErrorText)]
+}
+
+// Summary is the result of a run, as the stand-ins and the callers counted it.
+type Summary struct {
+	Requests, Complete, NotRun, Unknown, Refused int
+	Cut, Doubled, Mixed                          int
+	OverMemory                                   int64
+	UnreachableModels                            []string
+	LeavingLate                                  int64
+	Attainment                                   float64
+	Devices                                      int
+	Moves                                        int64
+	StoreWritesPerS, StoreReadsPerS              float64
+	AddedP50Us, AddedP95Us                       int64
+	// ByService is the attainment of each named service.
+	ByService map[string]float64
+	// Errors counts the errors that callers saw, by text.
+	Errors map[string]int
+}
+
+// Broken tells whether the run broke a promise.
+func (s Summary) Broken() bool {
+	return s.Cut != 0 || s.Doubled != 0 || s.Mixed != 0 || s.OverMemory != 0
+}
+
+// String is the summary as one line of key=value pairs.
+func (s Summary) String() string {
+	return fmt.Sprintf("requests=%d complete=%d not_run=%d unknown=%d refused=%d cut=%d doubled=%d mixed=%d over_memory=%d "+
+		"unreachable_models=%d leaving_late=%d attainment=%.4f devices=%d attainment_per_device=%.5f moves=%d "+
+		"store_writes_per_s=%.1f store_reads_per_s=%.1f added_p50_us=%d added_p95_us=%d",
+		s.Requests, s.Complete, s.NotRun, s.Unknown, s.Refused, s.Cut, s.Doubled, s.Mixed, s.OverMemory,
+		len(s.UnreachableModels), s.LeavingLate, s.Attainment, s.Devices, s.Attainment/float64(max(1, s.Devices)), s.Moves,
+		s.StoreWritesPerS, s.StoreReadsPerS, s.AddedP50Us, s.AddedP95Us)
+}
+
+func (t *tally) summary(services map[string]*settings.Service) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := Summary{
+		Requests: t.requests, Complete: t.outcomes[load.Complete], NotRun: t.outcomes[load.NotRun],
+		Unknown: t.outcomes[load.Unknown], Refused: t.outcomes[load.Refused], Cut: t.cut, Mixed: t.mixed,
+		Attainment: float64(t.met) / float64(max(1, t.requests)), ByService: map[string]float64{}, Errors: maps.Clone(t.errors),
+	}
+	for name := range services {
+		if a := t.byName[name]; a != nil {
+			s.ByService[name] = float64(a.met) / float64(a.requests)
+		}
+	}
+	return s
+}
+
+func mapKeys[K comparable, V any](m map[K]V) iter.Seq[K] { return maps.Keys(m) }
+
+func sortedPools(t *settings.Tree) []string { return slices.Sorted(maps.Keys(t.Pools)) }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -219,3 +219,16 @@
 func writeError(w http.ResponseWriter, status int, code, message string) {
 	writeJSON(w, status, errorBody{Error: errorDetail{Code: code, Message: message}})
 }
+
+// ReadyUnits returns the units that requests can run on.
+func (e *Engine) ReadyUnits() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ready []string
+	for _, name := range sortedNames(e.units) {
+		if u := e.units[name]; u.ready && !u.leaving {
+			ready = append(ready, name)
+		}
+	}
+	return ready
+}
--- a/store/object.go
+++ b/store/object.go
@@ -12,6 +12,9 @@
 	KindLease    Kind = "leases"
 	KindLedger   Kind = "ledgers"
 	KindClaim    Kind = "claims"
+	// KindSettlement holds an earlier controller's word that none of its orders
+	// can arrive any more.
+	KindSettlement Kind = "settlements"
 )
 
 // APIVersion is the group and version of the system's own kinds.
