--- a/daemon/cells.go
+++ b/daemon/cells.go
@@ -117,7 +117,8 @@
 func configured(catalog *settings.Catalog, pool string, cells int) placement.Configured {
 	p := catalog.Tree.Pools[pool]
 	c := placement.Configured{
-		CapacityMB: p.MemoryMB, Concurrency: p.Concurrency, ChecksFencing: p.ChecksFencing, Units: []placement.UnitSpec{},
+		CapacityMB: p.MemoryMB, Concurrency: p.Concurrency, ChecksFencing: p.ChecksFencing,
+		MaxOrderDelay: p.MaxOrderDelay(), Units: []placement.UnitSpec{},
 		LoadsPerSecond:  catalog.Tree.WeightStore.LoadsPerSecond / float64(cells),
 		ConcurrentLoads: max(1, catalog.Tree.WeightStore.Concurrent/cells),
 	}
--- a/demo/warm.go
+++ b/demo/warm.go
@@ -6,15 +6,15 @@
 )
 
 // warmPlacement is what the engines of a pool hold when the demo begins, as an
-// earlier run would have left them: one replica of each unit, spread as the
-// planner spreads them. The stand-ins take it as given; the instances find it
+// earlier run would have left them: every unit with the replicas that the
+// settings want, as far as memory allows. The stand-ins take it as given; the instances find it
 // by inventory.
 func warmPlacement(catalog *settings.Catalog, pool string, endpoints []endpointSpec) map[string]map[string]int64 {
 	p := catalog.Tree.Pools[pool]
 	s := placement.Snapshot{Loads: len(catalog.Units)}
 	for _, name := range catalog.UnitNames() {
 		if u := catalog.Units[name]; u.Pool == pool {
-			s.Units = append(s.Units, placement.UnitSpec{Name: name, Base: u.Base, MemoryMB: u.MemoryMB, Replicas: 1})
+			s.Units = append(s.Units, placement.UnitSpec{Name: name, Base: u.Base, MemoryMB: u.MemoryMB, Replicas: u.Policy.Replicas})
 		}
 	}
 	for _, e := range endpoints {
--- a/placement/applier.go
+++ b/placement/applier.go
@@ -38,7 +38,7 @@
 
 func (c *Controller) apply(now time.Time, m Move) error {
 	if m.Op == OpLoad {
-		if u := c.working.unit(m.Endpoint, m.Unit); u != nil && !c.history.quiet(now, m.Endpoint, m.Unit, c.cfg.MaxOrderDelay) {
+		if u := c.working.unit(m.Endpoint, m.Unit); u != nil && !c.history.quiet(now, m.Endpoint, m.Unit, c.settings.MaxOrderDelay) {
 			return &RuleError{Endpoint: m.Endpoint, Unit: m.Unit, Err: errNotQuiet}
 		}
 		return c.working.IntendLoad(m.Endpoint, m.Unit, m.Base, c.newOrderID(), m.MemoryMB)
@@ -69,9 +69,11 @@
 		Units: make(map[string]Placed, len(use.Units)),
 	}
 	for name, u := range use.Units {
+		late := len(u.LateLoads)+len(u.LateUnloads) > 0
 		e.Units[name] = Placed{
 			State: u.State, MemoryMB: u.MemoryMB, Base: u.Base, Certain: u.Certain(),
-			Blocked: u.State == Absent && (len(u.LateUnloads) > 0 || !c.history.quiet(now, m.Name, name, c.cfg.MaxOrderDelay)),
+			Freeing: !late && (u.State == Absent || u.State == Unloading),
+			Blocked: u.State == Absent && (len(u.LateUnloads) > 0 || !c.history.quiet(now, m.Name, name, c.settings.MaxOrderDelay)),
 		}
 	}
 	return e
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -13,9 +13,6 @@
 	Cell string
 	// Holder names this instance: NAME/INCARNATION, and more behind a slash.
 	Holder string
-	// MaxOrderDelay is the longest time for which the network may hold an
-	// order that was sent.
-	MaxOrderDelay time.Duration
 	// ResendEvery is the pause before an order that was not taken goes again.
 	ResendEvery time.Duration
 	// InventoryEvery is the time between inventories of an endpoint without
@@ -28,7 +25,7 @@
 // NewControllerConfig returns the defaults for a cell.
 func NewControllerConfig(cell, holder string) ControllerConfig {
 	return ControllerConfig{
-		Cell: cell, Holder: holder, MaxOrderDelay: 10 * time.Second, ResendEvery: time.Second,
+		Cell: cell, Holder: holder, ResendEvery: time.Second,
 		InventoryEvery: 2 * time.Second, InventoryFast: 250 * time.Millisecond, PlanEvery: 250 * time.Millisecond,
 	}
 }
@@ -178,8 +175,9 @@
 const rereadEvery = 500 * time.Millisecond
 
 func (c *Controller) read(now time.Time) []Action {
-	if now.Sub(c.readAt) < rereadEvery || c.holderGone(c.cfg.Holder) {
-		// A holder that the list does not show yet would be taken for gone.
+	// A holder that the list does not show yet would be taken for gone, and
+	// without settings the delay of orders is not known.
+	if now.Sub(c.readAt) < rereadEvery || c.settings.Units == nil || c.holderGone(c.cfg.Holder) {
 		return nil
 	}
 	c.readAt = now
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -169,17 +169,17 @@
 
 func (s *sim) start(n *simNode) {
 	cfg := NewControllerConfig("c", s.holder(n))
-	cfg.MaxOrderDelay = simDelay
-	if s.mutate.trustTime {
-		cfg.MaxOrderDelay = 0
-	}
 	n.controller, n.queue, n.answers, n.leads = NewController(cfg), nil, nil, false
 	s.step(n, s.configured())
 	s.step(n, s.listed())
 }
 
 func (s *sim) configured() Configured {
-	c := Configured{CapacityMB: deviceMB, Concurrency: 4, ChecksFencing: s.devices[0].checks, LoadsPerSecond: 100, ConcurrentLoads: 10, Units: []UnitSpec{}}
+	delay := simDelay
+	if s.mutate.trustTime {
+		delay = 0
+	}
+	c := Configured{MaxOrderDelay: delay, CapacityMB: deviceMB, Concurrency: 4, ChecksFencing: s.devices[0].checks, LoadsPerSecond: 100, ConcurrentLoads: 10, Units: []UnitSpec{}}
 	for _, u := range s.units {
 		if s.wanted[u.Name] {
 			c.Units = append(c.Units, u)
--- a/placement/events.go
+++ b/placement/events.go
@@ -50,6 +50,9 @@
 	CapacityMB    int64
 	Concurrency   int
 	ChecksFencing bool
+	// MaxOrderDelay is the longest time for which the network may hold an
+	// order that was sent.
+	MaxOrderDelay time.Duration
 	// LoadsPerSecond and ConcurrentLoads are this cell's share of the weight
 	// store's budget.
 	LoadsPerSecond  float64
--- a/placement/inventory.go
+++ b/placement/inventory.go
@@ -154,7 +154,7 @@
 // could have brought the unit back had arrived, if it ever will. An earlier
 // inventory does not count: the last copy may have come in between.
 func (c *Controller) stayedAway(e Inventory, unit string) bool {
-	return e.AskedAt.After(c.settledAt) && c.history.quiet(e.AskedAt, e.Endpoint, unit, c.cfg.MaxOrderDelay)
+	return e.AskedAt.After(c.settledAt) && c.history.quiet(e.AskedAt, e.Endpoint, unit, c.settings.MaxOrderDelay)
 }
 
 // reconcileMembers drops endpoints that are gone from the record. One that is
@@ -197,7 +197,7 @@
 		c.unlisted[name] = now
 		return false
 	}
-	if now.Sub(since) < c.cfg.MaxOrderDelay {
+	if now.Sub(since) < c.settings.MaxOrderDelay {
 		return false
 	}
 	for unit, u := range use.Units {
--- a/placement/place.go
+++ b/placement/place.go
@@ -8,14 +8,19 @@
 )
 
 // place returns the best endpoint for another replica of u, or nil. reserve is
-// the memory that must stay free on some endpoint afterwards.
+// the memory that must stay free on some endpoint afterwards. An endpoint that
+// also has room for the unit's adapters is taken before one that has not.
 func (p *planner) place(u *UnitSpec, reserve int64) *EndpointState {
+	companions := p.companions[u.Name]
+	if e := p.best(u, reserve, func(e *EndpointState) bool { return e.FreeMB >= u.MemoryMB+companions }); e != nil {
+		return e
+	}
 	return p.best(u, reserve, func(*EndpointState) bool { return true })
 }
 
 // best prefers a failure domain with few replicas of the unit, then an
-// endpoint with little load, then one that the unit's name hashes to, so that
-// equal endpoints get equal shares and the choice is the same each time.
+// endpoint with little load, then one with much free memory, then one that the
+// unit's name hashes to, so that the choice is the same each time.
 func (p *planner) best(u *UnitSpec, reserve int64, allowed func(*EndpointState) bool) *EndpointState {
 	var best *EndpointState
 	var bestRank rank
@@ -67,13 +72,17 @@
 // rank orders endpoints for a unit; the lower goes first.
 type rank struct {
 	sameDomain int
-	load       float64
+	load       int
+	used       int
 	hash       uint64
 }
 
-// loadGrain makes endpoints whose loads differ by less count as equal, so
-// that noise in the load does not decide.
-const loadGrain = 4
+// Endpoints whose load or free memory differ by less than one part in so many
+// count as equal, so that noise does not decide.
+const (
+	loadGrains   = 4
+	memoryGrains = 8
+)
 
 func (p *planner) rank(u *UnitSpec, e *EndpointState) rank {
 	r := rank{hash: xxhash.Sum64String(u.Name + "\x00" + e.Name)}
@@ -82,7 +91,8 @@
 			r.sameDomain++
 		}
 	}
-	r.load = float64(int(p.load[e.Name] / max(1, float64(e.Concurrency)) * loadGrain))
+	r.load = int(p.load[e.Name] / max(1, float64(e.Concurrency)) * loadGrains)
+	r.used = int((e.CapacityMB - e.FreeMB) * memoryGrains / max(1, e.CapacityMB))
 	return r
 }
 
@@ -93,6 +103,9 @@
 	if r.load != other.load {
 		return r.load < other.load
 	}
+	if r.used != other.used {
+		return r.used < other.used
+	}
 	return r.hash < other.hash
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -14,9 +14,11 @@
 	load map[string]float64
 	// holders lists, by unit, the serving endpoints where it is or will be.
 	holders map[string][]*EndpointState
-	largest int64
-	loads   int
-	moves   []Move
+	// companions is the memory of all adapters on each base.
+	companions map[string]int64
+	largest    int64
+	loads      int
+	moves      []Move
 	// evicting holds the endpoints at which room is being made already.
 	evicting map[string]bool
 }
@@ -28,7 +30,11 @@
 func Plan(s Snapshot) []Move {
 	p := newPlanner(s)
 	p.dropUnwanted()
-	p.restoreReachable(s.Units)
+	if p.restoreReachable(s.Units) {
+		// While a unit has no replica, memory and the weight store's budget are
+		// for it; what a spare takes now it may need in the next plan.
+		return p.moves
+	}
 	p.addSpares(s.Units)
 	p.followDemand(s.Units)
 	return p.moves
@@ -38,9 +44,12 @@
 	p := &planner{
 		units: make(map[string]*UnitSpec, len(s.Units)), byName: make(map[string]*EndpointState, len(s.Endpoints)),
 		load: make(map[string]float64, len(s.Endpoints)), holders: make(map[string][]*EndpointState, len(s.Units)),
-		loads: s.Loads, evicting: map[string]bool{},
+		loads: s.Loads, evicting: map[string]bool{}, companions: map[string]int64{},
 	}
 	for i := range s.Units {
+		if base := s.Units[i].Base; base != "" {
+			p.companions[base] += s.Units[i].MemoryMB
+		}
 		p.units[s.Units[i].Name] = &s.Units[i]
 		p.largest = max(p.largest, s.Units[i].MemoryMB)
 	}
@@ -102,8 +111,9 @@
 
 // restoreReachable loads units that have no replica: those that callers wait
 // for first, then those of most demand, then bases before adapters and large
-// units before small ones, as they are hardest to place.
-func (p *planner) restoreReachable(specs []UnitSpec) {
+// units before small ones, as they are hardest to place. It reports whether
+// there were any.
+func (p *planner) restoreReachable(specs []UnitSpec) bool {
 	var missing []*UnitSpec
 	for i := range specs {
 		if len(p.holders[specs[i].Name]) == 0 {
@@ -122,15 +132,28 @@
 		}
 		p.makeRoom(u)
 	}
+	return len(missing) > 0
 }
 
 // addSpares brings units up to the number of replicas that the settings want,
-// as long as room is left for the largest unit to move.
+// as long as room is left for the largest unit to move. Units of most demand go
+// first; small ones go before large ones, as they keep more units reachable for
+// the memory they take.
 func (p *planner) addSpares(specs []UnitSpec) {
+	var short []*UnitSpec
 	for i := range specs {
 		u := &specs[i]
-		if n := len(p.holders[u.Name]); n == 0 || n >= p.wantedReplicas(u) {
-			continue
+		if n := len(p.holders[u.Name]); n > 0 && n < p.wantedReplicas(u) {
+			short = append(short, u)
+		}
+	}
+	slices.SortStableFunc(short, func(a, b *UnitSpec) int {
+		return cmp.Or(
+			cmp.Compare(int(b.Demand), int(a.Demand)), cmp.Compare(a.MemoryMB, b.MemoryMB), cmp.Compare(a.Name, b.Name))
+	})
+	for _, u := range short {
+		if p.loads <= 0 {
+			return
 		}
 		if e := p.place(u, p.largest); e != nil {
 			p.loadUnit(e, u, ReasonSpare, "")
--- a/placement/room.go
+++ b/placement/room.go
@@ -55,7 +55,7 @@
 		}
 		coming := e.FreeMB
 		for _, placed := range e.Units {
-			if placed.State == Unloading || placed.State == Absent && !placed.Blocked {
+			if placed.Freeing {
 				coming += placed.MemoryMB
 			}
 		}
--- a/placement/settling.go
+++ b/placement/settling.go
@@ -20,7 +20,7 @@
 	for _, holder := range c.working.LateHolders() {
 		switch {
 		case holder == c.cfg.Holder:
-			if c.history.settledBefore(now, c.epoch, c.cfg.MaxOrderDelay) {
+			if c.history.settledBefore(now, c.epoch, c.settings.MaxOrderDelay) {
 				c.holderSettled(now, HolderSettled{Holder: holder, Epoch: c.epoch - 1})
 			}
 		case current && c.holderGone(holder):
@@ -39,7 +39,7 @@
 		c.goneAt[holder] = now
 		return
 	}
-	if now.Sub(since) >= c.cfg.MaxOrderDelay {
+	if now.Sub(since) >= c.settings.MaxOrderDelay {
 		c.holderSettled(now, HolderSettled{Holder: holder, Epoch: c.epoch - 1})
 	}
 }
@@ -57,7 +57,7 @@
 // settleSelf tells later controllers, once, when nothing that this one sent
 // can arrive any more.
 func (c *Controller) settleSelf(now time.Time) []Action {
-	if c.epoch == 0 || c.settledEpoch == c.epoch || !c.history.settledBefore(now, c.epoch+1, c.cfg.MaxOrderDelay) {
+	if c.epoch == 0 || c.settledEpoch == c.epoch || !c.history.settledBefore(now, c.epoch+1, c.settings.MaxOrderDelay) {
 		return nil
 	}
 	c.settledEpoch = c.epoch
--- a/placement/snapshot.go
+++ b/placement/snapshot.go
@@ -42,6 +42,8 @@
 	Certain bool
 	// Blocked tells that the unit may not be loaded there.
 	Blocked bool
+	// Freeing tells that its memory will be free within a bounded time.
+	Freeing bool
 }
 
 // Snapshot is all that Plan looks at. Units and Endpoints are ordered by name.
--- a/settings/check.go
+++ b/settings/check.go
@@ -38,7 +38,7 @@
 
 // Check returns every fault of the tree, in the order of their paths.
 func Check(t *Tree) []Problem {
-	c := checker{tree: t, names: map[string]string{}}
+	c := checker{tree: t, names: map[string]string{}, units: map[string]bool{}}
 	c.root()
 	for _, name := range slices.Sorted(maps.Keys(t.Pools)) {
 		c.pool("/pools/"+jsonc.EscapePointer(name), t.Pools[name])
@@ -55,7 +55,9 @@
 type checker struct {
 	tree *Tree
 	// names maps every unit and service name to the path that defines it.
-	names    map[string]string
+	names map[string]string
+	// units are the names of models, adapters and versions.
+	units    map[string]bool
 	problems []Problem
 }
 
@@ -71,6 +73,11 @@
 	c.names[name] = path
 }
 
+func (c *checker) defineUnit(path, name string) {
+	c.define(path, name)
+	c.units[name] = true
+}
+
 func (c *checker) root() {
 	if c.tree.Deployment == "" {
 		c.add("/deployment", "missing")
@@ -101,6 +108,9 @@
 	if p.Concurrency <= 0 {
 		c.add(path+"/concurrency", "must be above 0")
 	}
+	if p.MaxOrderDelayMS < 0 {
+		c.add(path+"/maxOrderDelayMS", "must not be negative")
+	}
 	if p.Kind == KindEngine && p.MemoryMB <= 0 {
 		c.add(path+"/memoryMB", "must be above 0")
 	}
@@ -123,7 +133,7 @@
 		c.add(path, "must not be null")
 		return 0
 	}
-	c.define(path, name)
+	c.defineUnit(path, name)
 	if m.WeightsMB <= 0 {
 		c.add(path+"/weightsMB", "must be above 0")
 	}
@@ -152,7 +162,7 @@
 		c.add(path, "must not be null")
 		return 0
 	}
-	c.define(path, name)
+	c.defineUnit(path, name)
 	if v.WeightsMB <= 0 || v.WeightsMB+m.KVMB > p.MemoryMB {
 		c.add(path+"/weightsMB", "must be above 0 and fit an endpoint")
 	}
@@ -165,7 +175,7 @@
 		c.add(path, "must not be null")
 		return 0
 	}
-	c.define(path, name)
+	c.defineUnit(path, name)
 	if a.SizeMB <= 0 {
 		c.add(path+"/sizeMB", "must be above 0")
 	}
@@ -183,7 +193,7 @@
 		c.add(path, "exactly one of model and pool is needed")
 		return
 	}
-	if _, known := c.names[s.Model]; s.Model != "" && !known {
+	if s.Model != "" && !c.units[s.Model] {
 		c.add(path+"/model", "no model, adapter or version %q", s.Model)
 	}
 	if s.Pool != "" {
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,5 +1,7 @@
 package settings
 
+import "time"
+
 // Kind says how the endpoints of a pool are spoken to.
 type Kind string
 
@@ -39,12 +41,26 @@
 	MemoryMB int64 `json:"memoryMB,omitempty"`
 	// ChecksFencing tells whether the endpoints refuse orders with an old epoch.
 	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// MaxOrderDelayMS is the longest time, in milliseconds, for which the
+	// network may hold an order to an endpoint; 0 means DefaultMaxOrderDelayMS.
+	MaxOrderDelayMS int64 `json:"maxOrderDelayMS,omitempty"`
 	// Concurrency is how many requests one endpoint runs at once.
 	Concurrency int               `json:"concurrency"`
 	Policy      Policy            `json:"policy"`
 	Models      map[string]*Model `json:"models,omitempty"`
 }
 
+// DefaultMaxOrderDelayMS is the order delay of pools that do not set it.
+const DefaultMaxOrderDelayMS = 5000
+
+// MaxOrderDelay is the longest time for which an order may be on its way.
+func (p *Pool) MaxOrderDelay() time.Duration {
+	if p.MaxOrderDelayMS == 0 {
+		return DefaultMaxOrderDelayMS * time.Millisecond
+	}
+	return time.Duration(p.MaxOrderDelayMS) * time.Millisecond
+}
+
 // Model is a base model and what derives from it.
 type Model struct {
 	// WeightsMB is the size of the weights in MiB.
