Cover the cores with golden sessions and properties

Cause: settings, queue, membership and planner were proved only through the whole path.

A body with two model fields is refused: endpoints may differ in which they take.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestGolden runs the sessions in testdata: times are milliseconds since the
+// start.
+func TestGolden(t *testing.T) {
+	start := time.Unix(0, 0)
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		q := NewQueue(Limits{Waiters: 3, Bytes: 100})
+		at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var ms, priority, startBy, bytes, n int
+			var id, unit string
+			d.ScanArgs(t, "at", &ms)
+			var b strings.Builder
+			show := func(refused []Refusal) {
+				for _, r := range refused {
+					fmt.Fprintf(&b, "refuse %s %s retry_after=%s\n", r.Waiter.ID, r.Reason, r.RetryAfter)
+				}
+			}
+			switch d.Cmd {
+			case "arrive":
+				d.ScanArgs(t, "id", &id)
+				d.ScanArgs(t, "unit", &unit)
+				d.MaybeScanArgs(t, "priority", &priority)
+				d.ScanArgs(t, "start-by", &startBy)
+				d.MaybeScanArgs(t, "bytes", &bytes)
+				show(q.Arrive(at(ms), &Waiter{ID: id, Unit: unit, Priority: priority, Arrived: at(ms), StartBy: at(startBy), Bytes: bytes}))
+			case "offer":
+				d.ScanArgs(t, "unit", &unit)
+				d.ScanArgs(t, "places", &n)
+				admitted, refused := q.Offer(at(ms), func(w *Waiter) bool {
+					if w.Unit != unit || n == 0 {
+						return false
+					}
+					n--
+					return true
+				})
+				show(refused)
+				for _, w := range admitted {
+					fmt.Fprintf(&b, "admit %s\n", w.ID)
+				}
+			case "completed":
+				q.Completed(at(ms))
+			}
+			fmt.Fprintf(&b, "waiting %d\n", q.Len())
+			return b.String()
+		})
+	})
+}
+
+// TestNobodyStarves checks that a waiter is overtaken only by those that
+// arrive within the head start of their priority.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Limits{Waiters: 1000, Bytes: 1000})
+		now := time.Unix(0, 0)
+		waiting := map[*Waiter]bool{}
+		for i := range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			w := &Waiter{ID: fmt.Sprint(i), Unit: "u", Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Arrived: now, StartBy: now.Add(time.Hour)}
+			require.Empty(t, q.Arrive(now, w))
+			waiting[w] = true
+			if !rapid.Bool().Draw(t, "offer") {
+				continue
+			}
+			places := 1
+			admitted, _ := q.Offer(now, func(*Waiter) bool { places--; return places >= 0 })
+			require.Len(t, admitted, 1)
+			first := admitted[0]
+			delete(waiting, first)
+			for other := range waiting {
+				lead := time.Duration(first.Priority-other.Priority) * AgingStep
+				require.LessOrEqual(t, first.Arrived.Sub(other.Arrived), lead)
+			}
+		}
+	})
+}
+
+func TestGateAdmitsInOrderAndRefusesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(Limits{Waiters: 10, Bytes: 1000}, time.Now)
+		free := false
+		take := func() bool { return free }
+		results := make(chan error, 3)
+		enter := func(id string, wait time.Duration, ctx context.Context) {
+			results <- g.Enter(ctx, &Waiter{ID: id, Unit: "u", Arrived: time.Now(), StartBy: time.Now().Add(wait)}, take)
+		}
+		go enter("short", time.Second, t.Context())
+		synctest.Wait()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		var refused *RefusedError
+		require.ErrorAs(t, <-results, &refused)
+		require.Equal(t, ReasonExpired, refused.Reason)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		go enter("gone", time.Minute, ctx)
+		synctest.Wait()
+		cancel()
+		require.ErrorIs(t, <-results, context.Canceled)
+		require.Zero(t, g.Len())
+
+		go enter("served", time.Minute, t.Context())
+		synctest.Wait()
+		free = true
+		g.Kick()
+		require.NoError(t, <-results)
+		require.NoError(t, g.Enter(t.Context(), &Waiter{ID: "at once", Unit: "u"}, take))
+	})
+}
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -54,6 +54,10 @@
 }
 
 func (f *bodyFields) note(key string, raw json.RawMessage, at span) error {
+	if key == "model" && f.model.present() || key == "priority" && f.priority.present() {
+		// Endpoints may differ in which of the two they take.
+		return bodyError("the field " + key + " stands twice")
+	}
 	switch key {
 	case "model":
 		f.model = at
--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,65 @@
+package ring
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestRingAgainstSlice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 5).Draw(t, "capacity")
+		policy := rapid.SampledFrom([]Policy{DropOldest, Reject}).Draw(t, "policy")
+		r := New[int](capacity, policy)
+		var model []int
+		for i := range 50 {
+			if rapid.Bool().Draw(t, "put") {
+				err := r.Put(context.Background(), i)
+				switch {
+				case len(model) < capacity:
+					require.NoError(t, err)
+					model = append(model, i)
+				case policy == Reject:
+					require.ErrorIs(t, err, ErrFull)
+				default:
+					require.NoError(t, err)
+					model = append(model[1:], i)
+				}
+			} else if len(model) > 0 {
+				got, err := r.Take(context.Background())
+				require.NoError(t, err)
+				require.Equal(t, model[0], got)
+				model = model[1:]
+			}
+			require.Equal(t, len(model), r.Len())
+		}
+	})
+}
+
+func TestBlockingPutWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New[int](1, Block)
+		require.NoError(t, r.Put(t.Context(), 1))
+		done := false
+		go func() {
+			_ = r.Put(t.Context(), 2)
+			done = true
+		}()
+		synctest.Wait()
+		require.False(t, done)
+		got, err := r.Take(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 1, got)
+		synctest.Wait()
+		require.True(t, done)
+		r.Close()
+		got, err = r.Take(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 2, got)
+		_, err = r.Take(t.Context())
+		require.ErrorIs(t, err, ErrClosed)
+	})
+}
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -16,13 +16,14 @@
 	return !slices.Contains(r.Excluded, e.Name)
 }
 
-// headroomFilter keeps endpoints whose estimated load leaves room. An instance
-// also keeps to its share of the endpoint, with slack for an uneven balancer,
-// so that instances that see the same stale report do not overrun it together.
+// headroomFilter keeps endpoints whose estimated load leaves room. Instances
+// that see the same report must not fill that room together, so between two
+// reports each takes no more than its share of it, with slack for a balancer
+// that spreads callers unevenly.
 type headroomFilter struct {
 	// fill is the share of Concurrency up to which the estimate may go.
 	fill float64
-	// slack multiplies an instance's even share.
+	// slack multiplies an instance's even share of the free room.
 	slack float64
 }
 
@@ -32,6 +33,8 @@
 	if float64(e.Estimate()) >= limit {
 		return false
 	}
-	share := max(1, limit*f.slack/float64(max(1, r.Instances)))
-	return float64(e.Own()) < share
+	l := e.Reported()
+	room := limit - float64(l.Running+l.Waiting)
+	share := max(1, room*f.slack/float64(max(1, r.Instances)))
+	return float64(e.Own()-l.OwnAtReport) < share
 }
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,119 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testNow = time.Unix(1000, 0)
+
+func noRandom() float64 { return 0 }
+
+func testView(loads ...Load) (*View, []*Endpoint) {
+	v := &View{Replicas: map[string][]*Endpoint{}, Instances: 2}
+	for i, l := range loads {
+		e := &Endpoint{Name: fmt.Sprintf("e%d", i), Concurrency: 8, FailureDomain: fmt.Sprintf("d%d", i)}
+		e.Report(l)
+		v.Replicas["m"] = append(v.Replicas["m"], e)
+	}
+	return v, v.Replicas["m"]
+}
+
+func TestPick(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		loads   []Load
+		prepare func(e []*Endpoint)
+		req     Request
+		want    string
+		err     error
+	}{
+		{name: "least estimated load", loads: []Load{{Running: 5}, {Running: 2}}, want: "e1"},
+		{name: "own attempts since the report count", loads: []Load{{Running: 3}, {Running: 4}},
+			prepare: func(e []*Endpoint) { e[0].own.Store(3) }, want: "e1"},
+		{name: "own attempts in the report count once", loads: []Load{{Running: 3, OwnAtReport: 3}, {Running: 4}},
+			prepare: func(e []*Endpoint) { e[0].own.Store(3) }, want: "e0"},
+		{name: "leaving takes nothing", loads: []Load{{}, {Running: 7}},
+			prepare: func(e []*Endpoint) { e[0].SetLeaving(true) }, want: "e1"},
+		{name: "tried is not tried again", loads: []Load{{}, {Running: 7}}, req: Request{Excluded: []string{"e0"}}, want: "e1"},
+		{name: "ejected comes last", loads: []Load{{}, {Running: 7}},
+			prepare: func(e []*Endpoint) { e[0].Failed(testNow) }, want: "e1"},
+		{name: "ejected is better than none", loads: []Load{{}},
+			prepare: func(e []*Endpoint) { e[0].Failed(testNow) }, want: "e0"},
+		{name: "full", loads: []Load{{Running: 8}, {Running: 9}}, err: ErrNoRoom},
+		{name: "share of the free room is used up", loads: []Load{{Running: 6}},
+			prepare: func(e []*Endpoint) { e[0].own.Store(2) }, err: ErrNoRoom},
+		{name: "all tried", loads: []Load{{}}, req: Request{Excluded: []string{"e0"}}, err: ErrNoneLeft},
+		{name: "no replica", err: ErrNoReplica},
+		{name: "own failure domain among equals", loads: []Load{{}, {}}, req: Request{FailureDomain: "d1"}, want: "e1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v, endpoints := testView(tc.loads...)
+			if tc.prepare != nil {
+				tc.prepare(endpoints)
+			}
+			r := NewRouter(Policies()[PolicyEstimate], noRandom)
+			r.SetView(v)
+			tc.req.Unit, tc.req.Now = "m", testNow
+			d, err := r.Pick(&tc.req)
+			if tc.err != nil {
+				require.True(t, errors.Is(err, tc.err), "got %v", err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tc.want, d.Endpoint.Name)
+			before := d.Endpoint.Own()
+			r.Release(d.Endpoint)
+			require.Equal(t, before-1, d.Endpoint.Own())
+		})
+	}
+}
+
+func TestEveryPolicyPicksLiveEndpoints(t *testing.T) {
+	for name, p := range Policies() {
+		t.Run(name, func(t *testing.T) {
+			v, endpoints := testView(Load{}, Load{}, Load{})
+			endpoints[1].SetLeaving(true)
+			r := NewRouter(p, func() float64 { return 0.99 })
+			r.SetView(v)
+			for range 3 {
+				d, err := r.Pick(&Request{Unit: "m", Now: testNow})
+				require.NoError(t, err)
+				require.False(t, d.Endpoint.Leaving())
+			}
+		})
+	}
+}
+
+func TestEjectionGrowsAndEnds(t *testing.T) {
+	e := &Endpoint{}
+	e.Failed(testNow)
+	require.True(t, e.Ejected(testNow))
+	require.False(t, e.Ejected(testNow.Add(ejectBase)))
+	for range 20 {
+		e.Failed(testNow)
+	}
+	require.True(t, e.Ejected(testNow.Add(ejectMax-1)))
+	require.False(t, e.Ejected(testNow.Add(ejectMax)))
+	e.Succeeded()
+	require.False(t, e.Ejected(testNow))
+}
+
+func BenchmarkPick(b *testing.B) {
+	v, _ := testView(make([]Load, 12)...)
+	v.Instances = 1
+	r := NewRouter(Policies()[PolicyEstimate], noRandom)
+	r.SetView(v)
+	req := Request{Unit: "m", Now: testNow}
+	for b.Loop() {
+		d, err := r.Pick(&req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Release(d.Endpoint)
+	}
+}
