--- a/cmd/eiderspring-standin/main.go
+++ b/cmd/eiderspring-standin/main.go
@@ -129,7 +129,10 @@
 		Flags: []cli.Flag{
 			platformFlag(), &cli.StringFlag{Name: "name", Required: true}, &cli.StringFlag{Name: "pool", Value: "instances"},
 			&cli.StringFlag{Name: "address", Required: true}, &cli.StringFlag{Name: "failure-domain", Required: true},
-			&cli.StringFlag{Name: "incarnation", Value: "1"}, &cli.StringFlag{Name: "state", Value: standin.MemberLive, Usage: "live or leaving"},
+			&cli.StringFlag{Name: "incarnation", Value: "1"},
+			&cli.IntFlag{Name: "peer-port", Usage: "an instance's port for datagrams"},
+			&cli.IntFlag{Name: "stream-port", Usage: "an instance's port for streams"},
+			&cli.StringFlag{Name: "state", Value: standin.MemberLive, Usage: "live or leaving"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			return register(c.String("platform"), memberOf(c, c.String("address"), c.String("state")))
@@ -140,7 +143,7 @@
 func memberOf(c *cli.Command, address, state string) standin.Member {
 	return standin.Member{
 		Name: c.String("name"), Pool: c.String("pool"), Address: address, FailureDomain: c.String("failure-domain"),
-		Incarnation: c.String("incarnation"), State: state,
+		Incarnation: c.String("incarnation"), State: state, PeerPort: c.Int("peer-port"), StreamPort: c.Int("stream-port"),
 	}
 }
 
--- a/cmd/eiderspring/settings.go
+++ b/cmd/eiderspring/settings.go
@@ -65,7 +65,7 @@
 }
 
 func settingsGet(ctx context.Context, c *cli.Command) error {
-	accepted, err := readAccepted(ctx, store.NewHTTPClient(store.Config{URL: c.String("object-api")}))
+	accepted, err := revision.ReadCurrent(ctx, store.NewHTTPClient(store.Config{URL: c.String("object-api")}))
 	if err != nil {
 		return err
 	}
@@ -73,20 +73,6 @@
 	return trace.Wrap(err)
 }
 
-// readAccepted returns the newest revision.
-func readAccepted(ctx context.Context, client store.Client) (*revision.Accepted, error) {
-	o, err := client.Get(ctx, store.KindSettings, revision.RootName)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	root, err := revision.DecodeRoot(o)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	accepted, err := revision.NewFetcher(client).Fetch(ctx, root.Current)
-	return accepted, trace.Wrap(err)
-}
-
 func settingsApply(ctx context.Context, c *cli.Command) error {
 	file, text, err := readFileArgument(c)
 	if err != nil {
@@ -94,7 +80,7 @@
 	}
 	client := store.NewHTTPClient(store.Config{URL: c.String("object-api")})
 	base := int64(0)
-	switch accepted, err := readAccepted(ctx, client); {
+	switch accepted, err := revision.ReadCurrent(ctx, client); {
 	case err == nil:
 		base = accepted.Entry.Revision
 	case !store.IsNotFound(err):
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"fmt"
 	"net"
 	"net/url"
 	"os"
 	"time"
 
 	"github.com/eiderspring/eiderspring/jsonc"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/routing"
 )
 
@@ -22,6 +24,7 @@
 	Callers   string   `json:"callers"`
 	Operators string   `json:"operators"`
 	Platform  Platform `json:"platform"`
+	Peers     Peers    `json:"peers"`
 	// RoutingPolicy names one of routing.Policies.
 	RoutingPolicy string `json:"routingPolicy"`
 	Limits        Limits `json:"limits"`
@@ -35,6 +38,16 @@
 	Members   string `json:"members"`
 }
 
+// Peers tells how other instances reach this one.
+type Peers struct {
+	// Datagrams and Streams are UDP addresses of the form IP:PORT.
+	Datagrams string `json:"datagrams"`
+	Streams   string `json:"streams"`
+	// Keys are the keys to begin with, in hex, the one to use first; keys in
+	// the settings come before them.
+	Keys []string `json:"keys"`
+}
+
 // Limits bound what one instance takes on.
 type Limits struct {
 	HeaderBytes int `json:"headerBytes"`
@@ -47,6 +60,9 @@
 	QueueBytes    int `json:"queueBytes"`
 	// LoadPollsPerSecond bounds the load reports asked for.
 	LoadPollsPerSecond float64 `json:"loadPollsPerSecond"`
+	// FreshnessMS is for how long an instance serves by its settings without
+	// having heard the object API or any peer, in milliseconds.
+	FreshnessMS int `json:"freshnessMS"`
 	// DrainGraceMS is how long a planned stop still takes the callers that the
 	// balancer sends before it has seen that the instance is not ready.
 	DrainGraceMS int `json:"drainGraceMS"`
@@ -61,7 +77,7 @@
 		LogLevel:      "info",
 		Limits: Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 4 << 20, IdleMS: 60_000, ReadMS: 15_000,
-			QueueRequests: 1024, QueueBytes: 64 << 20, LoadPollsPerSecond: 10, DrainGraceMS: 1_500, DrainMS: 120_000,
+			QueueRequests: 1024, QueueBytes: 64 << 20, LoadPollsPerSecond: 10, FreshnessMS: 4_000, DrainGraceMS: 1_500, DrainMS: 120_000,
 		},
 	}
 }
@@ -116,6 +132,16 @@
 	c.address("/operators", cfg.Operators)
 	c.url("/platform/objectAPI", cfg.Platform.ObjectAPI)
 	c.url("/platform/members", cfg.Platform.Members)
+	c.address("/peers/datagrams", cfg.Peers.Datagrams)
+	c.address("/peers/streams", cfg.Peers.Streams)
+	if len(cfg.Peers.Keys) == 0 {
+		c.add("/peers/keys", "at least one is needed")
+	}
+	for i, key := range cfg.Peers.Keys {
+		if _, err := peer.ParseKey(key); err != nil {
+			c.add(fmt.Sprintf("/peers/keys/%d", i), err.Error())
+		}
+	}
 	if _, known := routing.Policies()[cfg.RoutingPolicy]; !known {
 		c.add("/routingPolicy", "no such policy")
 	}
@@ -132,7 +158,7 @@
 	}{
 		{"headerBytes", float64(l.HeaderBytes)}, {"bodyBytes", float64(l.BodyBytes)}, {"idleMS", float64(l.IdleMS)},
 		{"readMS", float64(l.ReadMS)}, {"queueRequests", float64(l.QueueRequests)}, {"queueBytes", float64(l.QueueBytes)},
-		{"loadPollsPerSecond", l.LoadPollsPerSecond}, {"drainGraceMS", float64(l.DrainGraceMS)},
+		{"loadPollsPerSecond", l.LoadPollsPerSecond}, {"freshnessMS", float64(l.FreshnessMS)}, {"drainGraceMS", float64(l.DrainGraceMS)},
 		{"drainMS", float64(l.DrainMS)},
 	} {
 		if bound.n <= 0 {
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -12,59 +12,11 @@
 
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
-	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
-	"github.com/eiderspring/eiderspring/store"
 )
 
-// settingsDuty watches the root object and fetches each newer revision.
-type settingsDuty struct {
-	client  store.Client
-	fetcher *revision.Fetcher
-	events  *ring.Ring[event]
-	log     logr.Logger
-	newest  int64
-}
-
-func (d *settingsDuty) run(ctx context.Context) {
-	r := store.NewReflector(d.client, store.KindSettings,
-		func(l store.List) {
-			for _, o := range l.Items {
-				d.root(ctx, o)
-			}
-		},
-		func(e store.Event) {
-			if e.Type != store.EventDeleted {
-				d.root(ctx, e.Object)
-			}
-		},
-		func(err error) { d.log.Info("settings watch interrupted", "error", err.Error()) })
-	r.Run(ctx)
-}
-
-func (d *settingsDuty) root(ctx context.Context, o store.Object) {
-	if o.Metadata.Name != revision.RootName {
-		return
-	}
-	root, err := revision.DecodeRoot(o)
-	if err != nil {
-		d.log.Error(err, "settings root unreadable")
-		return
-	}
-	if root.Current.Revision <= d.newest {
-		return
-	}
-	accepted, err := d.fetcher.Fetch(ctx, root.Current)
-	if err != nil {
-		d.log.Info("settings not fetched", "revision", root.Current.Revision, "error", err.Error())
-		return
-	}
-	d.newest = accepted.Entry.Revision
-	_ = d.events.Put(ctx, settingsAccepted{accepted})
-}
-
 // membersDuty follows the platform's list.
 type membersDuty struct {
 	source *membership.Source
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -22,6 +22,10 @@
 	report   engine.Report
 }
 
+// instanceLeaving is an instance's word that it makes a planned stop.
+type instanceLeaving struct{ name string }
+
+func (instanceLeaving) isEvent()  {}
 func (settingsAccepted) isEvent() {}
 func (membersListed) isEvent()    {}
 func (loadReported) isEvent()     {}
--- /dev/null
+++ b/daemon/freshness.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// freshness tells how long ago this instance had proof that the settings in
+// force are the newest that any instance knows of: the object API answered, or
+// a peer was heard. It is read on each request and written by several duties.
+type freshness struct {
+	now   func() time.Time
+	bound time.Duration
+	// storeAt and peerAt are nanoseconds since start.
+	start           time.Time
+	storeAt, peerAt atomic.Int64
+}
+
+func newFreshness(now func() time.Time, bound time.Duration) *freshness {
+	return &freshness{now: now, bound: bound, start: now().Add(-time.Hour)}
+}
+
+func (f *freshness) store() { f.storeAt.Store(int64(f.now().Sub(f.start))) }
+
+func (f *freshness) peer() { f.peerAt.Store(int64(f.now().Sub(f.start))) }
+
+// age is the time since the last proof.
+func (f *freshness) age() time.Duration {
+	return f.now().Sub(f.start) - time.Duration(max(f.storeAt.Load(), f.peerAt.Load()))
+}
+
+// fresh tells whether the instance may serve by its settings. After a pause of
+// the process it is false until something was heard again.
+func (f *freshness) fresh() bool { return f.age() < f.bound }
+
+// peersSilent tells whether no peer was heard for a third of the bound.
+func (f *freshness) peersSilent() bool {
+	return f.now().Sub(f.start)-time.Duration(f.peerAt.Load()) > f.bound/3
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -9,6 +9,7 @@
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/eiderspring/eiderspring/claim"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
@@ -52,7 +54,13 @@
 	gates   *pipeline.Gates
 	events  *ring.Ring[event]
 	catalog atomic.Pointer[settings.Catalog]
-	current atomic.Pointer[revision.Entry]
+	current atomic.Pointer[revision.Accepted]
+	heard   *freshness
+	peers   *peersDuty
+	streams *peer.StreamServer
+	asking  *peer.StreamClient
+	// settings fetches revisions.
+	settings *settingsDuty
 	// draining is set once a planned stop has begun.
 	draining atomic.Bool
 	// process tells this process from any other of the same instance.
@@ -88,11 +96,89 @@
 		events: ring.New[event](eventsCapacity, ring.Block), process: rand.Text(),
 	}
 	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
+	i.heard = newFreshness(deps.Now, milliseconds(cfg.Limits.FreshnessMS))
 	i.work, i.stop = context.WithCancel(context.Background())
+	if err := i.openPeers(); err != nil {
+		deps.Callers.Close()
+		deps.Operators.Close()
+		return nil, trace.Wrap(err, "peers")
+	}
 	i.build()
 	return i, nil
 }
 
+// openPeers opens the link to the other instances.
+func (i *Instance) openPeers() error {
+	keys := i.peerKeys(nil)
+	sealer, err := peer.NewSealer(keys)
+	if err != nil {
+		return err
+	}
+	identity, err := peer.NewIdentity(keys, i.deps.Now())
+	if err != nil {
+		return err
+	}
+	i.asking = peer.NewStreamClient(identity)
+	i.peers = &peersDuty{
+		gossip: peer.NewGossip(peer.GossipConfig{Name: i.cfg.Instance, Process: i.process}), sealer: sealer,
+		events: ring.New[peer.Event](peerEvents, ring.DropOldest), wanted: ring.New[wanted](wantedCapacity, ring.DropOldest),
+		heard: i.heard, log: i.log, now: i.deps.Now,
+		leaving:  func(name string) { _ = i.events.Put(i.work, instanceLeaving{name}) },
+		sent:     func(n int) { i.vars.Add("peer_bytes_out", int64(n)) },
+		received: func(n int) { i.vars.Add("peer_bytes_in", int64(n)) },
+	}
+	if i.streams, err = peer.ListenStreams(i.cfg.Peers.Streams, identity, peerAnswerer(i.current.Load)); err != nil {
+		return err
+	}
+	if i.peers.datagrams, err = peer.ListenUDP(i.cfg.Peers.Datagrams, i.peers.receive); err != nil {
+		i.streams.Close()
+		return err
+	}
+	return nil
+}
+
+// peerKeys returns the keys of the settings, then those of the configuration.
+// Both have been checked where they were read.
+func (i *Instance) peerKeys(t *settings.Tree) [][]byte {
+	var texts []string
+	if t != nil {
+		texts = append(texts, t.PeerKeys...)
+	}
+	var keys [][]byte
+	for _, text := range append(texts, i.cfg.Peers.Keys...) {
+		if key, err := peer.ParseKey(text); err == nil {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// adopt puts a revision in force.
+func (i *Instance) adopt(a *revision.Accepted) *settings.Catalog {
+	previous := i.current.Load()
+	c := settings.NewCatalog(a.Tree)
+	i.catalog.Store(c)
+	i.current.Store(a)
+	if previous == nil || !slices.Equal(previous.Tree.PeerKeys, a.Tree.PeerKeys) {
+		i.rotate(i.peerKeys(a.Tree))
+	}
+	_ = i.peers.events.Put(i.work, peer.InForce{Revision: a.Entry.Revision})
+	return c
+}
+
+func (i *Instance) rotate(keys [][]byte) {
+	identity, err := peer.NewIdentity(keys, i.deps.Now())
+	if err == nil {
+		err = i.peers.sealer.SetKeys(keys)
+	}
+	if err != nil {
+		i.log.Error(err, "peer keys not changed")
+		return
+	}
+	i.streams.SetIdentity(identity)
+	i.asking.SetIdentity(identity)
+}
+
 func listen(given net.Listener, address string) (net.Listener, error) {
 	if given != nil {
 		return given, nil
@@ -132,13 +218,14 @@
 	}
 }
 
-// guard refuses callers while there are no settings to serve them by.
+// guard refuses callers while there are no settings to serve them by, or none
+// that are known to be current. An instance that wakes from a pause must not
+// serve by what it knew, so it confirms first.
 func (i *Instance) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.catalog.Load() == nil {
-			w.Header().Set("Retry-After", "1")
-			w.Header().Set("Eiderspring-Outcome", "not-run")
-			http.Error(w, `{"error":{"code":"not_run","message":"the instance has no settings yet"}}`, http.StatusServiceUnavailable)
+		current := i.heard.fresh() || i.settings.confirm(r.Context())
+		if i.catalog.Load() == nil || !current {
+			pipeline.RefuseNotRun(w, "the instance has no current settings")
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -153,20 +240,23 @@
 	view := &viewDuty{
 		events: i.events, router: i.router, log: i.log, now: i.deps.Now, kick: i.gates.Kick, cells: i.cells.update,
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, ready: map[string][]string{},
-		catalog: func(a *revision.Accepted) *settings.Catalog {
-			c := settings.NewCatalog(a.Tree)
-			i.catalog.Store(c)
-			i.current.Store(&a.Entry)
-			return c
-		},
+		catalog: i.adopt, peers: i.peers.members,
+	}
+	i.settings = &settingsDuty{
+		client: objects, streams: i.asking, fetcher: revision.NewFetcher(), wanted: i.peers.wanted,
+		events: i.events, heard: i.heard, log: i.log,
 	}
-	settingsWatch := &settingsDuty{client: objects, fetcher: revision.NewFetcher(objects), events: i.events, log: i.log}
 	members := &membersDuty{source: membership.NewSource(i.cfg.Platform.Members, i.deps.Platform), events: i.events, log: i.log}
 	load := &loadDuty{
 		router: i.router, client: i.engine, catalog: i.catalog.Load, events: i.events, log: i.log,
 		limiter: rate.NewLimiter(rate.Limit(i.cfg.Limits.LoadPollsPerSecond), 1),
 	}
-	for _, run := range []func(context.Context){view.run, settingsWatch.run, members.run, load.run, i.kickDuty} {
+	poll := func(ctx context.Context) {
+		i.settings.poll(ctx, func() int { return i.router.View().Instances })
+	}
+	for _, run := range []func(context.Context){
+		view.run, i.settings.run, i.settings.watch, poll, members.run, load.run, i.peers.run, i.kickDuty,
+	} {
 		i.done.Go(func() { run(i.work) })
 	}
 }
@@ -214,6 +304,7 @@
 // their answer. Then the listener closes and what is in progress is finished.
 func (i *Instance) drain() error {
 	i.draining.Store(true)
+	_ = i.peers.events.Put(i.work, peer.Leave{})
 	i.callers.SetKeepAlivesEnabled(false)
 	i.log.Info("draining", "waiting", i.gates.Len())
 	sleep(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
@@ -232,17 +323,19 @@
 	i.callers.Close()
 	i.operators.Close()
 	i.engine.Close()
+	i.peers.datagrams.Close()
+	i.streams.Close()
 }
 
 // Ready tells whether the instance takes callers.
 func (i *Instance) Ready() bool {
-	return i.catalog.Load() != nil && i.router.View().Instances > 0 && !i.draining.Load()
+	return i.catalog.Load() != nil && i.router.View().Instances > 0 && !i.draining.Load() && i.heard.fresh()
 }
 
 // Revision returns the revision of the settings in force, 0 for none.
 func (i *Instance) Revision() int64 {
-	if e := i.current.Load(); e != nil {
-		return e.Revision
+	if a := i.current.Load(); a != nil {
+		return a.Entry.Revision
 	}
 	return 0
 }
--- a/daemon/instance_test.go
+++ b/daemon/instance_test.go
@@ -67,6 +67,7 @@
 	cfg := DefaultConfig()
 	cfg.Incarnation = "1"
 	cfg.Instance, cfg.FailureDomain, cfg.Callers, cfg.Operators = "entry-0", "a", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Peers = Peers{Datagrams: freeUDP(t), Streams: freeUDP(t), Keys: []string{strings.Repeat("01", 32)}}
 	cfg.Platform = Platform{ObjectAPI: platformURL, Members: platformURL}
 	cfg.Limits.DrainGraceMS = 1
 	for _, a := range adjust {
@@ -85,6 +86,14 @@
 	return f
 }
 
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
 func serve(t *testing.T, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+)
+
+// peersDuty runs the gossip over the datagrams.
+type peersDuty struct {
+	gossip    *peer.Gossip
+	sealer    *peer.Sealer
+	datagrams peer.Datagrams
+	events    *ring.Ring[peer.Event]
+	wanted    *ring.Ring[wanted]
+	heard     *freshness
+	log       logr.Logger
+	now       func() time.Time
+	// leaving is told of instances that make a planned stop.
+	leaving func(name string)
+	// addresses holds where each instance is reached; the view duty writes it.
+	addresses atomic.Pointer[map[string]peerAddress]
+	sent      func(bytes int)
+	received  func(bytes int)
+}
+
+type peerAddress struct{ datagrams, streams string }
+
+const (
+	// peerEvents bounds the hints that wait; the oldest are dropped, as newer
+	// ones say more.
+	peerEvents = 256
+	peerTick   = 100 * time.Millisecond
+)
+
+// receive is called on the datagrams' event loop.
+func (d *peersDuty) receive(sealed []byte) {
+	d.received(len(sealed))
+	plain, err := d.sealer.Open(sealed)
+	if err != nil {
+		d.log.V(1).Info("datagram dropped", "error", err.Error())
+		return
+	}
+	h, err := peer.DecodeHint(plain)
+	if err != nil {
+		d.log.Info("hint refused", "error", err.Error())
+		return
+	}
+	_ = d.events.Put(context.Background(), peer.Received{Hint: h})
+}
+
+func (d *peersDuty) run(ctx context.Context) {
+	go d.tick(ctx)
+	heardAt := time.Time{}
+	for {
+		e, err := d.events.Take(ctx)
+		if err != nil {
+			return
+		}
+		for _, a := range d.gossip.Step(d.now(), e) {
+			d.carryOut(ctx, a)
+		}
+		if at := d.gossip.PeerHeard(); at.After(heardAt) {
+			heardAt = at
+			d.heard.peer()
+		}
+	}
+}
+
+func (d *peersDuty) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, peerTick)
+		_ = d.events.Put(ctx, peer.Tick{})
+	}
+}
+
+func (d *peersDuty) carryOut(ctx context.Context, a peer.Action) {
+	switch a := a.(type) {
+	case peer.Send:
+		address := d.address(a.To).datagrams
+		data, err := peer.EncodeHint(a.Hint)
+		if address == "" || err != nil {
+			return
+		}
+		sealed := d.sealer.Seal(data)
+		d.sent(len(sealed))
+		d.datagrams.Send(address, sealed)
+	case peer.Fetch:
+		_ = d.wanted.Put(ctx, wanted{stream: d.address(a.From).streams, revision: a.Revision})
+	case peer.PeerLeaving:
+		d.leaving(a.Name)
+	}
+}
+
+func (d *peersDuty) address(name string) peerAddress {
+	if m := d.addresses.Load(); m != nil {
+		return (*m)[name]
+	}
+	return peerAddress{}
+}
+
+// members takes the instances of a new list.
+func (d *peersDuty) members(list *membership.List) {
+	addresses := map[string]peerAddress{}
+	var live []string
+	for _, m := range list.Pool(membership.InstancePool) {
+		host, _, err := net.SplitHostPort(m.Address)
+		if err != nil || m.PeerPort == 0 {
+			continue
+		}
+		addresses[m.Name] = peerAddress{
+			datagrams: net.JoinHostPort(host, strconv.Itoa(m.PeerPort)),
+			streams:   net.JoinHostPort(host, strconv.Itoa(m.StreamPort)),
+		}
+		if m.State == membership.Live {
+			live = append(live, m.Name)
+		}
+	}
+	d.addresses.Store(&addresses)
+	_ = d.events.Put(context.Background(), peer.Live{Names: live})
+}
+
+// peerAnswerer answers peers from the revision in force.
+func peerAnswerer(current func() *revision.Accepted) peer.Answerer {
+	return func(q peer.Question) peer.Reply {
+		a := current()
+		if a == nil {
+			return peer.Reply{}
+		}
+		if q.Root {
+			data, err := cbor.Marshal(a.Entry)
+			return peer.Reply{Found: err == nil, Data: data}
+		}
+		text, found := a.Chunks[q.Chunk]
+		return peer.Reply{Found: found, Data: text}
+	}
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -24,6 +24,8 @@
 	catalog func(*revision.Accepted) *settings.Catalog
 	// cells gives the settings and the list to the cells.
 	cells func(*settings.Catalog, *membership.List)
+	// peers gives the list to the link between instances.
+	peers func(*membership.List)
 	kick  func()
 
 	accepted  *revision.Accepted
@@ -55,9 +57,13 @@
 	case membersListed:
 		changes := d.list.Step(d.now(), membership.Listed{Listing: e.listing})
 		for _, c := range changes {
-			d.log.Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
+			d.log.V(1).Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
 		}
 		return len(changes) > 0 && d.inform()
+	case instanceLeaving:
+		m, known := d.list.Member(e.name)
+		observed := membership.Observed{Name: e.name, Incarnation: m.Incarnation, State: membership.Leaving}
+		return known && len(d.list.Step(d.now(), observed)) > 0 && d.inform()
 	case loadReported:
 		return d.report(e)
 	default:
@@ -67,6 +73,7 @@
 
 // inform tells the cells what has changed.
 func (d *viewDuty) inform() bool {
+	d.peers(d.list)
 	if d.resolved != nil {
 		d.cells(d.resolved, d.list)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -190,6 +190,11 @@
 	cfg := daemon.DefaultConfig()
 	cfg.Instance, cfg.Incarnation, cfg.FailureDomain = spec.name, firstIncarnation, spec.domain
 	cfg.Platform = daemon.Platform{ObjectAPI: f.platformURL, Members: f.platformURL}
+	peers, ports, err := peerAddresses()
+	if err != nil {
+		return err
+	}
+	cfg.Peers = peers
 	if o.RoutingPolicy != "" {
 		cfg.RoutingPolicy = o.RoutingPolicy
 	}
@@ -214,6 +219,7 @@
 		return err
 	}
 	h.member = member(membership.InstancePool, spec, callers.Addr().String())
+	h.member.PeerPort, h.member.StreamPort = ports[0], ports[1]
 	var ctx context.Context
 	ctx, h.stop = context.WithCancel(context.Background())
 	go func() { h.done <- h.instance.Run(ctx) }()
@@ -224,6 +230,24 @@
 	return nil
 }
 
+// demoPeerKey seals the link between the instances of a demo.
+const demoPeerKey = "6569646572737072696e672064656d6f206b6579206f6e6c7920666f72206465"
+
+// peerAddresses finds two free UDP ports.
+func peerAddresses() (daemon.Peers, [2]int, error) {
+	var ports [2]int
+	for i := range ports {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return daemon.Peers{}, ports, err
+		}
+		defer c.Close()
+		ports[i] = c.LocalAddr().(*net.UDPAddr).Port
+	}
+	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+	return daemon.Peers{Datagrams: address(ports[0]), Streams: address(ports[1]), Keys: []string{demoPeerKey}}, ports, nil
+}
+
 // startTimeout bounds the start of a fleet.
 const startTimeout = 30 * time.Second
 
--- a/membership/list.go
+++ b/membership/list.go
@@ -107,6 +107,12 @@
 	return members
 }
 
+// Member returns the member of that name.
+func (l *List) Member(name string) (Member, bool) {
+	m, known := l.members[name]
+	return m, known
+}
+
 // Members returns all members, ordered by name.
 func (l *List) Members() []Member {
 	members := make([]Member, 0, len(l.members))
--- a/membership/member.go
+++ b/membership/member.go
@@ -21,6 +21,10 @@
 	Pool          string `json:"pool"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failureDomain"`
+	// PeerPort and StreamPort are where an instance's peers reach it, at the IP
+	// number of Address; 0 for endpoints.
+	PeerPort   int `json:"peerPort,omitempty"`
+	StreamPort int `json:"streamPort,omitempty"`
 	// Incarnation changes whenever the member is started anew.
 	Incarnation string `json:"incarnation"`
 	State       State  `json:"state"`
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+)
+
+// Question is what a stream asks for; one of the fields is set.
+type Question struct {
+	// Root asks for the entry of the revision in force.
+	Root bool `cbor:"1,keyasint,omitempty"`
+	// Chunk asks for a chunk by its hash.
+	Chunk string `cbor:"2,keyasint,omitempty"`
+}
+
+// Reply is the answer to a Question.
+type Reply struct {
+	// Found tells whether the peer has what was asked for.
+	Found bool   `cbor:"1,keyasint"`
+	Data  []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Answerer answers questions from what an instance has in memory.
+type Answerer func(Question) Reply
+
+// Bounds of streams.
+const (
+	maxQuestionBytes = 512
+	maxReplyBytes    = 2 << 20
+	streamTimeout    = 3 * time.Second
+	idleTimeout      = 5 * time.Second
+	maxStreams       = 16
+)
+
+var quicConfig = &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1}
+
+// StreamServer answers peers over QUIC.
+type StreamServer struct {
+	listener *quic.Listener
+	identity atomic.Pointer[Identity]
+	answer   Answerer
+}
+
+// ListenStreams serves on an address of the form IP:PORT until Close.
+func ListenStreams(address string, id *Identity, answer Answerer) (*StreamServer, error) {
+	s := &StreamServer{answer: answer}
+	s.identity.Store(id)
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS13, NextProtos: []string{protocolName},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.identity.Load().serverConfig(), nil },
+	}
+	l, err := quic.ListenAddr(address, config, quicConfig)
+	if err != nil {
+		return nil, err
+	}
+	s.listener = l
+	go s.accept()
+	return s, nil
+}
+
+// SetIdentity replaces the certificates for connections to come.
+func (s *StreamServer) SetIdentity(id *Identity) { s.identity.Store(id) }
+
+// Close ends serving.
+func (s *StreamServer) Close() { s.listener.Close() }
+
+func (s *StreamServer) accept() {
+	for {
+		conn, err := s.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *StreamServer) serve(conn *quic.Conn) {
+	for {
+		stream, err := conn.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		go s.reply(stream)
+	}
+}
+
+func (s *StreamServer) reply(stream *quic.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
+	var q Question
+	if err := readMessage(stream, maxQuestionBytes, &q); err != nil {
+		stream.CancelRead(0)
+		return
+	}
+	data, err := cbor.Marshal(s.answer(q))
+	if err != nil {
+		return
+	}
+	_, _ = stream.Write(data)
+}
+
+// ErrNotFound is a peer that does not have what was asked for.
+var ErrNotFound = errors.New("the peer does not have it")
+
+// StreamClient asks peers over QUIC. A connection lives for one Session.
+type StreamClient struct {
+	identity atomic.Pointer[Identity]
+}
+
+// NewStreamClient returns a client.
+func NewStreamClient(id *Identity) *StreamClient {
+	c := &StreamClient{}
+	c.identity.Store(id)
+	return c
+}
+
+// SetIdentity replaces the certificates for connections to come.
+func (c *StreamClient) SetIdentity(id *Identity) { c.identity.Store(id) }
+
+// Session is a connection to one peer.
+type Session struct{ conn *quic.Conn }
+
+// Dial connects to a peer.
+func (c *StreamClient) Dial(ctx context.Context, address string) (*Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, address, c.identity.Load().clientConfig(), quicConfig)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", address, err)
+	}
+	return &Session{conn: conn}, nil
+}
+
+// Close ends the connection.
+func (s *Session) Close() { _ = s.conn.CloseWithError(0, "") }
+
+// Ask asks one question. ErrNotFound means that the peer does not have it.
+func (s *Session) Ask(ctx context.Context, q Question) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	stream, err := s.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("peer stream: %w", err)
+	}
+	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
+	data, err := cbor.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := stream.Write(data); err != nil {
+		return nil, fmt.Errorf("peer stream: %w", err)
+	}
+	stream.Close()
+	var r Reply
+	if err := readMessage(stream, maxReplyBytes, &r); err != nil {
+		return nil, err
+	}
+	if !r.Found {
+		return nil, ErrNotFound
+	}
+	return r.Data, nil
+}
+
+func readMessage(r io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return fmt.Errorf("peer stream: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return ErrTooLarge
+	}
+	if err := cbor.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("peer stream: %w", err)
+	}
+	return nil
+}
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -131,3 +131,9 @@
 	x.Writer.WriteHeader(a.Status)
 	_, _ = x.Writer.Write(append(body, '\n'))
 }
+
+// RefuseNotRun answers a request that was not let into the pipeline.
+func RefuseNotRun(w http.ResponseWriter, message string) {
+	x := &Exchange{Writer: w}
+	x.answer(Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: message, RetryAfter: defaultRetryAfter})
+}
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -77,7 +77,7 @@
 	require.NoError(t, err)
 	_, err = p.Publish(ctx, "f", examples.Tideline, "cas", first.Revision)
 	require.True(t, store.IsConflict(err), "revision 2 came first")
-	accepted, err := NewFetcher(client).Fetch(ctx, second)
+	accepted, err := NewFetcher().Fetch(ctx, second, StoreSource(client))
 	require.NoError(t, err)
 	require.Equal(t, string(examples.Tideline), string(accepted.Text))
 	_, err = p.Publish(ctx, "f", []byte(`{}`), "dot", second.Revision)
--- a/revision/root.go
+++ b/revision/root.go
@@ -44,6 +44,8 @@
 	Entry Entry
 	Text  []byte
 	Tree  *settings.Tree
+	// Chunks holds the text of each chunk by its hash; it must not be changed.
+	Chunks map[string][]byte
 }
 
 // DecodeRoot reads a root object.
@@ -55,24 +57,40 @@
 	return r, nil
 }
 
-// Fetcher reads revisions and keeps the chunks of the last one.
+// Source gives a chunk's text by its hash.
+type Source func(ctx context.Context, hash string) ([]byte, error)
+
+// StoreSource reads chunks from the object API.
+func StoreSource(c store.Client) Source {
+	return func(ctx context.Context, hash string) ([]byte, error) {
+		o, err := c.Get(ctx, store.KindChunk, hash)
+		if err != nil {
+			return nil, err
+		}
+		var spec chunkSpec
+		if err := json.Unmarshal(o.Spec, &spec); err != nil {
+			return nil, &TextError{Err: err}
+		}
+		return []byte(spec.Text), nil
+	}
+}
+
+// Fetcher reads revisions and keeps the chunks of the last one. It is not safe
+// for concurrent use.
 type Fetcher struct {
-	client store.Client
 	chunks map[string][]byte
 }
 
-// NewFetcher returns a fetcher with nothing kept. It is not safe for
-// concurrent use.
-func NewFetcher(c store.Client) *Fetcher {
-	return &Fetcher{client: c, chunks: map[string][]byte{}}
-}
+// NewFetcher returns a fetcher with nothing kept.
+func NewFetcher() *Fetcher { return &Fetcher{chunks: map[string][]byte{}} }
 
 // Fetch returns the revision of an entry, reading only chunks that the last
-// revision did not have.
-func (f *Fetcher) Fetch(ctx context.Context, e Entry) (*Accepted, error) {
+// revision did not have. Each chunk is checked against its hash, so it does
+// not matter whom the source asks.
+func (f *Fetcher) Fetch(ctx context.Context, e Entry, source Source) (*Accepted, error) {
 	next := make(map[string][]byte, len(e.Chunks))
 	for _, hash := range e.Chunks {
-		text, err := f.chunk(ctx, hash)
+		text, err := f.chunk(ctx, hash, source)
 		if err != nil {
 			return nil, err
 		}
@@ -92,23 +110,37 @@
 		return nil, err
 	}
 	f.chunks = next
-	return &Accepted{Entry: e, Text: text, Tree: tree}, nil
+	return &Accepted{Entry: e, Text: text, Tree: tree, Chunks: next}, nil
 }
 
-func (f *Fetcher) chunk(ctx context.Context, hash string) ([]byte, error) {
+func (f *Fetcher) chunk(ctx context.Context, hash string, source Source) ([]byte, error) {
 	if text, kept := f.chunks[hash]; kept {
 		return text, nil
 	}
-	o, err := f.client.Get(ctx, store.KindChunk, hash)
+	text, err := source(ctx, hash)
 	if err != nil {
 		return nil, err
 	}
-	var spec chunkSpec
-	if err := json.Unmarshal(o.Spec, &spec); err != nil {
-		return nil, &TextError{Err: err}
-	}
-	if sum := sha256.Sum256([]byte(spec.Text)); hex.EncodeToString(sum[:]) != hash {
+	if sum := sha256.Sum256(text); hex.EncodeToString(sum[:]) != hash {
 		return nil, &TextError{Err: fmt.Errorf("chunk %s does not have its hash", hash)}
 	}
-	return []byte(spec.Text), nil
+	return text, nil
+}
+
+// ReadCurrent returns the newest revision that the object API has.
+func ReadCurrent(ctx context.Context, c store.Client) (*Accepted, error) {
+	root, err := ReadRoot(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return NewFetcher().Fetch(ctx, root.Current, StoreSource(c))
+}
+
+// ReadRoot returns the root object's spec.
+func ReadRoot(ctx context.Context, c store.Client) (Root, error) {
+	o, err := c.Get(ctx, store.KindSettings, RootName)
+	if err != nil {
+		return Root{}, err
+	}
+	return DecodeRoot(o)
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -22,6 +22,9 @@
 	Pools          map[string]*Pool    `json:"pools"`
 	Services       map[string]*Service `json:"services"`
 	Callers        map[string]*Caller  `json:"callers"`
+	// PeerKeys are the keys of the link between instances, in hex, the one to
+	// use first. They come before the keys of an instance's own configuration.
+	PeerKeys []string `json:"peerKeys,omitempty"`
 }
 
 // WeightStore is what the platform's weight store allows.
--- a/standin/members.go
+++ b/standin/members.go
@@ -13,6 +13,8 @@
 	Pool          string `json:"pool"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failureDomain"`
+	PeerPort      int    `json:"peerPort,omitempty"`
+	StreamPort    int    `json:"streamPort,omitempty"`
 	Incarnation   string `json:"incarnation"`
 	// State is "live" or "leaving"; a member that is gone is not listed.
 	State string `json:"state"`
