Merge concurrent edits by field and carry small revisions in the root

Cause: an edit from an old base was refused whole; and an outage right after an edit was accepted left the instances without its chunks.

Conclusion: edits of different fields both survive; one field set twice is a conflict that names it.

--- a/cmd/eiderspring/main.go
+++ b/cmd/eiderspring/main.go
@@ -20,6 +20,9 @@
 	exitInvalid = 2
 	// exitConflict is for an edit that lost against another.
 	exitConflict = 3
+	// exitUnknown is for an edit of which it is not known whether it was
+	// accepted.
+	exitUnknown = 4
 )
 
 func main() {
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -35,20 +35,21 @@
 // Zero fields get what the operating system provides.
 type Deps struct {
 	Callers, Operators net.Listener
-	Dial               engine.Dialer
-	// Platform carries calls to the platform's services.
-	Platform http.RoundTripper
-	Now      func() time.Time
-	Log      logr.Logger
+	// Dial opens every connection to endpoints and to the platform.
+	Dial engine.Dialer
+	Now  func() time.Time
+	Log  logr.Logger
 }
 
 // Instance is one instance of the system.
 type Instance struct {
-	cfg     Config
-	deps    Deps
-	log     logr.Logger
-	vars    *expvar.Map
-	engine  *engine.Client
+	cfg    Config
+	deps   Deps
+	log    logr.Logger
+	vars   *expvar.Map
+	engine *engine.Client
+	// control carries reports and orders, apart from callers' requests.
+	control *engine.Client
 	router  *routing.Router
 	cells   *cells
 	gates   *pipeline.Gates
@@ -81,6 +82,9 @@
 	if deps.Now == nil {
 		deps.Now = time.Now
 	}
+	if deps.Dial == nil {
+		deps.Dial = (&net.Dialer{}).DialContext
+	}
 	var err error
 	if deps.Callers, err = listen(deps.Callers, cfg.Callers); err != nil {
 		return nil, trace.Wrap(err, "callers' address")
@@ -96,6 +100,7 @@
 		events: ring.New[event](eventsCapacity, ring.Block), process: rand.Text(),
 	}
 	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
+	i.control = engine.NewClient(engine.Config{Dial: i.counted("engine_control")})
 	i.heard = newFreshness(deps.Now, milliseconds(cfg.Limits.FreshnessMS))
 	i.work, i.stop = context.WithCancel(context.Background())
 	if err := i.openPeers(); err != nil {
@@ -192,7 +197,8 @@
 	i.vars.Set("queue_length", expvar.Func(func() any { return i.gates.Len() }))
 	i.vars.Set("events_waiting", expvar.Func(func() any { return i.events.Len() }))
 	i.vars.Set("settings_revision", expvar.Func(func() any { return i.Revision() }))
-	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: i.deps.Platform})
+	platform := &http.Transport{DialContext: i.counted("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute}
+	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
 	handler := pipeline.New(pipeline.Config{
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
 		Claims: claim.NewKeeper(objects, i.holder(), i.deps.Now),
@@ -201,7 +207,22 @@
 	})
 	i.callers = i.server(i.guard(handler))
 	i.operators = i.server(i.operatorHandler())
-	i.duties(objects)
+	i.duties(objects, platform)
+}
+
+// platformConns bounds the idle connections to the platform.
+const platformConns = 8
+
+// counted returns the dialler, counting the bytes of its connections under
+// NAME_bytes_in and NAME_bytes_out.
+func (i *Instance) counted(name string) engine.Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := i.deps.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: conn, vars: i.vars, name: name}, nil
+	}
 }
 
 // holder names this process among all that ever run: the instance and the
@@ -232,9 +253,9 @@
 	})
 }
 
-func (i *Instance) duties(objects store.Client) {
+func (i *Instance) duties(objects store.Client, platform http.RoundTripper) {
 	i.cells = &cells{
-		ctx: i.work, name: i.cfg.Instance, holder: i.holder(), client: objects, engine: i.engine, log: i.log, now: i.deps.Now,
+		ctx: i.work, name: i.cfg.Instance, holder: i.holder(), client: objects, engine: i.control, log: i.log, now: i.deps.Now,
 		done: &i.done, stopping: i.draining.Load, running: map[string]*cellDuty{},
 	}
 	view := &viewDuty{
@@ -246,9 +267,9 @@
 		client: objects, streams: i.asking, fetcher: revision.NewFetcher(), wanted: i.peers.wanted,
 		events: i.events, heard: i.heard, log: i.log,
 	}
-	members := &membersDuty{source: membership.NewSource(i.cfg.Platform.Members, i.deps.Platform), events: i.events, log: i.log}
+	members := &membersDuty{source: membership.NewSource(i.cfg.Platform.Members, platform), events: i.events, log: i.log}
 	load := &loadDuty{
-		router: i.router, client: i.engine, catalog: i.catalog.Load, events: i.events, log: i.log,
+		router: i.router, client: i.control, catalog: i.catalog.Load, events: i.events, log: i.log,
 		limiter: rate.NewLimiter(rate.Limit(i.cfg.Limits.LoadPollsPerSecond), 1),
 	}
 	poll := func(ctx context.Context) {
@@ -323,6 +344,7 @@
 	i.callers.Close()
 	i.operators.Close()
 	i.engine.Close()
+	i.control.Close()
 	i.peers.datagrams.Close()
 	i.streams.Close()
 }
@@ -348,3 +370,11 @@
 
 // ReachableUnits returns how many units this instance knows an endpoint for.
 func (i *Instance) ReachableUnits() int { return len(i.router.View().Replicas) }
+
+// Counter returns one of the instance's counters, 0 if it has not counted yet.
+func (i *Instance) Counter(name string) int64 {
+	if v, ok := i.vars.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -59,7 +59,7 @@
 	var accepted *revision.Accepted
 	var err error
 	if w.root != nil {
-		accepted, err = d.fetcher.Fetch(ctx, w.root.Current, revision.StoreSource(d.client))
+		accepted, err = d.fetcher.Fetch(ctx, w.root.Current, w.root.InlineSource(revision.StoreSource(d.client)))
 	} else {
 		accepted, err = d.fetchFromPeer(ctx, w.stream)
 	}
--- a/demo/added.go
+++ b/demo/added.go
@@ -26,7 +26,7 @@
 	return &addedLatency{direct: h(), through: h()}
 }
 
-func (a *addedLatency) run(ctx context.Context, f *fleet, token string) {
+func (a *addedLatency) run(ctx context.Context, f *Fleet, token string) {
 	name, pool := plainService(f.catalog)
 	if name == "" {
 		return
--- a/demo/fault.go
+++ b/demo/fault.go
@@ -45,7 +45,7 @@
 func FaultNames() []string { return slices.Sorted(maps.Keys(injections)) }
 
 // injection begins a fault and returns how to end it.
-type injection func(f *fleet) (end func())
+type injection func(f *Fleet) (end func())
 
 var injections = map[string]injection{
 	"store-down":         storeMode(standin.StoreDown),
@@ -53,26 +53,26 @@
 	"store-lost-answers": storeMode(standin.StoreLostAnswers),
 	"orders-lost":        ordersMode(standin.OrdersLost),
 	"orders-late":        ordersMode(standin.OrdersLate),
-	"instance-kill":      func(f *fleet) func() { f.instances[0].kill(f); return func() {} },
-	"instance-pause": func(f *fleet) func() {
+	"instance-kill":      func(f *Fleet) func() { f.instances[0].kill(f); return func() {} },
+	"instance-pause": func(f *Fleet) func() {
 		victim := f.instances[len(f.instances)-1]
 		victim.freezer.freeze()
 		return victim.freezer.thaw
 	},
-	"endpoint-kill":  func(f *fleet) func() { f.engines[0].kill(f); return func() {} },
+	"endpoint-kill":  func(f *Fleet) func() { f.engines[0].kill(f); return func() {} },
 	"endpoint-leave": endpointLeave,
 	"domain-down":    domainDown,
 }
 
 func storeMode(m standin.StoreMode) injection {
-	return func(f *fleet) func() {
+	return func(f *Fleet) func() {
 		f.platform.Objects.SetMode(m)
 		return func() { f.platform.Objects.SetMode(standin.StoreUp) }
 	}
 }
 
 func ordersMode(m standin.OrdersMode) injection {
-	return func(f *fleet) func() {
+	return func(f *Fleet) func() {
 		for _, e := range f.engines {
 			e.engine.SetOrdersMode(m)
 		}
@@ -86,7 +86,7 @@
 
 // endpointLeave makes the second engine and the first plain endpoint leave:
 // the platform lists them as leaving, and the judge counts late work.
-func endpointLeave(f *fleet) func() {
+func endpointLeave(f *Fleet) func() {
 	now := time.Now()
 	e := f.engines[1]
 	e.member.State = standin.MemberLeaving
@@ -100,7 +100,7 @@
 }
 
 // domainDown kills every endpoint and instance of one failure domain.
-func domainDown(f *fleet) func() {
+func domainDown(f *Fleet) func() {
 	domain := f.catalog.Tree.FailureDomains[0]
 	for _, e := range f.engines {
 		if e.member.FailureDomain == domain {
@@ -120,25 +120,25 @@
 	return func() {}
 }
 
-func (h *host) kill(f *fleet) {
+func (h *host) kill(f *Fleet) {
 	h.gone = true
 	h.server.Close()
 	f.platform.Members.Remove(h.member.Name)
 }
 
-func (h *engineHost) kill(f *fleet) {
+func (h *engineHost) kill(f *Fleet) {
 	h.engine.Close()
 	h.host.kill(f)
 }
 
-func (h *instanceHost) kill(f *fleet) {
+func (h *instanceHost) kill(f *Fleet) {
 	h.gone = true
 	h.instance.Kill()
 	f.platform.Members.Remove(h.member.Name)
 }
 
 // runFaults plays the faults from now on and ends with stop.
-func runFaults(f *fleet, faults []Fault, stop <-chan struct{}) {
+func runFaults(f *Fleet, faults []Fault, stop <-chan struct{}) {
 	for _, fault := range faults {
 		go func() {
 			if !waitOr(stop, fault.Start) {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -19,8 +19,8 @@
 	"github.com/eiderspring/eiderspring/store"
 )
 
-// fleet is a whole deployment in this process.
-type fleet struct {
+// Fleet is a whole deployment in this process.
+type Fleet struct {
 	catalog     *settings.Catalog
 	platform    *standin.Platform
 	platformURL string
@@ -63,33 +63,75 @@
 
 const firstIncarnation = "1"
 
-// startFleet starts everything and waits until every instance is ready.
-func startFleet(d Deployment, o Options) (*fleet, error) {
+// Start starts a deployment and waits until every instance is ready.
+func Start(o Options) (*Fleet, error) {
+	d, known := Deployments()[o.Deployment]
+	if !known {
+		return nil, trace.BadParameter("no deployment %q", o.Deployment)
+	}
+	return startFleet(d, o)
+}
+
+func startFleet(d Deployment, o Options) (*Fleet, error) {
 	tree, err := settings.Load(d.Name, d.Settings)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{catalog: settings.NewCatalog(tree)}
+	f := &Fleet{catalog: settings.NewCatalog(tree)}
+	if err := f.start(d, o); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(d Deployment, o Options) error {
+	tree := f.catalog.Tree
 	f.platform = standin.NewPlatform(listLag, standin.NewWeightStore(tree.WeightStore.LoadsPerSecond, tree.WeightStore.Concurrent))
 	server, address, err := listenAndServe(f.platform)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	f.closers = append(f.closers, func() { server.Close() })
 	f.platformURL = "http://" + address
 	for _, name := range sortedPools(tree) {
 		if err := f.startPool(name, tree.Pools[name], o); err != nil {
-			return f, err
+			return err
 		}
 	}
 	publisher := revision.NewPublisher(store.NewHTTPClient(store.Config{URL: f.platformURL}), time.Now)
 	if _, err := publisher.Publish(context.Background(), d.Name, d.Settings, "demo", 0); err != nil {
-		return f, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	if err := f.startInstances(o, tree.FailureDomains); err != nil {
-		return f, err
+		return err
+	}
+	return f.waitReady(o.Instances)
+}
+
+// Objects returns the object API's stand-in.
+func (f *Fleet) Objects() *standin.ObjectAPI { return f.platform.Objects }
+
+// PlatformURL returns the platform's URL.
+func (f *Fleet) PlatformURL() string { return f.platformURL }
+
+// Revisions returns the revision in force at each instance.
+func (f *Fleet) Revisions() []int64 {
+	revisions := make([]int64, len(f.instances))
+	for i, h := range f.instances {
+		revisions[i] = h.instance.Revision()
+	}
+	return revisions
+}
+
+// PeerBytes returns the bytes of datagrams that all instances have sent and
+// received.
+func (f *Fleet) PeerBytes() int64 {
+	var n int64
+	for _, h := range f.instances {
+		n += h.instance.Counter("peer_bytes_in") + h.instance.Counter("peer_bytes_out")
 	}
-	return f, f.waitReady(o.Instances)
+	return n
 }
 
 func listenAndServe(h http.Handler) (*http.Server, string, error) {
@@ -102,7 +144,7 @@
 	return s, l.Addr().String(), nil
 }
 
-func (f *fleet) startPool(name string, p *settings.Pool, o Options) error {
+func (f *Fleet) startPool(name string, p *settings.Pool, o Options) error {
 	specs := make([]endpointSpec, p.Endpoints)
 	for i := range specs {
 		domains := f.catalog.Tree.FailureDomains
@@ -126,7 +168,7 @@
 	return nil
 }
 
-func (f *fleet) startEngine(pool string, p *settings.Pool, spec endpointSpec, held map[string]int64) error {
+func (f *Fleet) startEngine(pool string, p *settings.Pool, spec endpointSpec, held map[string]int64) error {
 	e := standin.NewEngine(standin.EngineConfig{
 		Name: spec.name, MemoryMB: p.MemoryMB, Concurrency: p.Concurrency, ChecksFencing: p.ChecksFencing,
 		Weights: f.platform.Weights, StepBase: stepBase, StepPerSequence: stepPerSequence,
@@ -143,7 +185,7 @@
 	return nil
 }
 
-func (f *fleet) startService(pool string, spec endpointSpec) error {
+func (f *Fleet) startService(pool string, spec endpointSpec) error {
 	s := standin.NewService(serviceLatency)
 	server, address, err := listenAndServe(s)
 	if err != nil {
@@ -163,7 +205,7 @@
 	}
 }
 
-func (f *fleet) startInstances(o Options, domains []string) error {
+func (f *Fleet) startInstances(o Options, domains []string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return trace.Wrap(err)
@@ -186,7 +228,7 @@
 	return nil
 }
 
-func (f *fleet) startInstance(spec endpointSpec, o Options) error {
+func (f *Fleet) startInstance(spec endpointSpec, o Options) error {
 	cfg := daemon.DefaultConfig()
 	cfg.Instance, cfg.Incarnation, cfg.FailureDomain = spec.name, firstIncarnation, spec.domain
 	cfg.Platform = daemon.Platform{ObjectAPI: f.platformURL, Members: f.platformURL}
@@ -212,8 +254,7 @@
 		log = daemon.NewLogger(o.Log, "info")
 	}
 	h.instance, err = daemon.New(cfg, daemon.Deps{
-		Callers: frozenListener{callers, h.freezer}, Operators: frozenListener{operators, h.freezer}, Dial: h.freezer.dial,
-		Platform: &http.Transport{DialContext: h.freezer.dial, MaxIdleConnsPerHost: 16}, Log: log,
+		Callers: frozenListener{callers, h.freezer}, Operators: frozenListener{operators, h.freezer}, Dial: h.freezer.dial, Log: log,
 	})
 	if err != nil {
 		return err
@@ -251,7 +292,7 @@
 // startTimeout bounds the start of a fleet.
 const startTimeout = 30 * time.Second
 
-func (f *fleet) waitReady(instances int) error {
+func (f *Fleet) waitReady(instances int) error {
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) {
 		if f.balancer.Ready() == instances && f.routed() {
@@ -263,7 +304,7 @@
 }
 
 // routed tells whether every instance knows of every unit that an engine holds.
-func (f *fleet) routed() bool {
+func (f *Fleet) routed() bool {
 	units := map[string]bool{}
 	for _, e := range f.engines {
 		for _, u := range e.engine.ReadyUnits() {
@@ -278,16 +319,17 @@
 	return true
 }
 
-func (f *fleet) close() {
+// Close ends everything.
+func (f *Fleet) Close() {
 	for i := len(f.closers) - 1; i >= 0; i-- {
 		f.closers[i]()
 	}
 }
 
 // target returns the unit behind a name, as answers name it.
-func (f *fleet) target(name string) string { return f.catalog.Targets[name].Unit }
+func (f *Fleet) target(name string) string { return f.catalog.Targets[name].Unit }
 
-func (f *fleet) String() string {
+func (f *Fleet) String() string {
 	return strconv.Itoa(len(f.instances)) + " instances, " + strconv.Itoa(len(f.engines)) + " engines, " +
 		strconv.Itoa(len(f.services)) + " plain endpoints, " + strconv.Itoa(len(f.catalog.Units)) + " models and adapters"
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -44,12 +44,10 @@
 		d.Rate = o.Rate
 	}
 	f, err := startFleet(d, o)
-	if f != nil {
-		defer f.close()
-	}
 	if err != nil {
 		return Summary{}, err
 	}
+	defer f.Close()
 	fmt.Fprintf(o.Out, "%s: %s\n", d.Name, f)
 	summary := f.play(ctx, d, o)
 	fmt.Fprintln(o.Out, summary)
@@ -60,7 +58,7 @@
 	return summary, nil
 }
 
-func (f *fleet) play(ctx context.Context, d Deployment, o Options) Summary {
+func (f *Fleet) play(ctx context.Context, d Deployment, o Options) Summary {
 	t := newTally()
 	w := newWorkload(d, f, t, o.Seed)
 	defer w.client.Close()
@@ -95,12 +93,12 @@
 
 // storeCalls returns the calls of the object API; an opened watch counts as a
 // read.
-func (f *fleet) storeCalls() (reads, writes int64) {
+func (f *Fleet) storeCalls() (reads, writes int64) {
 	return f.platform.Objects.Reads.Load() + f.platform.Objects.Watches.Load(), f.platform.Objects.Writes.Load()
 }
 
 // judge adds what the stand-ins counted.
-func (f *fleet) judge(s *Summary) {
+func (f *Fleet) judge(s *Summary) {
 	runs := map[string]int{}
 	for _, e := range f.engines {
 		s.Devices++
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -18,7 +18,7 @@
 // workload plays a deployment's mix and checks every answer.
 type workload struct {
 	deployment Deployment
-	fleet      *fleet
+	fleet      *Fleet
 	client     *load.Client
 	tally      *tally
 	// units are the models and adapters, the most wanted first.
@@ -42,7 +42,7 @@
 	duplicateShare = 0.15
 )
 
-func newWorkload(d Deployment, f *fleet, t *tally, seed uint64) *workload {
+func newWorkload(d Deployment, f *Fleet, t *tally, seed uint64) *workload {
 	w := &workload{
 		deployment: d, fleet: f, client: load.NewClient(f.balancerURL, d.Token), tally: t,
 		random: rand.New(rand.NewPCG(seed, 0)), units: f.catalog.UnitNames(),
--- /dev/null
+++ b/revision/history.go
@@ -0,0 +1,117 @@
+package revision
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// maxHistory is how many revisions before the one in force are kept.
+const maxHistory = 50
+
+// chunkGrace is the least age of a chunk that is collected. An edit writes its
+// chunks before it swaps the root, and must be done with both in this time.
+const chunkGrace = 10 * time.Minute
+
+func revisionName(n int64) string { return fmt.Sprintf("r-%012d", n) }
+
+// remember puts an entry into the history; one that is there already is equal.
+func (p *Publisher) remember(ctx context.Context, e Entry) error {
+	o, err := store.NewObject(store.KindRevision, revisionName(e.Revision), e)
+	if err != nil {
+		return err
+	}
+	if _, err := p.writer.Create(ctx, o); err != nil && !store.IsConflict(err) {
+		return err
+	}
+	return nil
+}
+
+// History returns the accepted revisions that are kept, the newest first; the
+// first is the one in force.
+func History(ctx context.Context, c store.Client) ([]Entry, error) {
+	root, err := ReadRoot(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	list, err := c.List(ctx, store.KindRevision)
+	if err != nil {
+		return nil, err
+	}
+	entries := []Entry{root.Current}
+	for _, o := range list.Items {
+		var e Entry
+		if err := json.Unmarshal(o.Spec, &e); err != nil {
+			return nil, &TextError{Err: err}
+		}
+		if e.Revision < root.Current.Revision {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(b.Revision, a.Revision) })
+	return entries, nil
+}
+
+// ReadRevision returns a revision that is in force or in the history.
+func ReadRevision(ctx context.Context, c store.Client, n int64) (*Accepted, error) {
+	entries, err := History(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if e.Revision == n {
+			return NewFetcher().Fetch(ctx, e, StoreSource(c))
+		}
+	}
+	return nil, &UnknownRevisionError{Revision: n}
+}
+
+// UnknownRevisionError is a revision that is not kept.
+type UnknownRevisionError struct{ Revision int64 }
+
+// Error names the revision.
+func (e *UnknownRevisionError) Error() string {
+	return fmt.Sprintf("revision %d is not in the history", e.Revision)
+}
+
+// Collect deletes revisions beyond the bound of the history, and the chunks
+// that none of the rest needs. It returns how many objects it deleted.
+func (p *Publisher) Collect(ctx context.Context) (int, error) {
+	entries, err := History(ctx, p.client)
+	if err != nil {
+		return 0, err
+	}
+	kept := entries[:min(len(entries), maxHistory+1)]
+	deleted := 0
+	for _, e := range entries[len(kept):] {
+		if err := p.client.Delete(ctx, store.KindRevision, revisionName(e.Revision)); err != nil && !store.IsNotFound(err) {
+			return deleted, err
+		}
+		deleted++
+	}
+	needed := map[string]bool{}
+	for _, e := range kept {
+		for _, hash := range e.Chunks {
+			needed[hash] = true
+		}
+	}
+	list, err := p.client.List(ctx, store.KindChunk)
+	if err != nil {
+		return deleted, err
+	}
+	for _, o := range list.Items {
+		if needed[o.Metadata.Name] || p.now().Sub(o.Metadata.CreationTimestamp) < chunkGrace {
+			continue
+		}
+		if err := p.client.Delete(ctx, store.KindChunk, o.Metadata.Name); err != nil && !store.IsNotFound(err) {
+			return deleted, err
+		}
+		deleted++
+	}
+	return deleted, nil
+}
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/eiderspring/eiderspring/settings"
@@ -38,7 +39,7 @@
 	for _, c := range chunks {
 		entry.Chunks = append(entry.Chunks, c.Hash)
 	}
-	return entry, p.swapRoot(ctx, entry, base)
+	return entry, p.swapRoot(ctx, entry, chunks, base)
 }
 
 // writeChunks stores what is not there yet. A chunk that exists has the same
@@ -56,7 +57,7 @@
 	return nil
 }
 
-func (p *Publisher) swapRoot(ctx context.Context, entry Entry, base int64) error {
+func (p *Publisher) swapRoot(ctx context.Context, entry Entry, chunks []Chunk, base int64) error {
 	if base == 0 {
 		o, err := store.NewObject(store.KindSettings, RootName, Root{Current: entry})
 		if err != nil {
@@ -76,11 +77,33 @@
 	if root.Current.Revision != base {
 		return &store.StatusError{Code: 409, Kind: store.KindSettings, Name: RootName, Message: "another revision was accepted first"}
 	}
-	history := append([]Entry{root.Current}, root.History...)
-	next, err := o.WithSpec(Root{Current: entry, History: history[:min(len(history), maxHistory)]})
+	// The entry that is about to be replaced goes into the history first, so
+	// that no crash in between can lose it.
+	if err := p.remember(ctx, root.Current); err != nil {
+		return err
+	}
+	next, err := o.WithSpec(Root{Current: entry, Inline: inlineChunks(root.Current, chunks)})
 	if err != nil {
 		return err
 	}
 	_, err = p.writer.Update(ctx, next)
 	return err
 }
+
+// inlineChunks returns the chunks that the revision before does not have, or
+// nil if they are too large.
+func inlineChunks(before Entry, chunks []Chunk) map[string]string {
+	inline := map[string]string{}
+	size := 0
+	for _, c := range chunks {
+		if slices.Contains(before.Chunks, c.Hash) {
+			continue
+		}
+		inline[c.Hash] = string(c.Text)
+		size += len(c.Text)
+	}
+	if size > maxInlineBytes {
+		return nil
+	}
+	return inline
+}
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/eiderspring/eiderspring/examples"
+	"github.com/eiderspring/eiderspring/settings"
 	"github.com/eiderspring/eiderspring/standin"
 	"github.com/eiderspring/eiderspring/store"
 )
@@ -83,3 +86,75 @@
 	_, err = p.Publish(ctx, "f", []byte(`{}`), "dot", second.Revision)
 	require.ErrorContains(t, err, "/deployment: missing")
 }
+
+// TestTwoOperatorsEditAtOnce lets many operators edit different fields from
+// the same base at the same time, while the store loses answers. Every edit
+// survives; a second edit of one field is a conflict.
+func TestTwoOperatorsEditAtOnce(t *testing.T) {
+	api := standin.NewObjectAPI()
+	s := httptest.NewServer(api)
+	defer s.Close()
+	client := store.NewHTTPClient(store.Config{URL: s.URL})
+	ctx := context.Background()
+	p := NewPublisher(client, time.Now)
+	first, err := p.Edit(ctx, "f", examples.Tideline, "ann", 0)
+	require.NoError(t, err)
+	api.SetMode(standin.StoreLostAnswers)
+	edits := []struct{ old, next string }{
+		{`"firstTokenMS": 1000`, `"firstTokenMS": 1001`},
+		{`"betweenTokensMS": 120`, `"betweenTokensMS": 121`},
+		{`"movePrice": 2`, `"movePrice": 3`},
+		{`"concurrent": 15`, `"concurrent": 14`},
+	}
+	var all sync.WaitGroup
+	for _, e := range edits {
+		all.Go(func() {
+			text := strings.Replace(string(examples.Tideline), e.old, e.next, 1)
+			for range 20 {
+				_, err := p.Edit(ctx, "f", []byte(text), "x", first.Revision)
+				if !store.IsUnanswered(err) && !store.IsConflict(err) {
+					assert.NoError(t, err)
+					return
+				}
+			}
+			assert.Fail(t, "the edit was never accepted", e.next)
+		})
+	}
+	all.Wait()
+	api.SetMode(standin.StoreUp)
+	accepted, err := ReadCurrent(ctx, client)
+	require.NoError(t, err)
+	for _, e := range edits {
+		require.Contains(t, string(accepted.Text), e.next)
+	}
+	_, err = p.Edit(ctx, "f", []byte(strings.Replace(string(examples.Tideline), `"movePrice": 2`, `"movePrice": 9`, 1)), "late", first.Revision)
+	var conflict *settings.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, "/policy/movePrice", conflict.Conflicts[0].Path)
+}
+
+func TestHistoryIsKeptAndBounded(t *testing.T) {
+	s := httptest.NewServer(standin.NewObjectAPI())
+	defer s.Close()
+	client := store.NewHTTPClient(store.Config{URL: s.URL})
+	now := time.Now()
+	p := NewPublisher(client, func() time.Time { return now })
+	ctx := context.Background()
+	for i := range int64(maxHistory + 5) {
+		text := strings.Replace(string(examples.Tideline), `"firstTokenMS": 1000`, fmt.Sprintf(`"firstTokenMS": %d`, 1000+i), 1)
+		_, err := p.Publish(ctx, "f", []byte(text), "x", i)
+		require.NoError(t, err)
+	}
+	old, err := ReadRevision(ctx, client, 10)
+	require.NoError(t, err)
+	require.Contains(t, string(old.Text), `"firstTokenMS": 1009`)
+	now = now.Add(2 * chunkGrace)
+	deleted, err := p.Collect(ctx)
+	require.NoError(t, err)
+	require.Equal(t, 4+4, deleted, "4 revisions and the skeleton of each")
+	_, err = ReadRevision(ctx, client, 1)
+	var unknown *UnknownRevisionError
+	require.ErrorAs(t, err, &unknown)
+	_, err = ReadRevision(ctx, client, 6)
+	require.NoError(t, err)
+}
--- a/revision/root.go
+++ b/revision/root.go
@@ -25,15 +25,17 @@
 	At       time.Time `json:"at"`
 }
 
-// Root is the spec of the root object. The newest entry is Current; History
-// holds the ones before it, newest first, bounded by maxHistory.
+// Root is the spec of the root object.
 type Root struct {
-	Current Entry   `json:"current"`
-	History []Entry `json:"history,omitempty"`
+	Current Entry `json:"current"`
+	// Inline holds, by hash, the chunks that the revision before did not have,
+	// if they are small. With them the event that tells of a revision brings
+	// all of it, so that an outage right after it does no harm.
+	Inline map[string]string `json:"inline,omitempty"`
 }
 
-// maxHistory bounds the history, and with it the chunks that are kept.
-const maxHistory = 50
+// maxInlineBytes bounds Root.Inline.
+const maxInlineBytes = 64 << 10
 
 type chunkSpec struct {
 	Text string `json:"text"`
@@ -75,6 +77,17 @@
 	}
 }
 
+// InlineSource gives the chunks that stand in the root, and asks next for the
+// others.
+func (r Root) InlineSource(next Source) Source {
+	return func(ctx context.Context, hash string) ([]byte, error) {
+		if text, inline := r.Inline[hash]; inline {
+			return []byte(text), nil
+		}
+		return next(ctx, hash)
+	}
+}
+
 // Fetcher reads revisions and keeps the chunks of the last one. It is not safe
 // for concurrent use.
 type Fetcher struct {
@@ -133,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewFetcher().Fetch(ctx, root.Current, StoreSource(c))
+	return NewFetcher().Fetch(ctx, root.Current, root.InlineSource(StoreSource(c)))
 }
 
 // ReadRoot returns the root object's spec.
--- /dev/null
+++ b/settings/merge.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Conflict is a field that two edits of the same base have set differently.
+type Conflict struct {
+	Path               string
+	Base, Mine, Theirs string
+}
+
+// ConflictError is a merge that failed; nothing was changed.
+type ConflictError struct{ Conflicts []Conflict }
+
+// Error names each field and both values.
+func (e *ConflictError) Error() string {
+	lines := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		lines[i] = fmt.Sprintf("conflict at %s: you set %s, another edit set %s (it was %s)",
+			c.Path, orAbsent(c.Mine), orAbsent(c.Theirs), orAbsent(c.Base))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func orAbsent(v string) string {
+	if v == "" {
+		return "(absent)"
+	}
+	return v
+}
+
+// Merge puts the changes from base to mine onto theirs, field by field. Edits
+// of different fields both survive; a field that both have set differently is
+// a conflict. The comments of theirs are kept, and nodes that mine adds bring
+// theirs along.
+func Merge(base, mine, theirs []byte) ([]byte, error) {
+	mineChanges, err := Diff(base, mine)
+	if err != nil {
+		return nil, err
+	}
+	theirChanges, err := Diff(base, theirs)
+	if err != nil {
+		return nil, err
+	}
+	if conflicts := findConflicts(mineChanges, theirChanges); len(conflicts) > 0 {
+		return nil, &ConflictError{Conflicts: conflicts}
+	}
+	source, err := hujson.Parse(mine)
+	if err != nil {
+		return nil, err
+	}
+	target, err := hujson.Parse(theirs)
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range mineChanges {
+		path := strings.Split(c.Path, "/")[1:]
+		if c.New == "" {
+			remove(&target, &source, path)
+		} else {
+			set(&target, &source, path)
+		}
+	}
+	return target.Pack(), nil
+}
+
+// findConflicts returns the fields that both sides changed to different
+// values. A field below another that was changed counts as the same field: one
+// side made a scalar of what the other has as an object.
+func findConflicts(mine, theirs []Change) []Conflict {
+	var conflicts []Conflict
+	for _, m := range mine {
+		for _, t := range theirs {
+			if m.Path == t.Path && m.New == t.New {
+				continue
+			}
+			if m.Path == t.Path || replaces(m, t) || replaces(t, m) {
+				conflicts = append(conflicts, Conflict{Path: m.Path, Base: m.Old, Mine: m.New, Theirs: t.New})
+			}
+		}
+	}
+	return conflicts
+}
+
+// replaces tells whether a puts a value where b has set something below.
+func replaces(a, b Change) bool {
+	return strings.HasPrefix(b.Path, a.Path+"/") && a.New != "" && b.New != "" && a.New != emptyObject
+}
+
+// set copies the value at path from source into target. Where target lacks a
+// parent, the whole parent is copied, comments included.
+func set(target, source *hujson.Value, path []string) {
+	from, ok := member(source, path[0])
+	if !ok {
+		return
+	}
+	into, exists := member(target, path[0])
+	obj, isObject := target.Value.(*hujson.Object)
+	if !isObject {
+		return
+	}
+	if !exists {
+		obj.Members = append(obj.Members, *from)
+		return
+	}
+	_, both := from.Value.Value.(*hujson.Object)
+	if _, intoObject := into.Value.Value.(*hujson.Object); len(path) > 1 && both && intoObject {
+		set(&into.Value, &from.Value, path[1:])
+		return
+	}
+	into.Value.Value = from.Value.Value
+}
+
+// remove takes the field at path out of target, and with it the parents that
+// source does not have either and that are empty then.
+func remove(target, source *hujson.Value, path []string) {
+	obj, isObject := target.Value.(*hujson.Object)
+	into, exists := member(target, path[0])
+	if !isObject || !exists {
+		return
+	}
+	from, kept := member(source, path[0])
+	if len(path) > 1 {
+		var below *hujson.Value
+		if kept {
+			below = &from.Value
+		}
+		remove(&into.Value, below, path[1:])
+		child, isObject := into.Value.Value.(*hujson.Object)
+		if kept || !isObject || len(child.Members) > 0 {
+			return
+		}
+	}
+	for i := range obj.Members {
+		if memberName(obj.Members[i]) == unescape(path[0]) {
+			obj.Members = append(obj.Members[:i], obj.Members[i+1:]...)
+			return
+		}
+	}
+}
+
+func member(v *hujson.Value, token string) (*hujson.ObjectMember, bool) {
+	if v == nil {
+		return nil, false
+	}
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return nil, false
+	}
+	for i := range obj.Members {
+		if memberName(obj.Members[i]) == unescape(token) {
+			return &obj.Members[i], true
+		}
+	}
+	return nil, false
+}
+
+func unescape(token string) string { return strings.NewReplacer("~1", "/", "~0", "~").Replace(token) }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -14,10 +14,10 @@
 	"github.com/eiderspring/eiderspring/settings"
 )
 
-// TestGolden runs the sessions in testdata: check a text, explain a node,
+// TestGolden runs the sessions in testdata/golden: check a text, explain a node,
 // resolve a name.
 func TestGolden(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/golden", func(t *testing.T, path string) {
 		var tree *settings.Tree
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
--- a/standin/objectapi.go
+++ b/standin/objectapi.go
@@ -43,9 +43,10 @@
 }
 
 type objectMeta struct {
-	Name            string            `json:"name"`
-	ResourceVersion string            `json:"resourceVersion,omitempty"`
-	Annotations     map[string]string `json:"annotations,omitempty"`
+	Name              string            `json:"name"`
+	ResourceVersion   string            `json:"resourceVersion,omitempty"`
+	CreationTimestamp time.Time         `json:"creationTimestamp,omitzero"`
+	Annotations       map[string]string `json:"annotations,omitempty"`
 }
 
 type objectEvent struct {
@@ -171,6 +172,10 @@
 	}
 	a.version++
 	o.Metadata.ResourceVersion = strconv.FormatInt(a.version, 10)
+	o.Metadata.CreationTimestamp = old.Metadata.CreationTimestamp
+	if !exists {
+		o.Metadata.CreationTimestamp = time.Now()
+	}
 	if a.objects[kind] == nil {
 		a.objects[kind] = map[string]object{}
 	}
--- a/store/object.go
+++ b/store/object.go
@@ -1,6 +1,9 @@
 package store
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Kind is the plural resource name under which objects are stored.
 type Kind string
@@ -9,6 +12,8 @@
 const (
 	KindSettings Kind = "settings"
 	KindChunk    Kind = "settingschunks"
+	// KindRevision holds the accepted revisions before the one in force.
+	KindRevision Kind = "settingsrevisions"
 	KindLease    Kind = "leases"
 	KindLedger   Kind = "ledgers"
 	KindClaim    Kind = "claims"
@@ -28,9 +33,11 @@
 
 // Metadata identifies an object and its version.
 type Metadata struct {
-	Name            string            `json:"name"`
-	ResourceVersion string            `json:"resourceVersion,omitempty"`
-	Annotations     map[string]string `json:"annotations,omitempty"`
+	Name            string `json:"name"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+	// CreationTimestamp is set by the API.
+	CreationTimestamp time.Time         `json:"creationTimestamp,omitzero"`
+	Annotations       map[string]string `json:"annotations,omitempty"`
 }
 
 // Object is one object of the API.
