Send an order only to the incarnation it was planned for

Change: an order goes out, and a replica counts, only where the list shows the record's incarnation. A focused test brings the case about.

Conclusion: the record and the list must agree on the incarnation.

--- a/placement/applier.go
+++ b/placement/applier.go
@@ -63,9 +63,11 @@
 }
 
 func (c *Controller) endpointState(now time.Time, m Member, use *EndpointUse) EndpointState {
+	// A record of another incarnation says nothing of this one.
+	live := !m.Leaving && m.Incarnation == use.Incarnation
 	e := EndpointState{
 		Name: m.Name, FailureDomain: m.FailureDomain, CapacityMB: use.CapacityMB, FreeMB: use.FreeMB(),
-		Concurrency: c.settings.Concurrency, Takes: !m.Leaving && c.known(m.Name), Serves: !m.Leaving,
+		Concurrency: c.settings.Concurrency, Takes: live && c.known(m.Name), Serves: live,
 		Units: make(map[string]Placed, len(use.Units)),
 	}
 	for name, u := range use.Units {
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -627,3 +627,36 @@
 		})
 	}
 }
+
+// TestOrdersGoToTheirIncarnation takes over, with a list older than the one the
+// ledger was written by, an open order for an incarnation of an endpoint that
+// the list does not show any more. The order must not go to the new one.
+func TestOrdersGoToTheirIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewController(NewControllerConfig("c", "n/1"))
+	ledger := NewLedger()
+	ledger.Epoch, ledger.Holder, ledger.ListVersion = 1, "other/1", 5
+	ledger.Reset("e", &EndpointUse{Incarnation: "0", CapacityMB: deviceMB, Units: map[string]*Unit{
+		"m": {State: Loading, MemoryMB: 10, Order: "c.1.1"},
+	}})
+	var sent []Action
+	step := func(e Event) {
+		for _, a := range c.Step(now, e) {
+			switch a := a.(type) {
+			case SendOrder:
+				sent = append(sent, a)
+			case Commit:
+				sent = append(sent, c.Step(now, CommitEnded{Seq: a.Seq, Result: CommitDone, Version: "2"})...)
+			}
+		}
+		sent = slices.DeleteFunc(sent, func(a Action) bool { _, isOrder := a.(SendOrder); return !isOrder })
+	}
+	step(Configured{Units: []UnitSpec{{Name: "m", MemoryMB: 10, Replicas: 1}}, CapacityMB: deviceMB, Concurrency: 1, LoadsPerSecond: 1, ConcurrentLoads: 1})
+	step(Listed{Version: 4, Instances: map[string]string{"n": "1"}, Endpoints: []Member{{Name: "e", Address: "e/1", Incarnation: "1"}}})
+	step(LeaseAcquired{Epoch: 2})
+	step(LedgerRead{Ledger: ledger, Version: "1"})
+	require.True(t, c.Running())
+	require.Empty(t, sent)
+	step(Listed{Version: 4, Instances: map[string]string{"n": "1"}, Endpoints: []Member{{Name: "e", Address: "e/0", Incarnation: "0"}}})
+	require.Len(t, sent, 1)
+}
--- a/placement/sending.go
+++ b/placement/sending.go
@@ -133,7 +133,8 @@
 			continue
 		}
 		m, listed := c.member(o.endpoint)
-		if !listed {
+		if !listed || m.Incarnation != c.committed.Endpoints[o.endpoint].Incarnation {
+			// The order is for another incarnation than the one listed.
 			continue
 		}
 		o.inFlight, o.sent = true, true
