--- a/bench/sample.go
+++ b/bench/sample.go
@@ -63,9 +63,6 @@
 	return nil
 }
 
-// sampleHeader names the columns that sample prints.
-const sampleHeader = "instances,cpu_mean_percent,cpu_max_percent,rss_mean_mb,rss_max_mb,control_mean_bytes_per_s,control_max_bytes_per_s,store_calls_per_s"
-
 type series struct {
 	sum, max float64
 	n        int
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -99,3 +99,19 @@
 	_, _, err = keepers[1].Begin(context.Background(), testKey, "other")
 	require.ErrorIs(t, err, ErrMismatch)
 }
+
+func TestSweepKeepsTheHorizon(t *testing.T) {
+	_, keepers := newKeepers(t, 1)
+	ctx := context.Background()
+	k := keepers[0]
+	for i, at := range []time.Time{time.Unix(1000, 0), time.Unix(1500, 0)} {
+		k.now = func() time.Time { return at }
+		_, _, err := k.Begin(ctx, Key{Key: string(rune('a' + i))}, "f")
+		require.NoError(t, err)
+	}
+	deleted, err := Sweep(ctx, k.client, time.Unix(2000, 0), 600*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, 1, deleted)
+	_, _, err = k.Begin(ctx, Key{Key: "b"}, "other")
+	require.ErrorIs(t, err, ErrMismatch, "the younger claim is kept")
+}
--- a/daemon/cells.go
+++ b/daemon/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -78,23 +79,28 @@
 
 // campaigns tells whether this instance should hold the lease of a cell: it is
 // among the first by rendezvous hashing over the live instances.
-func (c *cells) campaigns(cell string) bool {
-	if c.stopping() {
-		return false
-	}
+func (c *cells) campaigns(cell string) bool { return !c.stopping() && c.ahead(cell) < campaigners }
+
+// first tells whether this instance is the first of the live ones by rendezvous
+// hashing for a task.
+func (c *cells) first(task string) bool { return !c.stopping() && c.ahead(task) == 0 }
+
+// ahead returns how many live instances go before this one for a task; as many
+// as there can be if this one is not live.
+func (c *cells) ahead(task string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !slices.Contains(c.instances, c.name) {
-		return false
+		return math.MaxInt
 	}
-	own := xxhash.Sum64String(cell + "\x00" + c.name)
+	own := xxhash.Sum64String(task + "\x00" + c.name)
 	ahead := 0
 	for _, other := range c.instances {
-		if xxhash.Sum64String(cell+"\x00"+other) > own {
+		if xxhash.Sum64String(task+"\x00"+other) > own {
 			ahead++
 		}
 	}
-	return ahead < campaigners
+	return ahead
 }
 
 func (c *cells) start(cell string) *cellDuty {
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -277,6 +277,7 @@
 	}
 	for _, run := range []func(context.Context){
 		view.run, i.settings.run, i.settings.watch, poll, members.run, load.run, i.peers.run, i.kickDuty,
+		func(ctx context.Context) { i.sweepDuty(ctx, objects) },
 	} {
 		i.done.Go(func() { run(i.work) })
 	}
@@ -293,6 +294,27 @@
 	}
 }
 
+// sweepEvery is the time between sweeps of old claims.
+const sweepEvery = time.Minute
+
+// sweepDuty deletes old claims, on one instance at a time. Two that do it for
+// a moment do no harm.
+func (i *Instance) sweepDuty(ctx context.Context, objects store.Client) {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(sweepEvery))
+		c := i.catalog.Load()
+		if ctx.Err() != nil || c == nil || !i.cells.first("claims") {
+			continue
+		}
+		deleted, err := claim.Sweep(ctx, objects, i.deps.Now(), c.Tree.ClaimHorizon())
+		if err != nil {
+			i.log.Info("claims not swept", "error", err.Error())
+			continue
+		}
+		i.log.Info("claims swept", "deleted", deleted)
+	}
+}
+
 // Run serves until ctx ends, then makes a planned stop: not ready at once, no
 // new work, everything in progress finished.
 func (i *Instance) Run(ctx context.Context) error {
--- a/settings/check.go
+++ b/settings/check.go
@@ -91,6 +91,9 @@
 	if c.tree.WeightStore.Concurrent <= 0 {
 		c.add("/weightStore/concurrent", "must be above 0")
 	}
+	if c.tree.ClaimHorizonMS < 0 {
+		c.add("/claimHorizonMS", "must not be negative")
+	}
 	for i, key := range c.tree.PeerKeys {
 		if raw, err := hex.DecodeString(key); err != nil || len(raw) != 32 {
 			c.add(fmt.Sprintf("/peerKeys/%d", i), "must be 64 hex digits")
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -22,11 +22,25 @@
 	Pools          map[string]*Pool    `json:"pools"`
 	Services       map[string]*Service `json:"services"`
 	Callers        map[string]*Caller  `json:"callers"`
+	// ClaimHorizonMS is for how long an idempotency key is remembered, in
+	// milliseconds; 0 means DefaultClaimHorizonMS.
+	ClaimHorizonMS int64 `json:"claimHorizonMS,omitempty"`
 	// PeerKeys are the keys of the link between instances, in hex, the one to
 	// use first. They come before the keys of an instance's own configuration.
 	PeerKeys []string `json:"peerKeys,omitempty"`
 }
 
+// DefaultClaimHorizonMS is for how long keys are remembered unless set.
+const DefaultClaimHorizonMS = 15 * 60 * 1000
+
+// ClaimHorizon is for how long an idempotency key is remembered.
+func (t *Tree) ClaimHorizon() time.Duration {
+	if t.ClaimHorizonMS == 0 {
+		return DefaultClaimHorizonMS * time.Millisecond
+	}
+	return milliseconds(t.ClaimHorizonMS)
+}
+
 // WeightStore is what the platform's weight store allows.
 type WeightStore struct {
 	// LoadsPerSecond is the rate at which loads may be started.
@@ -61,7 +75,7 @@
 	if p.MaxOrderDelayMS == 0 {
 		return DefaultMaxOrderDelayMS * time.Millisecond
 	}
-	return time.Duration(p.MaxOrderDelayMS) * time.Millisecond
+	return milliseconds(p.MaxOrderDelayMS)
 }
 
 // Model is a base model and what derives from it.
