--- a/jsonc/walker.go
+++ b/jsonc/walker.go
@@ -145,6 +145,13 @@
 }
 
 // EscapePointer escapes one reference token of a JSON pointer.
-func EscapePointer(token string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(token)
-}
+func EscapePointer(token string) string { return pointerEscaper.Replace(token) }
+
+// UnescapePointer is the inverse of EscapePointer.
+func UnescapePointer(token string) string { return pointerUnescaper.Replace(token) }
+
+// Replacers build tables when they are made, so they are made once.
+var (
+	pointerEscaper   = strings.NewReplacer("~", "~0", "/", "~1")
+	pointerUnescaper = strings.NewReplacer("~1", "/", "~0", "~")
+)
--- a/settings/merge.go
+++ b/settings/merge.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"github.com/eiderspring/eiderspring/jsonc"
 )
 
 // Conflict is a field that two edits of the same base have set differently.
@@ -136,7 +138,7 @@
 		}
 	}
 	for i := range obj.Members {
-		if memberName(obj.Members[i]) == unescape(path[0]) {
+		if memberName(obj.Members[i]) == jsonc.UnescapePointer(path[0]) {
 			obj.Members = append(obj.Members[:i], obj.Members[i+1:]...)
 			return
 		}
@@ -152,11 +154,9 @@
 		return nil, false
 	}
 	for i := range obj.Members {
-		if memberName(obj.Members[i]) == unescape(token) {
+		if memberName(obj.Members[i]) == jsonc.UnescapePointer(token) {
 			return &obj.Members[i], true
 		}
 	}
 	return nil, false
 }
-
-func unescape(token string) string { return strings.NewReplacer("~1", "/", "~0", "~").Replace(token) }
