Claim keys in shards whose entries are written together

Cause: one object for each key is two writes for each keyed request and never ends; at the target that is above what the object API takes.

Conclusion: writes grow with shards, not with requests.

--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -5,11 +5,10 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"time"
 
-	"github.com/eiderspring/eiderspring/store"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Errors of a Keeper.
@@ -20,43 +19,49 @@
 	ErrMismatch = errors.New("the idempotency key was used with another request")
 )
 
+// Shards is the number of shards. It is part of the stored form: instances
+// that disagree on it would claim a key in two places.
+const Shards = 16
+
 // Key identifies a request that may not be repeated.
 type Key struct {
 	Caller, Service, Key string
 }
 
-// objectName is the claim's name: a hash, as keys may hold any character.
-func (k Key) objectName() string {
+// hash is the key as it is stored: keys may hold any character.
+func (k Key) hash() string {
 	sum := sha256.Sum256([]byte(k.Caller + "\x00" + k.Service + "\x00" + k.Key))
-	return hex.EncodeToString(sum[:])
+	return hex.EncodeToString(sum[:16])
 }
 
+// shardOf returns the shard of a key's hash.
+func shardOf(hash string) int { return int(xxhash.Sum64String(hash) % Shards) }
+
 // Fingerprint identifies a request's content.
 func Fingerprint(method, path string, body []byte) string {
 	h := sha256.New()
 	h.Write([]byte(method + "\x00" + path + "\x00"))
 	h.Write(body)
-	return hex.EncodeToString(h.Sum(nil))
+	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
+// Asker asks the n-th choice among the instances that run a shard; it fails
+// with ErrNoOwner if there is none.
+type Asker func(ctx context.Context, shard, n int, op Op) (Answer, error)
+
 // Keeper claims keys for one instance.
 type Keeper struct {
-	client store.Client
-	writer *store.Writer
-	holder string
-	now    func() time.Time
+	ask Asker
+	now func() time.Time
 }
 
-// NewKeeper returns a keeper. holder names the instance and incarnation.
-func NewKeeper(c store.Client, holder string, now func() time.Time) *Keeper {
-	return &Keeper{client: c, writer: store.NewWriter(c), holder: holder, now: now}
-}
+// NewKeeper returns a keeper.
+func NewKeeper(ask Asker, now func() time.Time) *Keeper { return &Keeper{ask: ask, now: now} }
 
 // Claim is a key that this instance holds.
 type Claim struct {
 	keeper *Keeper
-	object store.Object
-	record Record
+	op     Op
 }
 
 // Pauses between looks at a key that another attempt holds.
@@ -69,24 +74,22 @@
 // It waits for an attempt under way until ctx ends. ErrUnknown is returned
 // whenever it cannot be shown that the key has not run and will not.
 func (k *Keeper) Begin(ctx context.Context, key Key, fingerprint string) (*Claim, *Result, error) {
-	name := key.objectName()
+	op := Op{Kind: OpClaim, Key: key.hash(), Attempt: rand.Text(), Fingerprint: fingerprint, At: k.now()}
 	pause := waitMin
-	// Creating first saves a read in the common case of a fresh key.
-	c, err := k.create(ctx, name, fingerprint)
 	for {
-		if err == nil {
-			return c, nil, nil
-		}
-		if !store.IsConflict(err) && !store.IsNotFound(err) {
+		a, err := k.send(ctx, op)
+		if err != nil {
 			return nil, nil, ErrUnknown
 		}
-		var result *Result
-		c, result, err = k.join(ctx, name, fingerprint)
-		if result != nil || errors.Is(err, ErrMismatch) {
-			return nil, result, err
-		}
-		if err == nil {
-			return c, nil, nil
+		switch a.Verdict {
+		case Granted:
+			return &Claim{keeper: k, op: op}, nil, nil
+		case Replay:
+			return nil, a.Result, nil
+		case Mismatch:
+			return nil, nil, ErrMismatch
+		case Unknown:
+			return nil, nil, ErrUnknown
 		}
 		if !sleep(ctx, pause) {
 			return nil, nil, ErrUnknown
@@ -95,77 +98,51 @@
 	}
 }
 
-// errHeld means that another attempt holds the key; it reads as a conflict.
-var errHeld = &store.StatusError{Code: 409, Kind: store.KindClaim, Message: "held"}
-
-// join looks at an existing claim and acts by the verdict.
-func (k *Keeper) join(ctx context.Context, name, fingerprint string) (*Claim, *Result, error) {
-	o, err := k.client.Get(ctx, store.KindClaim, name)
-	if err != nil {
-		return nil, nil, err
-	}
-	var r Record
-	if err := json.Unmarshal(o.Spec, &r); err != nil {
-		return nil, nil, ErrUnknown
-	}
-	switch Decide(&r, fingerprint) {
-	case Mismatch:
-		return nil, nil, ErrMismatch
-	case Replay:
-		return nil, r.Result, nil
-	case Reclaim:
-		c, err := k.write(ctx, o, k.fresh(fingerprint), k.writer.Update)
-		return c, nil, err
-	default:
-		return nil, nil, errHeld
-	}
-}
-
-func (k *Keeper) create(ctx context.Context, name, fingerprint string) (*Claim, error) {
-	o := store.Object{APIVersion: store.APIVersion, Kind: store.KindClaim, Metadata: store.Metadata{Name: name}}
-	return k.write(ctx, o, k.fresh(fingerprint), k.writer.Create)
-}
-
-func (k *Keeper) fresh(fingerprint string) Record {
-	return Record{State: Claimed, Holder: k.holder, Attempt: rand.Text(), Fingerprint: fingerprint, At: k.now()}
-}
-
-type writeFunc func(context.Context, store.Object) (store.Object, error)
+// askTries is how many instances are asked in turn. An entry may be sent
+// again, also to another instance: its attempt makes it idempotent.
+const askTries = 3
 
-func (k *Keeper) write(ctx context.Context, o store.Object, r Record, write writeFunc) (*Claim, error) {
-	next, err := o.WithSpec(r)
-	if err != nil {
-		return nil, err
-	}
-	written, err := write(ctx, next)
-	if err != nil {
-		return nil, err
+func (k *Keeper) send(ctx context.Context, op Op) (Answer, error) {
+	var err error
+	for n := range askTries {
+		var a Answer
+		a, err = k.ask(ctx, shardOf(op.Key), n, op)
+		if err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return &Claim{keeper: k, object: written, record: r}, nil
+	return Answer{}, err
 }
 
 // Cancel frees the key before dispatch. The holder must not dispatch after
 // calling it, whatever it returns: as only the holder could, the key has then
 // not run and will not. An error only means that the key stays claimed, so
 // that later requests with it are told that the outcome is unknown.
-func (c *Claim) Cancel(ctx context.Context) error {
-	r := c.record
-	r.State = Cancelled
-	_, err := c.keeper.write(ctx, c.object, r, c.keeper.writer.Update)
-	return err
-}
+func (c *Claim) Cancel(ctx context.Context) error { return c.end(ctx, OpCancel, nil) }
 
 // Finish records the result. An error leaves the key claimed, so that a later
 // request with it is told that the outcome is unknown.
 func (c *Claim) Finish(ctx context.Context, result Result) error {
-	r := c.record
-	r.State = Done
 	if len(result.Body) > MaxRecordedBody {
 		result.Body, result.Truncated = nil, true
 	}
-	r.Result = &result
-	_, err := c.keeper.write(ctx, c.object, r, c.keeper.writer.Update)
-	return err
+	return c.end(ctx, OpFinish, &result)
+}
+
+func (c *Claim) end(ctx context.Context, kind OpKind, result *Result) error {
+	op := c.op
+	op.Kind, op.Result = kind, result
+	a, err := c.keeper.send(ctx, op)
+	if err != nil {
+		return err
+	}
+	if a.Verdict != Ended {
+		return ErrUnknown
+	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/claim/record.go
+++ b/claim/record.go
@@ -17,58 +17,63 @@
 
 // Record is what is kept of a key.
 type Record struct {
-	State State `json:"state"`
-	// Holder is the instance and incarnation that claimed the key.
-	Holder string `json:"holder"`
+	State State
 	// Attempt identifies the claim; a new claim of a cancelled key has another.
-	Attempt string `json:"attempt"`
+	Attempt string
 	// Fingerprint identifies the request's content.
-	Fingerprint string    `json:"fingerprint"`
-	At          time.Time `json:"at"`
-	Result      *Result   `json:"result,omitempty"`
+	Fingerprint string
+	At          time.Time
+	Result      *Result
 }
 
 // Result is the recorded answer.
 type Result struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"contentType"`
-	Body        []byte `json:"body"`
+	Status      int    `json:"status" cbor:"1,keyasint"`
+	ContentType string `json:"contentType" cbor:"2,keyasint"`
+	Body        []byte `json:"body" cbor:"3,keyasint"`
 	// Truncated tells that the body was too large to record.
-	Truncated bool `json:"truncated,omitempty"`
+	Truncated bool `json:"truncated,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // MaxRecordedBody is the largest body that is recorded, in bytes.
-const MaxRecordedBody = 64 << 10
+const MaxRecordedBody = 8 << 10
 
-// Verdict is what to do about a key.
+// Verdict is what to do about a request with a key.
 type Verdict int
 
 // Verdicts.
 const (
-	// Create means that the key is free and may be claimed.
-	Create Verdict = iota
-	// Reclaim means that a cancelled claim may be replaced.
-	Reclaim
-	// Wait means that another attempt holds the key.
-	Wait
+	// Unknown means that nothing can be said about the key.
+	Unknown Verdict = iota
+	// Free means that the key may be claimed.
+	Free
+	// Granted means that the attempt holds the claim and may dispatch.
+	Granted
+	// Held means that another attempt holds the claim.
+	Held
 	// Replay means that the recorded result is the answer.
 	Replay
 	// Mismatch means that the key was used for another content.
 	Mismatch
+	// Ended means that the claim's end is recorded.
+	Ended
 )
 
-// Decide returns what to do about a key with the given record, nil if none.
-func Decide(r *Record, fingerprint string) Verdict {
+// Decide returns the verdict on a claim by attempt at a time, for a key with
+// the given record, nil if none. A record older than horizon does not count.
+func Decide(r *Record, attempt, fingerprint string, at time.Time, horizon time.Duration) Verdict {
 	switch {
-	case r == nil:
-		return Create
+	case r == nil || at.Sub(r.At) >= horizon:
+		return Free
+	case r.Attempt == attempt && r.State == Claimed:
+		return Granted
 	case r.Fingerprint != fingerprint:
 		return Mismatch
 	case r.State == Cancelled:
-		return Reclaim
+		return Free
 	case r.State == Done:
 		return Replay
 	default:
-		return Wait
+		return Held
 	}
 }
--- a/daemon/cells.go
+++ b/daemon/cells.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -81,26 +82,33 @@
 // among the first by rendezvous hashing over the live instances.
 func (c *cells) campaigns(cell string) bool { return !c.stopping() && c.ahead(cell) < campaigners }
 
-// first tells whether this instance is the first of the live ones by rendezvous
-// hashing for a task.
-func (c *cells) first(task string) bool { return !c.stopping() && c.ahead(task) == 0 }
-
 // ahead returns how many live instances go before this one for a task; as many
 // as there can be if this one is not live.
 func (c *cells) ahead(task string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !slices.Contains(c.instances, c.name) {
-		return math.MaxInt
+	if at := slices.Index(c.ranked(task), c.name); at >= 0 {
+		return at
 	}
-	own := xxhash.Sum64String(task + "\x00" + c.name)
-	ahead := 0
-	for _, other := range c.instances {
-		if xxhash.Sum64String(task+"\x00"+other) > own {
-			ahead++
-		}
+	return math.MaxInt
+}
+
+// choice returns the n-th live instance for a task.
+func (c *cells) choice(task string, n int) (string, bool) {
+	ranked := c.ranked(task)
+	if n >= len(ranked) {
+		return "", false
 	}
-	return ahead
+	return ranked[n], true
+}
+
+// ranked returns the live instances in the order of rendezvous hashing for a
+// task: when one comes or goes, the others keep their order.
+func (c *cells) ranked(task string) []string {
+	c.mu.Lock()
+	ranked := slices.Clone(c.instances)
+	c.mu.Unlock()
+	weight := func(name string) uint64 { return xxhash.Sum64String(task + "\x00" + name) }
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked
 }
 
 func (c *cells) start(cell string) *cellDuty {
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -52,6 +52,7 @@
 	control *engine.Client
 	router  *routing.Router
 	cells   *cells
+	claims  *claim.Owner
 	gates   *pipeline.Gates
 	events  *ring.Ring[event]
 	catalog atomic.Pointer[settings.Catalog]
@@ -132,7 +133,7 @@
 		sent:     func(n int) { i.vars.Add("peer_bytes_out", int64(n)) },
 		received: func(n int) { i.vars.Add("peer_bytes_in", int64(n)) },
 	}
-	if i.streams, err = peer.ListenStreams(i.cfg.Peers.Streams, identity, peerAnswerer(i.current.Load)); err != nil {
+	if i.streams, err = peer.ListenStreams(i.cfg.Peers.Streams, identity, i.answerPeer); err != nil {
 		return err
 	}
 	if i.peers.datagrams, err = peer.ListenUDP(i.cfg.Peers.Datagrams, i.peers.receive); err != nil {
@@ -199,9 +200,10 @@
 	i.vars.Set("settings_revision", expvar.Func(func() any { return i.Revision() }))
 	platform := &http.Transport{DialContext: i.counted("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute}
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
+	i.claims = claim.NewOwner(i.work, objects, i.deps.Now, i.shardConfig)
 	handler := pipeline.New(pipeline.Config{
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
-		Claims: claim.NewKeeper(objects, i.holder(), i.deps.Now),
+		Claims: claim.NewKeeper(i.claimAsker(i.claims), i.deps.Now),
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
 		FailureDomain: i.cfg.FailureDomain, MaxBody: int64(i.cfg.Limits.BodyBytes),
 	})
@@ -277,7 +279,6 @@
 	}
 	for _, run := range []func(context.Context){
 		view.run, i.settings.run, i.settings.watch, poll, members.run, load.run, i.peers.run, i.kickDuty,
-		func(ctx context.Context) { i.sweepDuty(ctx, objects) },
 	} {
 		i.done.Go(func() { run(i.work) })
 	}
@@ -294,27 +295,6 @@
 	}
 }
 
-// sweepEvery is the time between sweeps of old claims.
-const sweepEvery = time.Minute
-
-// sweepDuty deletes old claims, on one instance at a time. Two that do it for
-// a moment do no harm.
-func (i *Instance) sweepDuty(ctx context.Context, objects store.Client) {
-	for ctx.Err() == nil {
-		sleep(ctx, jitter(sweepEvery))
-		c := i.catalog.Load()
-		if ctx.Err() != nil || c == nil || !i.cells.first("claims") {
-			continue
-		}
-		deleted, err := claim.Sweep(ctx, objects, i.deps.Now(), c.Tree.ClaimHorizon())
-		if err != nil {
-			i.log.Info("claims not swept", "error", err.Error())
-			continue
-		}
-		i.log.Info("claims swept", "deleted", deleted)
-	}
-}
-
 // Run serves until ctx ends, then makes a planned stop: not ready at once, no
 // new work, everything in progress finished.
 func (i *Instance) Run(ctx context.Context) error {
@@ -369,6 +349,7 @@
 	i.control.Close()
 	i.peers.datagrams.Close()
 	i.streams.Close()
+	i.asking.Close()
 }
 
 // Ready tells whether the instance takes callers.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -7,12 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
-	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 )
 
@@ -129,19 +127,3 @@
 	d.addresses.Store(&addresses)
 	_ = d.events.Put(context.Background(), peer.Live{Names: live})
 }
-
-// peerAnswerer answers peers from the revision in force.
-func peerAnswerer(current func() *revision.Accepted) peer.Answerer {
-	return func(q peer.Question) peer.Reply {
-		a := current()
-		if a == nil {
-			return peer.Reply{}
-		}
-		if q.Root {
-			data, err := cbor.Marshal(a.Entry)
-			return peer.Reply{Found: err == nil, Data: data}
-		}
-		text, found := a.Chunks[q.Chunk]
-		return peer.Reply{Found: found, Data: text}
-	}
-}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -184,7 +184,7 @@
 		return id
 	}
 	address := freeUDP(t)
-	server, err := ListenStreams(address, identity(key(1)), func(q Question) Reply {
+	server, err := ListenStreams(address, identity(key(1)), func(_ context.Context, q Question) Reply {
 		return Reply{Found: q.Chunk == "h", Data: bytes.Repeat([]byte("x"), 1<<20)}
 	})
 	require.NoError(t, err)
@@ -209,6 +209,13 @@
 	require.ErrorIs(t, err, ErrNotFound)
 	_, err = NewStreamClient(identity(key(3))).Dial(ctx, address)
 	require.Error(t, err)
+	kept := NewStreamClient(identity(key(1)))
+	defer kept.Close()
+	for range 3 {
+		_, err = kept.Call(ctx, address, Question{Chunk: "h"})
+		require.NoError(t, err)
+	}
+	require.Len(t, kept.sessions, 1)
 }
 
 func FuzzDecodeHint(f *testing.F) {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,14 @@
 	Root bool `cbor:"1,keyasint,omitempty"`
 	// Chunk asks for a chunk by its hash.
 	Chunk string `cbor:"2,keyasint,omitempty"`
+	// Claim asks a shard of idempotency keys about an entry.
+	Claim *ClaimQuestion `cbor:"3,keyasint,omitempty"`
+}
+
+// ClaimQuestion is an encoded entry for a shard.
+type ClaimQuestion struct {
+	Shard int    `cbor:"1,keyasint"`
+	Op    []byte `cbor:"2,keyasint"`
 }
 
 // Reply is the answer to a Question.
@@ -28,16 +37,16 @@
 	Data  []byte `cbor:"2,keyasint,omitempty"`
 }
 
-// Answerer answers questions from what an instance has in memory.
-type Answerer func(Question) Reply
+// Answerer answers questions.
+type Answerer func(context.Context, Question) Reply
 
 // Bounds of streams.
 const (
-	maxQuestionBytes = 512
+	maxQuestionBytes = 64 << 10
 	maxReplyBytes    = 2 << 20
 	streamTimeout    = 3 * time.Second
 	idleTimeout      = 5 * time.Second
-	maxStreams       = 16
+	maxStreams       = 256
 )
 
 var quicConfig = &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1}
@@ -100,7 +109,9 @@
 		stream.CancelRead(0)
 		return
 	}
-	data, err := cbor.Marshal(s.answer(q))
+	ctx, cancel := context.WithTimeout(stream.Context(), streamTimeout)
+	defer cancel()
+	data, err := cbor.Marshal(s.answer(ctx, q))
 	if err != nil {
 		return
 	}
@@ -110,14 +121,18 @@
 // ErrNotFound is a peer that does not have what was asked for.
 var ErrNotFound = errors.New("the peer does not have it")
 
-// StreamClient asks peers over QUIC. A connection lives for one Session.
+// StreamClient asks peers over QUIC. Connections that Call opens are kept
+// until they have been idle for a while.
 type StreamClient struct {
 	identity atomic.Pointer[Identity]
+
+	mu       sync.Mutex
+	sessions map[string]*Session
 }
 
 // NewStreamClient returns a client.
 func NewStreamClient(id *Identity) *StreamClient {
-	c := &StreamClient{}
+	c := &StreamClient{sessions: map[string]*Session{}}
 	c.identity.Store(id)
 	return c
 }
@@ -125,6 +140,55 @@
 // SetIdentity replaces the certificates for connections to come.
 func (c *StreamClient) SetIdentity(id *Identity) { c.identity.Store(id) }
 
+// Call asks one question over a kept connection.
+func (c *StreamClient) Call(ctx context.Context, address string, q Question) ([]byte, error) {
+	s, err := c.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	data, err := s.Ask(ctx, q)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		c.drop(address, s)
+	}
+	return data, err
+}
+
+func (c *StreamClient) session(ctx context.Context, address string) (*Session, error) {
+	c.mu.Lock()
+	s := c.sessions[address]
+	c.mu.Unlock()
+	if s != nil && s.conn.Context().Err() == nil {
+		return s, nil
+	}
+	s, err := c.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sessions[address] = s
+	return s, nil
+}
+
+func (c *StreamClient) drop(address string, s *Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[address] == s {
+		delete(c.sessions, address)
+	}
+	s.Close()
+}
+
+// Close ends all kept connections.
+func (c *StreamClient) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, s := range c.sessions {
+		s.Close()
+		delete(c.sessions, address)
+	}
+}
+
 // Session is a connection to one peer.
 type Session struct{ conn *quic.Conn }
 
--- a/standin/objectapi.go
+++ b/standin/objectapi.go
@@ -46,6 +46,7 @@
 	Name              string            `json:"name"`
 	ResourceVersion   string            `json:"resourceVersion,omitempty"`
 	CreationTimestamp time.Time         `json:"creationTimestamp,omitzero"`
+	Labels            map[string]string `json:"labels,omitempty"`
 	Annotations       map[string]string `json:"annotations,omitempty"`
 }
 
@@ -124,7 +125,7 @@
 func (a *ObjectAPI) handle(r *http.Request, kind, name string) (int, any) {
 	if r.Method == http.MethodGet {
 		a.Reads.Add(1)
-		return a.read(kind, name)
+		return a.read(kind, name, r.URL.Query().Get("labelSelector"))
 	}
 	a.Writes.Add(1)
 	if r.Method == http.MethodDelete {
@@ -137,7 +138,7 @@
 	return a.write(r.Method, kind, o)
 }
 
-func (a *ObjectAPI) read(kind, name string) (int, any) {
+func (a *ObjectAPI) read(kind, name, selector string) (int, any) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if name != "" {
@@ -147,8 +148,11 @@
 		return http.StatusNotFound, "not found"
 	}
 	items := make([]object, 0, len(a.objects[kind]))
+	label, value, selected := strings.Cut(selector, "=")
 	for _, o := range a.objects[kind] {
-		items = append(items, o)
+		if !selected || o.Metadata.Labels[label] == value {
+			items = append(items, o)
+		}
 	}
 	return http.StatusOK, map[string]any{
 		"metadata": objectMeta{ResourceVersion: strconv.FormatInt(a.version, 10)}, "items": items,
--- a/store/client.go
+++ b/store/client.go
@@ -18,6 +18,8 @@
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind Kind) (List, error)
+	// ListLabelled returns the objects of a kind that have the label.
+	ListLabelled(ctx context.Context, kind Kind, label, value string) (List, error)
 	// Create stores an object that must not exist.
 	Create(ctx context.Context, o Object) (Object, error)
 	// Update replaces an object if its resource version is still o's.
@@ -96,11 +98,20 @@
 
 // List implements Client.
 func (c *HTTPClient) List(ctx context.Context, kind Kind) (List, error) {
+	return c.list(ctx, kind, "")
+}
+
+// ListLabelled implements Client.
+func (c *HTTPClient) ListLabelled(ctx context.Context, kind Kind, label, value string) (List, error) {
+	return c.list(ctx, kind, "?labelSelector="+url.QueryEscape(label+"="+value))
+}
+
+func (c *HTTPClient) list(ctx context.Context, kind Kind, query string) (List, error) {
 	var page struct {
 		Metadata Metadata `json:"metadata"`
 		Items    []Object `json:"items"`
 	}
-	err := c.call(ctx, http.MethodGet, kind, "", nil, &page)
+	err := c.callTarget(ctx, http.MethodGet, kind, "", c.base+string(kind)+query, nil, &page)
 	return List{ResourceVersion: page.Metadata.ResourceVersion, Items: page.Items}, err
 }
 
@@ -139,13 +150,17 @@
 }
 
 func (c *HTTPClient) call(ctx context.Context, verb string, kind Kind, name string, body []byte, into any) error {
-	c.count(verb, kind)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	target := c.base + string(kind)
 	if name != "" {
 		target += "/" + url.PathEscape(name)
 	}
+	return c.callTarget(ctx, verb, kind, name, target, body, into)
+}
+
+func (c *HTTPClient) callTarget(ctx context.Context, verb string, kind Kind, name, target string, body []byte, into any) error {
+	c.count(verb, kind)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, verb, target, bytes.NewReader(body))
 	if err != nil {
 		return &EncodeError{Kind: kind, Name: name, Err: err}
--- a/store/object.go
+++ b/store/object.go
@@ -37,6 +37,7 @@
 	ResourceVersion string `json:"resourceVersion,omitempty"`
 	// CreationTimestamp is set by the API.
 	CreationTimestamp time.Time         `json:"creationTimestamp,omitzero"`
+	Labels            map[string]string `json:"labels,omitempty"`
 	Annotations       map[string]string `json:"annotations,omitempty"`
 }
 
