Make control cheap while nothing happens

Change: load reports at a quarter of the rate while no requests come, fewer ticks of cells, peers and leases, no kicks while nothing waits; a controller asks for at most four inventories a second of idle endpoints.

--- a/bench/control.sh
+++ b/bench/control.sh
@@ -31,7 +31,9 @@
   done
   start "$work/eiderspring-standin" service --listen 127.0.0.1:20200 --platform http://127.0.0.1:20000 \
     --name desk-gateway-0 --pool desk-gateway --failure-domain pnw-quincy
-  "$work/eiderspring" settings apply --object-api http://127.0.0.1:20000 --author bench examples/tideline.jsonc >/dev/null
+  # Loads are quick here, so that the sample shows the steady state.
+  sed "s/\"loadsPerSecond\": 1.4/\"loadsPerSecond\": 50/" examples/tideline.jsonc > "$work/settings.jsonc"
+  "$work/eiderspring" settings apply --object-api http://127.0.0.1:20000 --author bench "$work/settings.jsonc" >/dev/null
   args=()
   for i in $(seq 0 $((size - 1))); do
     cat > "$work/entry-$i.jsonc" <<EOF
--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,8 +19,10 @@
 const (
 	// cellEvents bounds the events that wait for a cell's controller.
 	cellEvents = 1024
-	// cellTick is the time between ticks of a controller.
+	// cellTick is the time between ticks of a controller that decides, cellIdle
+	// that of one that does not.
 	cellTick = 100 * time.Millisecond
+	cellIdle = time.Second
 	// orderTimeout bounds one sending of an order, inventoryTimeout one
 	// inventory.
 	orderTimeout     = 2 * time.Second
@@ -36,6 +39,8 @@
 	now        func() time.Time
 	controller *placement.Controller
 	events     *ring.Ring[placement.Event]
+	// running is whether the controller decides, for the ticks.
+	running atomic.Bool
 }
 
 func (d *cellDuty) put(e placement.Event) { _ = d.events.Put(context.Background(), e) }
@@ -62,12 +67,17 @@
 		for _, a := range d.controller.Step(d.now(), e) {
 			d.carryOut(ctx, a)
 		}
+		d.running.Store(d.controller.Running())
 	}
 }
 
 func (d *cellDuty) tick(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, cellTick)
+		if d.running.Load() {
+			sleep(ctx, cellTick)
+		} else {
+			sleep(ctx, cellIdle)
+		}
 		d.put(placement.Tick{})
 	}
 }
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -44,8 +44,14 @@
 }
 
 // loadDuty asks the engines for their load in turn. Its rate does not grow
-// with the number of endpoints; reports only become older.
+// with the number of endpoints; reports only become older. While no requests
+// come to this instance it asks less often, as nothing is routed by the answers.
 type loadDuty struct {
+	// requests returns the number of requests so far.
+	requests func() int64
+	// busy and idle are the reports a second with and without requests.
+	busy, idle rate.Limit
+
 	router  *routing.Router
 	client  *engine.Client
 	catalog func() *settings.Catalog
@@ -61,8 +67,15 @@
 const idlePause = 100 * time.Millisecond
 
 func (d *loadDuty) run(ctx context.Context) {
+	var before int64
 	for ctx.Err() == nil {
 		asked := 0
+		now := d.requests()
+		d.limiter.SetLimit(d.idle)
+		if now != before {
+			d.limiter.SetLimit(d.busy)
+		}
+		before = now
 		for name, pool := range d.pools() {
 			if pool.Kind != settings.KindEngine {
 				continue
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -273,6 +273,8 @@
 	load := &loadDuty{
 		router: i.router, client: i.control, catalog: i.catalog.Load, events: i.events, log: i.log,
 		limiter: rate.NewLimiter(rate.Limit(i.cfg.Limits.LoadPollsPerSecond), 1),
+		busy:    rate.Limit(i.cfg.Limits.LoadPollsPerSecond), idle: rate.Limit(i.cfg.Limits.LoadPollsPerSecond) / idleShare,
+		requests: func() int64 { return i.Counter("requests") },
 	}
 	poll := func(ctx context.Context) {
 		i.settings.poll(ctx, func() int { return i.router.View().Instances })
@@ -284,12 +286,23 @@
 	}
 }
 
-// kickInterval is how often waiting requests are offered to the router apart
-// from the events that are known to free a place.
-const kickInterval = 50 * time.Millisecond
+// idleShare divides the rate of load reports while no requests come.
+const idleShare = 4
+
+const (
+	// kickInterval is how often waiting requests are offered to the router
+	// apart from the events that are known to free a place.
+	kickInterval = 50 * time.Millisecond
+	// kickIdle is the same while nothing waits.
+	kickIdle = 250 * time.Millisecond
+)
 
 func (i *Instance) kickDuty(ctx context.Context) {
 	for ctx.Err() == nil {
+		if i.gates.Len() == 0 {
+			sleep(ctx, kickIdle)
+			continue
+		}
 		sleep(ctx, kickInterval)
 		i.gates.Kick()
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 )
 
-// operatorHandler serves health, readiness and metrics.
+// operatorHandler serves health, readiness, metrics and profiles.
 func (i *Instance) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -22,5 +23,8 @@
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		fmt.Fprintln(w, i.vars.String())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -38,7 +38,7 @@
 	// peerEvents bounds the hints that wait; the oldest are dropped, as newer
 	// ones say more.
 	peerEvents = 256
-	peerTick   = 100 * time.Millisecond
+	peerTick   = 250 * time.Millisecond
 )
 
 // receive is called on the datagrams' event loop.
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -42,7 +42,7 @@
 }
 
 // tickEvery is the time between ticks of the machine.
-const tickEvery = 200 * time.Millisecond
+const tickEvery = 400 * time.Millisecond
 
 // releaseTimeout bounds the hand-over at the end of Run.
 const releaseTimeout = 2 * time.Second
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -18,6 +18,9 @@
 	// InventoryEvery is the time between inventories of an endpoint without
 	// open orders, InventoryFast that of one with some.
 	InventoryEvery, InventoryFast time.Duration
+	// InventoryShare bounds the inventories of endpoints without open orders:
+	// all of them together are asked no more than once in this time.
+	InventoryShare time.Duration
 	// PlanEvery is the time between plans.
 	PlanEvery time.Duration
 }
@@ -26,7 +29,8 @@
 func NewControllerConfig(cell, holder string) ControllerConfig {
 	return ControllerConfig{
 		Cell: cell, Holder: holder, ResendEvery: time.Second,
-		InventoryEvery: 2 * time.Second, InventoryFast: 250 * time.Millisecond, PlanEvery: 250 * time.Millisecond,
+		InventoryEvery: 2 * time.Second, InventoryFast: 250 * time.Millisecond,
+		InventoryShare: 250 * time.Millisecond, PlanEvery: 250 * time.Millisecond,
 	}
 }
 
--- a/placement/inventory.go
+++ b/placement/inventory.go
@@ -14,7 +14,7 @@
 	}
 	var actions []Action
 	for _, m := range c.members {
-		every := c.cfg.InventoryEvery
+		every := max(c.cfg.InventoryEvery, time.Duration(len(c.members))*c.cfg.InventoryShare)
 		if open[m.Name] || !c.known(m.Name) {
 			every = c.cfg.InventoryFast
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,15 +53,17 @@
 	epoch       int64
 	units       map[string]*residency
 	orders      map[string]orderState
-	running     []*sequence
-	waiting     []*sequence
-	byID        map[string]*sequence
-	prefixes    prefixCache
-	leavingAt   time.Time
-	ordersMode  OrdersMode
-	report      loadReport
-	wake        chan struct{}
-	closed      bool
+	// orderLog holds the ids of orders, oldest first, to bound orders.
+	orderLog   []string
+	running    []*sequence
+	waiting    []*sequence
+	byID       map[string]*sequence
+	prefixes   prefixCache
+	leavingAt  time.Time
+	ordersMode OrdersMode
+	report     loadReport
+	wake       chan struct{}
+	closed     bool
 }
 
 // NewEngine returns an engine that already holds the given units.
@@ -175,12 +177,19 @@
 	writeJSON(w, http.StatusOK, report)
 }
 
+// ordersShown is how many orders an inventory tells of; ordersKept is how many
+// are known by their id when they come again.
+const (
+	ordersShown = 8
+	ordersKept  = 1024
+)
+
 func (e *Engine) inventory(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	report := e.observe(time.Now())
-	report.Orders = make(map[string]state, len(e.orders))
-	for id, o := range e.orders {
-		report.Orders[id] = o.state
+	report.Orders = make(map[string]state, ordersShown)
+	for _, id := range e.orderLog[max(0, len(e.orderLog)-ordersShown):] {
+		report.Orders[id] = e.orders[id].state
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, report)
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -83,9 +83,15 @@
 	if _, seen := e.orders[req.ID]; seen {
 		return http.StatusAccepted, "known"
 	}
-	switch req.Op {
-	case "fence":
+	if req.Op == "fence" {
 		return http.StatusAccepted, ""
+	}
+	e.orderLog = append(e.orderLog, req.ID)
+	if len(e.orderLog) > ordersKept {
+		delete(e.orders, e.orderLog[0])
+		e.orderLog = e.orderLog[1:]
+	}
+	switch req.Op {
 	case "load":
 		e.startLoad(req)
 	case "unload":
