Share the results of conditional writes and the waits

Cause: three shells classed the result of a conditional write each in its own way, and five packages had a sleep of their own.

Conclusion: one piece of code serves each.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/standin"
 	"github.com/eiderspring/eiderspring/store"
 )
@@ -234,9 +235,9 @@
 
 func (s *claimSim) unknown() Event {
 	if s.mutate.unknownIsDone {
-		return Wrote{Result: WriteDone, Version: "?"}
+		return Wrote{Result: commit.Done, Version: "?"}
 	}
-	return Wrote{Result: WriteUnknown}
+	return Wrote{Result: commit.Unknown}
 }
 
 func (s *claimSim) load() Event {
@@ -248,14 +249,14 @@
 	return l
 }
 
-func (s *claimSim) write(w Write) (WriteResult, string) {
+func (s *claimSim) write(w Write) (commit.Result, string) {
 	object := w.Slot.Index % 1000
 	if s.slots[object].Version != w.Version && !s.mutate.unconditional {
-		return WriteConflict, ""
+		return commit.Conflict, ""
 	}
 	s.nextID++
 	s.slots[object] = StoredSlot{Slot: w.Slot, Version: fmt.Sprint("v", s.nextID)}
-	return WriteDone, s.slots[object].Version
+	return commit.Done, s.slots[object].Version
 }
 
 func seeded(seed uint64) func(int) int { return rand.New(rand.NewPCG(seed, 2)).IntN }
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // Errors of a Keeper.
@@ -91,7 +93,7 @@
 		case Unknown:
 			return nil, nil, ErrUnknown
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return nil, nil, ErrUnknown
 		}
 		pause = min(2*pause, waitMax)
@@ -144,14 +146,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/claim/owner.go
+++ b/claim/owner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/store"
 )
@@ -153,23 +154,12 @@
 	name := fmt.Sprintf("shard-%s-%04d", d.label(), w.Slot.Index%d.cfg.Slots)
 	o, err := store.NewObject(store.KindClaim, name, w.Slot)
 	if err != nil {
-		return Wrote{Result: WriteConflict}
+		return Wrote{Result: commit.Conflict}
 	}
 	o.Metadata.Labels = map[string]string{shardLabel: d.label()}
 	o.Metadata.ResourceVersion = w.Version
-	send := d.client.Update
-	if w.Version == "" {
-		send = d.client.Create
-	}
-	written, err := send(ctx, o)
-	switch {
-	case err == nil:
-		return Wrote{Result: WriteDone, Version: written.Metadata.ResourceVersion}
-	case store.IsUnanswered(err):
-		return Wrote{Result: WriteUnknown}
-	default:
-		return Wrote{Result: WriteConflict}
-	}
+	version, result := store.Put(ctx, d.client, o)
+	return Wrote{Result: result, Version: version}
 }
 
 // ErrNoOwner means that no instance answers for the shard.
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/eiderspring/eiderspring/commit"
 )
 
 // Slot is an object that holds a run of a shard's entries. The entries of a
@@ -41,7 +43,7 @@
 
 // NewShardConfig returns the defaults.
 func NewShardConfig(horizon time.Duration) ShardConfig {
-	return ShardConfig{Slots: 256, SlotBytes: 64 << 10, Horizon: horizon, Interval: 25 * time.Millisecond, RetryEvery: 100 * time.Millisecond, Patience: 700 * time.Millisecond}
+	return ShardConfig{Slots: 1024, SlotBytes: 16 << 10, Horizon: horizon, Interval: 50 * time.Millisecond, RetryEvery: 100 * time.Millisecond, Patience: 700 * time.Millisecond}
 }
 
 // Event is an input of a Shard.
@@ -70,23 +72,11 @@
 
 // Wrote is the end of a Write.
 type Wrote struct {
-	Result WriteResult
+	Result commit.Result
 	// Version is the slot's new resource version if the write took effect.
 	Version string
 }
 
-// WriteResult is what became of a write.
-type WriteResult int
-
-// Results of a write.
-const (
-	WriteDone WriteResult = iota
-	// WriteConflict means that the slot has another version.
-	WriteConflict
-	// WriteUnknown means that it may have taken effect, or may yet.
-	WriteUnknown
-)
-
 // Tick lets time pass.
 type Tick struct{}
 
@@ -219,11 +209,11 @@
 	}
 	written := s.writing
 	s.writing, s.wroteAt = nil, now
-	if e.Result != WriteDone {
+	if e.Result != commit.Done {
 		s.loaded = false
 		s.waiting = append(s.carried, s.waiting...)
 		s.carried = nil
-		if e.Result == WriteUnknown {
+		if e.Result == commit.Unknown {
 			s.fail(now)
 		}
 		return
--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -9,11 +9,13 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/lease"
 	"github.com/eiderspring/eiderspring/placement"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 const (
@@ -74,9 +76,9 @@
 func (d *cellDuty) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.running.Load() {
-			sleep(ctx, cellTick)
+			wait.For(ctx, cellTick)
 		} else {
-			sleep(ctx, cellIdle)
+			wait.For(ctx, cellIdle)
 		}
 		d.put(placement.Tick{})
 	}
@@ -128,23 +130,12 @@
 	o, err := store.NewObject(store.KindLedger, d.cell, c.Ledger)
 	if err != nil {
 		d.log.Error(err, "ledger not encoded")
-		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitConflict})
+		d.put(placement.CommitEnded{Seq: c.Seq, Result: commit.Conflict})
 		return
 	}
 	o.Metadata.ResourceVersion = c.Version
-	write := d.client.Update
-	if c.Version == "" {
-		write = d.client.Create
-	}
-	written, err := write(ctx, o)
-	switch {
-	case err == nil:
-		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitDone, Version: written.Metadata.ResourceVersion})
-	case store.IsUnanswered(err):
-		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitUnknown})
-	default:
-		d.put(placement.CommitEnded{Seq: c.Seq, Result: placement.CommitConflict})
-	}
+	version, result := store.Put(ctx, d.client, o)
+	d.put(placement.CommitEnded{Seq: c.Seq, Result: result, Version: version})
 }
 
 func (d *cellDuty) send(ctx context.Context, s placement.SendOrder) {
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -15,6 +15,7 @@
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // membersDuty follows the platform's list.
@@ -35,7 +36,7 @@
 			if ctx.Err() == nil {
 				d.log.Info("members not read", "error", err.Error())
 			}
-			sleep(ctx, jitter(membersPause))
+			wait.For(ctx, jitter(membersPause))
 			continue
 		}
 		version = listing.Version
@@ -89,7 +90,7 @@
 			}
 		}
 		if asked == 0 {
-			sleep(ctx, idlePause)
+			wait.For(ctx, idlePause)
 		}
 	}
 }
@@ -113,15 +114,6 @@
 	_ = d.events.Put(ctx, loadReported{endpoint: e.Name, own: own, report: report})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // jitter spreads d by half to either side.
 func jitter(d time.Duration) time.Duration { return time.Duration(float64(d) * (0.5 + rand.Float64())) }
 
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -29,6 +29,7 @@
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
 	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // Deps is what an instance takes from outside, so that tests can replace it.
@@ -300,10 +301,10 @@
 func (i *Instance) kickDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		if i.gates.Len() == 0 {
-			sleep(ctx, kickIdle)
+			wait.For(ctx, kickIdle)
 			continue
 		}
-		sleep(ctx, kickInterval)
+		wait.For(ctx, kickInterval)
 		i.gates.Kick()
 	}
 }
@@ -343,7 +344,7 @@
 	_ = i.peers.events.Put(i.work, peer.Leave{})
 	i.callers.SetKeepAlivesEnabled(false)
 	i.log.Info("draining", "waiting", i.gates.Len())
-	sleep(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
+	wait.For(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(i.cfg.Limits.DrainMS))
 	defer cancel()
 	if err := i.callers.Shutdown(ctx); err != nil {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -12,6 +12,7 @@
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // peersDuty runs the gossip over the datagrams.
@@ -77,7 +78,7 @@
 
 func (d *peersDuty) tick(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerTick)
+		wait.For(ctx, peerTick)
 		_ = d.events.Put(ctx, peer.Tick{})
 	}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,6 +11,7 @@
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // wanted is a revision that may be newer than the one in force.
@@ -154,7 +155,7 @@
 		if d.heard.peersSilent() {
 			every = time.Second
 		}
-		sleep(ctx, jitter(every))
+		wait.For(ctx, jitter(every))
 		d.confirm(ctx)
 	}
 }
--- a/demo/added.go
+++ b/demo/added.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/eiderspring/eiderspring/load"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // addedLatency compares calls of a plain service through an instance with the
@@ -45,7 +46,7 @@
 	for ctx.Err() == nil {
 		measure(ctx, direct, r, a.direct)
 		measure(ctx, through, r, a.through)
-		wait(ctx, addedEvery)
+		wait.For(ctx, addedEvery)
 	}
 }
 
@@ -60,12 +61,3 @@
 func (a *addedLatency) at(quantile float64) int64 {
 	return a.through.ValueAtQuantile(quantile) - a.direct.ValueAtQuantile(quantile)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/demo/fault.go
+++ b/demo/fault.go
@@ -91,6 +91,7 @@
 	e := f.engines[1]
 	e.member.State = standin.MemberLeaving
 	f.platform.Members.Set(e.member)
+	e.leaving.Store(true)
 	e.engine.Leave(now)
 	s := f.services[0]
 	s.member.State = standin.MemberLeaving
@@ -121,7 +122,7 @@
 }
 
 func (h *host) kill(f *Fleet) {
-	h.gone = true
+	h.gone.Store(true)
 	h.server.Close()
 	f.platform.Members.Remove(h.member.Name)
 }
@@ -132,7 +133,6 @@
 }
 
 func (h *instanceHost) kill(f *Fleet) {
-	h.gone = true
 	h.instance.Kill()
 	f.platform.Members.Remove(h.member.Name)
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -39,7 +40,8 @@
 type host struct {
 	member standin.Member
 	server *http.Server
-	gone   bool
+	// gone is set once it was killed, leaving once it leaves.
+	gone, leaving atomic.Bool
 }
 
 type engineHost struct {
@@ -56,7 +58,6 @@
 	member   standin.Member
 	instance *daemon.Instance
 	freezer  *freezer
-	gone     bool
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -178,7 +179,8 @@
 	if err != nil {
 		return err
 	}
-	h := &engineHost{host: host{member: member(pool, spec, address), server: server}, engine: e}
+	h := &engineHost{engine: e}
+	h.member, h.server = member(pool, spec, address), server
 	f.engines = append(f.engines, h)
 	f.closers = append(f.closers, func() { e.Close(); server.Close() })
 	f.platform.Members.Set(h.member)
@@ -191,7 +193,8 @@
 	if err != nil {
 		return err
 	}
-	h := &serviceHost{host: host{member: member(pool, spec, address), server: server}, service: s}
+	h := &serviceHost{service: s}
+	h.member, h.server = member(pool, spec, address), server
 	f.services = append(f.services, h)
 	f.closers = append(f.closers, func() { server.Close() })
 	f.platform.Members.Set(h.member)
--- a/demo/run.go
+++ b/demo/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // Options are the choices of a run.
@@ -70,6 +72,8 @@
 		defer close(addedDone)
 		added.run(background, f, d.Token)
 	}()
+	missing := &outages{}
+	go missing.run(background, f)
 	faultsOver := make(chan struct{})
 	runFaults(f, o.Faults, faultsOver)
 	if o.Progress != nil {
@@ -86,6 +90,7 @@
 	s := t.summary(f.catalog.Tree.Services)
 	s.StoreReadsPerS, s.StoreWritesPerS = float64(readsAfter-reads)/took, float64(writesAfter-writes)/took
 	s.AddedP50Us, s.AddedP95Us = added.at(50), added.at(95)
+	s.UnreachableMost, s.UnreachableSeconds = missing.most, missing.lasted().Seconds()
 	s.UnreachableModels = w.unreachable(ctx)
 	f.judge(&s)
 	return s
@@ -122,7 +127,7 @@
 func showProgress(ctx context.Context, w io.Writer, t *tally, total time.Duration) {
 	start := time.Now()
 	for ctx.Err() == nil {
-		wait(ctx, progressEvery)
+		wait.For(ctx, progressEvery)
 		t.mu.Lock()
 		fmt.Fprintf(w, "\r%3.0f of %.0f s, %d requests, %d met their targets ",
 			time.Since(start).Seconds(), total.Seconds(), t.requests, t.met)
--- a/demo/tally.go
+++ b/demo/tally.go
@@ -72,12 +72,16 @@
 	Cut, Doubled, Mixed                          int
 	OverMemory                                   int64
 	UnreachableModels                            []string
-	LeavingLate                                  int64
-	Attainment                                   float64
-	Devices                                      int
-	Moves                                        int64
-	StoreWritesPerS, StoreReadsPerS              float64
-	AddedP50Us, AddedP95Us                       int64
+	// UnreachableMost is the most units that no engine held ready at one time,
+	// UnreachableSeconds how long it was until all were held again.
+	UnreachableMost                 int
+	UnreachableSeconds              float64
+	LeavingLate                     int64
+	Attainment                      float64
+	Devices                         int
+	Moves                           int64
+	StoreWritesPerS, StoreReadsPerS float64
+	AddedP50Us, AddedP95Us          int64
 	// ByService is the attainment of each named service.
 	ByService map[string]float64
 	// Errors counts the errors that callers saw, by text.
@@ -93,10 +97,10 @@
 func (s Summary) String() string {
 	return fmt.Sprintf("requests=%d complete=%d not_run=%d unknown=%d refused=%d cut=%d doubled=%d mixed=%d over_memory=%d "+
 		"unreachable_models=%d leaving_late=%d attainment=%.4f devices=%d attainment_per_device=%.5f moves=%d "+
-		"store_writes_per_s=%.1f store_reads_per_s=%.1f added_p50_us=%d added_p95_us=%d",
+		"store_writes_per_s=%.1f store_reads_per_s=%.1f added_p50_us=%d added_p95_us=%d unreachable_most=%d unreachable_s=%.1f",
 		s.Requests, s.Complete, s.NotRun, s.Unknown, s.Refused, s.Cut, s.Doubled, s.Mixed, s.OverMemory,
 		len(s.UnreachableModels), s.LeavingLate, s.Attainment, s.Devices, s.Attainment/float64(max(1, s.Devices)), s.Moves,
-		s.StoreWritesPerS, s.StoreReadsPerS, s.AddedP50Us, s.AddedP95Us)
+		s.StoreWritesPerS, s.StoreReadsPerS, s.AddedP50Us, s.AddedP95Us, s.UnreachableMost, s.UnreachableSeconds)
 }
 
 func (t *tally) summary(services map[string]*settings.Service) Summary {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/eiderspring/eiderspring/commit"
+)
 
 // Machine is one instance's part in a lease.
 //
@@ -107,7 +111,7 @@
 		return nil
 	}
 	switch w.Result {
-	case WriteDone:
+	case commit.Done:
 		m.known, m.version, m.exists, m.seen, m.changedAt = sent.Record, w.Version, true, true, now
 		m.doubtful, m.lateWrite = false, false
 		if sent.Record.Holder == "" {
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/eiderspring/eiderspring/commit"
 )
 
 // simStore is the object API with one lease object, as an adversary runs it.
@@ -18,17 +20,17 @@
 	late []Write
 }
 
-func (s *simStore) write(w Write) (WriteResult, string) {
+func (s *simStore) write(w Write) (commit.Result, string) {
 	current := ""
 	if s.version > 0 {
 		current = fmt.Sprint(s.version)
 	}
 	if w.Version != current && w.Version != anyVersion {
-		return WriteConflict, ""
+		return commit.Conflict, ""
 	}
 	s.record = w.Record
 	s.version++
-	return WriteDone, fmt.Sprint(s.version)
+	return commit.Done, fmt.Sprint(s.version)
 }
 
 // anyVersion makes a write unconditional, for broken variants.
@@ -127,12 +129,12 @@
 	case Write:
 		if fate == 0 {
 			s.store.late = append(s.store.late, call)
-			s.step(i, Wrote{Result: WriteUnknown})
+			s.step(i, Wrote{Result: commit.Unknown})
 			return
 		}
 		result, version := s.store.write(call)
 		if fate == 1 {
-			result = WriteUnknown
+			result = commit.Unknown
 		}
 		s.step(i, Wrote{Result: result, Version: version})
 	}
@@ -182,7 +184,7 @@
 	require.Equal(t, []Action{Read{}}, a.Step(now, Campaign{Want: true}))
 	first := Write{Record: Record{Holder: "a", Epoch: 1}}
 	require.Equal(t, []Action{first}, a.Step(now, Missing{}))
-	require.Equal(t, []Action{Acquired{Epoch: 1}}, a.Step(now, Wrote{Result: WriteDone, Version: "1"}))
+	require.Equal(t, []Action{Acquired{Epoch: 1}}, a.Step(now, Wrote{Result: commit.Done, Version: "1"}))
 
 	b := NewMachine(NewConfig("b"))
 	b.Step(now, Campaign{Want: true})
@@ -200,12 +202,12 @@
 	m := NewMachine(NewConfig("a"))
 	m.Step(now, Campaign{Want: true})
 	m.Step(now, Missing{})
-	m.Step(now, Wrote{Result: WriteDone, Version: "1"})
+	m.Step(now, Wrote{Result: commit.Done, Version: "1"})
 	sent := now.Add(DefaultRenewEvery)
 	renewal := m.Step(sent, Tick{})
 	require.Len(t, renewal, 1)
 	read := sent.Add(2 * time.Second)
-	require.Equal(t, []Action{Read{}}, m.Step(read, Wrote{Result: WriteUnknown}))
+	require.Equal(t, []Action{Read{}}, m.Step(read, Wrote{Result: commit.Unknown}))
 	m.Step(read.Add(time.Second), Seen{Record: renewal[0].(Write).Record, Version: "2"})
 	_, held := m.Held(sent.Add(DefaultDuration - DefaultDrift - 1))
 	require.True(t, held)
@@ -218,10 +220,10 @@
 	a := NewMachine(NewConfig("a"))
 	a.Step(now, Campaign{Want: true})
 	a.Step(now, Missing{})
-	a.Step(now, Wrote{Result: WriteDone, Version: "1"})
+	a.Step(now, Wrote{Result: commit.Done, Version: "1"})
 	release := a.Step(now, Campaign{Want: false})
 	require.Equal(t, []Action{Write{Record: Record{Epoch: 1, Renewals: 1}, Version: "1"}}, release)
-	require.Equal(t, []Action{Lost{Epoch: 1}}, a.Step(now, Wrote{Result: WriteDone, Version: "2"}))
+	require.Equal(t, []Action{Lost{Epoch: 1}}, a.Step(now, Wrote{Result: commit.Done, Version: "2"}))
 	b := NewMachine(NewConfig("b"))
 	b.Step(now, Campaign{Want: true})
 	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 2}, Version: "2"}},
--- a/lease/record.go
+++ b/lease/record.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/eiderspring/eiderspring/commit"
+)
 
 // Record is what is stored of a lease.
 type Record struct {
@@ -51,7 +55,7 @@
 
 // Wrote is the end of a Write.
 type Wrote struct {
-	Result WriteResult
+	Result commit.Result
 	// Version is the new resource version if the write took effect.
 	Version string
 }
@@ -69,19 +73,6 @@
 func (Tick) isEvent()     {}
 func (Campaign) isEvent() {}
 
-// WriteResult is what became of a write.
-type WriteResult int
-
-// Results of a write.
-const (
-	// WriteDone means that it took effect.
-	WriteDone WriteResult = iota
-	// WriteConflict means that it did not and will not.
-	WriteConflict
-	// WriteUnknown means that it may have, or may yet.
-	WriteUnknown
-)
-
 // Action is an output of a Machine.
 type Action interface{ isAction() }
 
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/store"
 )
 
@@ -100,20 +101,9 @@
 func (r *Runner) write(ctx context.Context, w Write) Event {
 	o, err := store.NewObject(store.KindLease, r.name, w.Record)
 	if err != nil {
-		return Wrote{Result: WriteConflict}
+		return Wrote{Result: commit.Conflict}
 	}
 	o.Metadata.ResourceVersion = w.Version
-	send := r.client.Update
-	if w.Version == "" {
-		send = r.client.Create
-	}
-	written, err := send(ctx, o)
-	switch {
-	case err == nil:
-		return Wrote{Result: WriteDone, Version: written.Metadata.ResourceVersion}
-	case store.IsUnanswered(err):
-		return Wrote{Result: WriteUnknown}
-	default:
-		return Wrote{Result: WriteConflict}
-	}
+	version, result := store.Put(ctx, r.client, o)
+	return Wrote{Result: result, Version: version}
 }
--- a/load/generator.go
+++ b/load/generator.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // Arrivals are the times at which requests are due: a Poisson process whose
@@ -33,25 +35,10 @@
 		since := due.Sub(start)
 		rate := a.Rate(since)
 		due = due.Add(time.Duration(a.Random.ExpFloat64() / rate * float64(time.Second)))
-		if due.Sub(start) >= a.Duration || !waitUntil(ctx, due) {
+		if due.Sub(start) >= a.Duration || !wait.For(ctx, time.Until(due)) {
 			return
 		}
 		at := due
 		sent.Go(func() { send(ctx, at) })
 	}
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/engine"
 )
 
@@ -259,7 +260,7 @@
 	if c.phase == phaseIdle {
 		return nil
 	}
-	if e.Result == CommitDone {
+	if e.Result == commit.Done {
 		c.committed, c.version = sent, e.Version
 		if c.phase == phaseTakingOver {
 			c.phase = phaseRunning
--- a/placement/events.go
+++ b/placement/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eiderspring/eiderspring/commit"
 	"github.com/eiderspring/eiderspring/engine"
 )
 
@@ -25,23 +26,11 @@
 type CommitEnded struct {
 	// Seq is that of the Commit.
 	Seq    int64
-	Result CommitResult
+	Result commit.Result
 	// Version is the new resource version if the commit took effect.
 	Version string
 }
 
-// CommitResult is what became of a commit.
-type CommitResult int
-
-// Results of a commit.
-const (
-	CommitDone CommitResult = iota
-	// CommitConflict means that another controller wrote the ledger.
-	CommitConflict
-	// CommitUnknown means that the commit may have taken effect, or may yet.
-	CommitUnknown
-)
-
 // Configured is what the settings say of the cell.
 type Configured struct {
 	// Units are ordered by name; Demand and Waiting are not set.
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // Reflector keeps a handler up to date with the objects of a kind by listing
@@ -47,7 +49,7 @@
 		if listed {
 			pause = reflectorMinPause
 		}
-		if !sleep(ctx, time.Duration(float64(pause)*(0.5+r.jitter()))) {
+		if !wait.For(ctx, time.Duration(float64(pause)*(0.5+r.jitter()))) {
 			return
 		}
 		pause = min(2*pause, reflectorMaxPause)
@@ -74,14 +76,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
