Decide nothing by a list older than the ledger's

Change: such a controller makes no plan until its list has caught up; a focused test brings the case about.

Conclusion: what is unloaded is judged by a list at least as new as the record.

--- a/placement/applier.go
+++ b/placement/applier.go
@@ -15,6 +15,11 @@
 	if now.Before(c.planAt) || c.settings.Units == nil || c.members == nil {
 		return nil
 	}
+	// With a list older than the ledger's, replicas on record may be of an
+	// endpoint that is known to be gone: nothing is decided by them.
+	if !c.noteList() {
+		return nil
+	}
 	c.planAt = now.Add(c.cfg.PlanEvery)
 	var actions []Action
 	for _, m := range Plan(c.snapshot(now)) {
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -91,3 +91,47 @@
 	step(Listed{Version: 4, Instances: map[string]string{"n": "1"}, Endpoints: []Member{{Name: "e", Address: "e/0", Incarnation: "0"}}})
 	require.Len(t, sent, 1)
 }
+
+// TestStaleListDecidesNothing takes over with a list older than the ledger's: a
+// replica on record there may be of an endpoint that is known to be gone, so
+// the other one must not be unloaded for a unit that has no place.
+func TestStaleListDecidesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewController(NewControllerConfig("c", "n/1"))
+	ledger := NewLedger()
+	ledger.Epoch, ledger.Holder, ledger.ListVersion = 1, "n/1", 5
+	endpoints := []Member{{Name: "a", Incarnation: "0"}, {Name: "b", Incarnation: "0"}}
+	for _, m := range endpoints {
+		ledger.Reset(m.Name, &EndpointUse{Incarnation: "0", CapacityMB: deviceMB, Units: map[string]*Unit{"m": {State: Ready, MemoryMB: 60}}})
+	}
+	decided := 0
+	step := func(e Event) {
+		for _, a := range c.Step(now, e) {
+			switch a := a.(type) {
+			case Decided:
+				decided++
+			case Commit:
+				c.Step(now, CommitEnded{Seq: a.Seq, Result: commit.Done, Version: "2"})
+			}
+		}
+	}
+	step(Configured{
+		Units:      []UnitSpec{{Name: "m", MemoryMB: 60, Replicas: 1}, {Name: "n", MemoryMB: 60, Replicas: 1}},
+		CapacityMB: deviceMB, Concurrency: 1, LoadsPerSecond: 1, ConcurrentLoads: 1,
+	})
+	list := Listed{Version: 4, Instances: map[string]string{"n": "1"}, Endpoints: endpoints}
+	step(list)
+	step(LeaseAcquired{Epoch: 2})
+	step(LedgerRead{Ledger: ledger, Version: "1"})
+	for range 10 {
+		now = now.Add(time.Second)
+		step(Tick{})
+	}
+	require.True(t, c.Running())
+	require.Zero(t, decided)
+	list.Version = 5
+	step(list)
+	now = now.Add(time.Second)
+	step(Tick{})
+	require.Positive(t, decided)
+}
