Cancel at engines that have answered nothing, and poll the list for changes only

Change: every failed attempt that may run is cancelled; the list answers 304.

Conclusion: both found by reading the way of a request and the slopes.

--- a/bench/main.go
+++ b/bench/main.go
@@ -38,6 +38,13 @@
 					return sample(c.IntSlice("pid"), c.StringSlice("operators"), c.Duration("duration"))
 				},
 			},
+			{
+				Name: "summary", Usage: "processor time for each complete request of a `load -o json` report", ArgsUsage: "JSON",
+				Flags: []cli.Flag{&cli.StringFlag{Name: "name"}, &cli.Int64Flag{Name: "ticks", Usage: "processor time used, in hundredths of a second"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return summarise(c.String("name"), c.Int64("ticks"), c.Args().First())
+				},
+			},
 			{
 				Name: "fit", Usage: "fit slopes to the CSV rows of `sample` and plot them", ArgsUsage: "CSV PNG",
 				Action: func(_ context.Context, c *cli.Command) error { return fit(c.Args().Get(0), c.Args().Get(1)) },
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -120,12 +120,18 @@
 	p.rate(ctx, a, err)
 	p.cfg.Router.Release(a.Decision.Endpoint)
 	p.cfg.Gates.Pool(x.Target.Pool).Completed()
-	if err != nil && a.response != nil && x.Target.Kind == settings.KindEngine {
+	if err != nil && mayRun(err) && x.Target.Kind == settings.KindEngine {
 		p.cancel(ctx, x, a)
 	}
 	return err
 }
 
+// mayRun tells whether a failed attempt may still be running at its endpoint.
+func mayRun(err error) bool {
+	var notStarted *engine.NotStartedError
+	return !errors.As(err, &notStarted)
+}
+
 // rate tells the endpoint's record how the attempt went.
 func (p *Pipeline) rate(ctx context.Context, a *Attempt, err error) {
 	var notStarted *engine.NotStartedError
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -47,8 +47,11 @@
 	return f.whole(ctx, x)
 }
 
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
 func isEventStream(r *http.Response) bool {
-	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), eventStreamType)
 }
 
 // whole relays an answer that is not a stream of events.
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -112,7 +113,7 @@
 func (x *Exchange) answer(a Answer) {
 	body, _ := json.Marshal(errorBody{Error: errorDetail{Code: a.Code, Message: a.Message, Field: a.Field}})
 	if x.reached {
-		if x.Writer.Header().Get("Content-Type") == "text/event-stream" {
+		if strings.HasPrefix(x.Writer.Header().Get("Content-Type"), eventStreamType) {
 			_, _ = x.Writer.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
 			_ = http.NewResponseController(x.Writer).Flush()
 			return
--- a/standin/members.go
+++ b/standin/members.go
@@ -71,7 +71,8 @@
 // longPoll bounds how long an unchanged list holds a request.
 const longPoll = 10 * time.Second
 
-// ServeHTTP answers GET ?after=VERSION once the list is newer than VERSION.
+// ServeHTTP answers GET ?after=VERSION once the list is newer than VERSION, or
+// with 304 if it is not for a while.
 func (m *Members) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	timeout := time.NewTimer(longPoll)
@@ -92,7 +93,8 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout.C:
-			after = 0
+			w.WriteHeader(http.StatusNotModified)
+			return
 		case <-changed:
 		}
 	}
