Mend the test of cancelling: its engine must read the request's body

Cause: the test's server notices that a client has left only behind the body it was sent; unread, closing the server waited for ever.

Change: the test's handler reads the body first.

Conclusion: the fault was the test's, not the pipeline's.

--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +21,8 @@
 			cancelled <- strings.TrimPrefix(r.URL.Path, "/v1/requests/")
 			return
 		}
+		// The server notices that the client has left only behind the body.
+		_, _ = io.Copy(io.Discard, r.Body)
 		asked <- r.Header.Get("X-Request-Id")
 		<-r.Context().Done()
 	}))
