--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -46,7 +46,7 @@
 	return Load{}
 }
 
-// Report records a load report. sentOwn is Own when the report was asked for.
+// Report records a load report.
 func (e *Endpoint) Report(l Load) { e.load.Store(&l) }
 
 // SetLeaving marks the endpoint as leaving, or not.
