Judge by the dispatch alone whether an attempt may still run

A resumption that was refused as not started was taken for proof that the attempt itself had not, and the engine was not told to cancel. Besides: the prompt was hashed on each attempt for a scorer that does not exist, a deadline field was never read, and no instance told the gossip that the store had answered, so hints always said that its age was unknown.

Change: only a failed dispatch proves that nothing runs; the unused hash, prefix and deadline are gone; the freshness tells the gossip of the store.

Figures: the new test waits for ever with the old rule and passes with the new one.

Conclusion: found by reading; no test or bound was loosened.

--- a/daemon/freshness.go
+++ b/daemon/freshness.go
@@ -14,13 +14,18 @@
 	// storeAt and peerAt are nanoseconds since start.
 	start           time.Time
 	storeAt, peerAt atomic.Int64
+	// storeHeard is told each time that the object API has answered.
+	storeHeard func()
 }
 
-func newFreshness(now func() time.Time, bound time.Duration) *freshness {
-	return &freshness{now: now, bound: bound, start: now().Add(-time.Hour)}
+func newFreshness(now func() time.Time, bound time.Duration, storeHeard func()) *freshness {
+	return &freshness{now: now, bound: bound, start: now().Add(-time.Hour), storeHeard: storeHeard}
 }
 
-func (f *freshness) store() { f.storeAt.Store(int64(f.now().Sub(f.start))) }
+func (f *freshness) store() {
+	f.storeAt.Store(int64(f.now().Sub(f.start)))
+	f.storeHeard()
+}
 
 func (f *freshness) peer() { f.peerAt.Store(int64(f.now().Sub(f.start))) }
 
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -103,7 +103,9 @@
 	}
 	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
 	i.control = engine.NewClient(engine.Config{Dial: i.counted("engine_control")})
-	i.heard = newFreshness(deps.Now, milliseconds(cfg.Limits.FreshnessMS))
+	i.heard = newFreshness(deps.Now, milliseconds(cfg.Limits.FreshnessMS), func() {
+		_ = i.peers.events.Put(i.work, peer.StoreHeard{})
+	})
 	i.work, i.stop = context.WithCancel(context.Background())
 	if err := i.openPeers(); err != nil {
 		deps.Callers.Close()
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/eiderspring/eiderspring/admission"
 	"github.com/eiderspring/eiderspring/routing"
 )
@@ -65,7 +63,7 @@
 func (f admit) Process(ctx context.Context, x *Exchange) error {
 	now := f.now()
 	req := routing.Request{
-		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool, Prefix: xxhash.Sum64String(x.Call.fields.prefix),
+		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
 	}
 	var decision routing.Decision
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -19,8 +19,6 @@
 	open   int
 	name   string
 	stream bool
-	// prefix is the beginning of the first message or prompt.
-	prefix string
 }
 
 // scanBody finds the fields of a JSON object without building the rest of it.
@@ -66,15 +64,10 @@
 		return json.Unmarshal(raw, &f.stream)
 	case "priority":
 		f.priority = at
-	case "messages", "prompt":
-		f.prefix = string(raw[:min(len(raw), prefixBytes)])
 	}
 	return nil
 }
 
-// prefixBytes is how much of a prompt identifies it for cache affinity.
-const prefixBytes = 512
-
 type bodyError string
 
 func (e bodyError) Error() string { return string(e) }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -43,21 +43,17 @@
 
 // Pipeline serves callers. It is an http.Handler.
 type Pipeline struct {
-	cfg      Config
-	auth     authenticate
-	prepare  []Filter
-	attempt  []Filter
-	settle   settle
-	retries  *retryBudget
-	deadline time.Duration
+	cfg     Config
+	auth    authenticate
+	prepare []Filter
+	attempt []Filter
+	settle  settle
+	retries *retryBudget
 }
 
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 4
 
-// prepareTimeout bounds the filters that run before the deadline is known.
-const prepareTimeout = 30 * time.Second
-
 // New returns a pipeline.
 func New(cfg Config) *Pipeline {
 	auth := authenticate{catalog: cfg.Catalog}
@@ -71,9 +67,8 @@
 			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, now: cfg.Now},
 			route{log: cfg.Log}, dispatch{client: cfg.Engine}, relay{client: cfg.Engine, now: cfg.Now},
 		},
-		settle:   settle{log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
-		retries:  newRetryBudget(),
-		deadline: prepareTimeout,
+		settle:  settle{log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
+		retries: newRetryBudget(),
 	}
 }
 
@@ -127,9 +122,11 @@
 }
 
 // mayRun tells whether a failed attempt may still be running at its endpoint.
+// Only a failed dispatch proves that it is not: a resumption that could not
+// start says nothing of the attempt that it was to go on with.
 func mayRun(err error) bool {
-	var notStarted *engine.NotStartedError
-	return !errors.As(err, &notStarted)
+	var failed *DispatchError
+	return !errors.As(err, &failed) || !failed.NotStarted
 }
 
 // rate tells the endpoint's record how the attempt went.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -65,3 +65,30 @@
 	require.NotContains(t, w.Body.String(), "[DONE]")
 	require.Contains(t, w.Body.String(), codeOutcomeUnknown)
 }
+
+// TestFailedResumptionStillCancels cuts a stream whose resumption is refused as
+// not started: the attempt itself may still run and must be cancelled.
+func TestFailedResumptionStillCancels(t *testing.T) {
+	cancelled := make(chan struct{}, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method {
+		case http.MethodDelete:
+			cancelled <- struct{}{}
+		case http.MethodGet:
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"code":"not_started"}}`)
+		default:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 0\ndata: {}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer s.Close()
+	p := benchPipeline(t, strings.TrimPrefix(s.URL, "http://"))
+	r := httptest.NewRequest(http.MethodPost, pathChat, strings.NewReader(`{"model":"m","stream":true}`))
+	r.Header.Set("Authorization", "Bearer token")
+	p.ServeHTTP(httptest.NewRecorder(), r)
+	<-cancelled
+}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -7,8 +7,6 @@
 	ID   string
 	Unit string
 	Pool string
-	// Prefix identifies the beginning of the prompt; 0 means none.
-	Prefix uint64
 	// FailureDomain is the instance's own.
 	FailureDomain string
 	// Excluded are endpoints that an earlier attempt has tried.
