Make the callers' and the endpoints' protocol ports of the product

Cause: the request path was wired to the OpenAI paths and to the engines' own protocol; the users' platform speaks another one (docs/decisions/0006).

Change: pipeline.Dialect and engine.Dialect, with the present protocols as their first implementations; policies gain maxAttempts and resumable, and a broken stream may be continued by another endpoint; the retry budget is kept for each pool, and attempts of which nothing was sent cost none. Event streams are flushed once for all events that have arrived.

--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -204,13 +204,15 @@
 	platform := &http.Transport{DialContext: i.counted("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute}
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
 	i.claims = claim.NewOwner(i.work, objects, i.deps.Now, i.shardConfig)
+	dialect := pipeline.NewOpenAI(i.catalog.Load, int64(i.cfg.Limits.BodyBytes))
 	handler := pipeline.New(pipeline.Config{
+		Dialect: dialect,
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
 		Claims: claim.NewKeeper(i.claimAsker(i.claims), i.deps.Now),
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
-		FailureDomain: i.cfg.FailureDomain, MaxBody: int64(i.cfg.Limits.BodyBytes),
+		FailureDomain: i.cfg.FailureDomain,
 	})
-	i.callers = i.server(i.guard(handler))
+	i.callers = i.server(i.guard(dialect, dialect.WithModels(handler)))
 	i.operators = i.server(i.operatorHandler())
 	i.duties(objects, platform)
 }
@@ -247,11 +249,11 @@
 // guard refuses callers while there are no settings to serve them by, or none
 // that are known to be current. An instance that wakes from a pause must not
 // serve by what it knew, so it confirms first.
-func (i *Instance) guard(next http.Handler) http.Handler {
+func (i *Instance) guard(d pipeline.Dialect, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		current := i.heard.fresh() || i.settings.confirm(r.Context())
 		if i.catalog.Load() == nil || !current {
-			pipeline.RefuseNotRun(w, "the instance has no current settings")
+			pipeline.RefuseNotRun(d, w, "the instance has no current settings")
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/engine/client.go
+++ b/engine/client.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -28,12 +28,21 @@
 type Attempt struct {
 	ID       string
 	Endpoint string
+	// Incarnation is the one of the endpoint that is meant; empty means any.
+	Incarnation string
 	// Address is host:port.
 	Address string
 	Method  string
 	Path    string
-	Header  http.Header
-	Body    []byte
+	// Host is the host that the caller asked for; empty means Address.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Priority orders requests at the endpoint; higher goes first.
+	Priority int
+	// Resume asks to continue a stream behind the event ResumeAfter.
+	Resume      bool
+	ResumeAfter int64
 }
 
 // Dialer opens connections; net.Dialer.DialContext is one.
@@ -46,6 +55,8 @@
 	DialTimeout time.Duration
 	// IdlePerEndpoint is how many idle connections to keep to each endpoint.
 	IdlePerEndpoint int
+	// Dialect is how endpoints are spoken to; nil means OpenAI.
+	Dialect Dialect
 }
 
 // Defaults of Config.
@@ -58,10 +69,14 @@
 // Client sends attempts to endpoints.
 type Client struct {
 	transport *http.Transport
+	dialect   Dialect
 }
 
 // NewClient returns a client with connections of its own.
 func NewClient(cfg Config) *Client {
+	if cfg.Dialect == nil {
+		cfg.Dialect = OpenAI{}
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
@@ -80,7 +95,7 @@
 		}
 		return &countingConn{Conn: conn}, nil
 	}
-	return &Client{transport: &http.Transport{
+	return &Client{dialect: cfg.Dialect, transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: cfg.IdlePerEndpoint,
 		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 	}}
@@ -94,27 +109,42 @@
 // to start is an answer, not an error.
 func (c *Client) Do(ctx context.Context, a Attempt) (*http.Response, error) {
 	var left departure
-	req, err := newRequest(httptrace.WithClientTrace(ctx, left.trace()), a)
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, left.trace()), a)
 	if err != nil {
-		return nil, &NotStartedError{Endpoint: a.Endpoint, Err: err}
+		return nil, &NotStartedError{Endpoint: a.Endpoint, Unsent: true, Err: err}
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		if left.nothingLeft() {
-			return nil, &NotStartedError{Endpoint: a.Endpoint, Err: err}
+			return nil, &NotStartedError{Endpoint: a.Endpoint, Unsent: true, Err: err}
 		}
 		return nil, &UnknownError{Endpoint: a.Endpoint, Err: err}
 	}
-	if got := resp.Header.Get(RequestIDHeader); got != "" && got != a.ID {
-		resp.Body.Close()
-		return nil, &UnknownError{Endpoint: a.Endpoint, Err: &ForeignAnswerError{Want: a.ID, Got: got}}
-	}
-	if err := refusal(resp); err != nil {
-		return nil, notStarted(a.Endpoint, err)
+	if err := c.dialect.Check(resp, a); err != nil {
+		return nil, left.reject(resp, a.Endpoint, err)
 	}
 	return resp, nil
 }
 
+// reject gives up an answer that is not passed on. A connection that carried
+// an answer which belongs elsewhere is not used again.
+func (d *departure) reject(resp *http.Response, endpoint string, err error) error {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		drainBody(resp)
+		return &NotStartedError{Endpoint: endpoint, Busy: refused.Busy, NotResident: refused.NotResident, Err: &refused.RefusalError}
+	}
+	d.abandon()
+	resp.Body.Close()
+	return &UnknownError{Endpoint: endpoint, Err: err}
+}
+
+// drainBody reads a short rest, so that the connection can be used again.
+func drainBody(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes)
+	resp.Body.Close()
+}
+
 // ForeignAnswerError is an answer that belongs to another attempt.
 type ForeignAnswerError struct{ Want, Got string }
 
@@ -123,70 +153,25 @@
 	return "answer of attempt " + e.Got + " in place of " + e.Want
 }
 
-func newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: a.Address}
-	path, query, _ := strings.Cut(a.Path, "?")
-	target.Path, target.RawQuery = path, query
-	req, err := http.NewRequestWithContext(ctx, a.Method, target.String(), bytes.NewReader(a.Body))
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address, bytes.NewReader(a.Body))
 	if err != nil {
 		return nil, err
 	}
+	// The target goes out byte for byte as it came in.
+	req.URL.Opaque, req.URL.RawQuery, _ = strings.Cut(a.Path, "?")
+	if a.Host != "" {
+		req.Host = a.Host
+	}
 	req.Header = a.Header.Clone()
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
-	req.Header.Set(RequestIDHeader, a.ID)
+	c.dialect.Encode(req, a)
 	sendOnce(req, bytes.NewReader(a.Body))
 	return req, nil
 }
 
-// codeNotStarted is the engines' word for a request of which nothing has run.
-const codeNotStarted = "not_started"
-
-// maxRefusalBytes bounds what is read of a refusal.
-const maxRefusalBytes = 4 << 10
-
-// refusal returns an error if resp is an engine's statement that it has not
-// started the request; resp is used up then. Other answers are left whole.
-func refusal(resp *http.Response) *RefusalError {
-	if resp.StatusCode < http.StatusBadRequest || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
-		return nil
-	}
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-	var body struct {
-		Error struct{ Code, Message string } `json:"error"`
-	}
-	if err == nil && json.Unmarshal(head, &body) == nil && body.Error.Code == codeNotStarted {
-		resp.Body.Close()
-		return &RefusalError{Status: resp.StatusCode, Code: body.Error.Code, Reason: body.Error.Message}
-	}
-	resp.Body = restored{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), Closer: resp.Body}
-	return nil
-}
-
-// restored is a body whose beginning was read and put back.
-type restored struct {
-	io.Reader
-	io.Closer
-}
-
-func notStarted(endpoint string, r *RefusalError) *NotStartedError {
-	return &NotStartedError{
-		Endpoint: endpoint, Err: r,
-		Busy:        r.Status == http.StatusTooManyRequests,
-		NotResident: r.Status == http.StatusNotFound,
-	}
-}
-
-// Cancel tells the engine that nobody waits for an attempt any more.
-func (c *Client) Cancel(ctx context.Context, address, attemptID string) error {
-	resp, err := c.Do(ctx, Attempt{ID: attemptID, Address: address, Method: http.MethodDelete, Path: "/v1/requests/" + url.PathEscape(attemptID)})
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
 // Resume continues a broken stream after the token at offset; -1 begins anew
 // at the first token of the same run.
 func (c *Client) Resume(ctx context.Context, endpoint, address, attemptID string, offset int64) (*http.Response, error) {
--- /dev/null
+++ b/engine/dialect.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+)
+
+// Dialect is how endpoints are spoken to.
+type Dialect interface {
+	// Encode completes a request that carries an attempt. The context's
+	// deadline is that of the request.
+	Encode(req *http.Request, a Attempt)
+	// Check returns nil for an answer to be passed on. *RefusedError is the
+	// endpoint's word that it has not run the attempt and will not; the body is
+	// used up then. Any other error means that the answer is none to this
+	// attempt, which may have run.
+	Check(resp *http.Response, a Attempt) error
+	// Cancel returns the attempt that tells an endpoint to cancel another one;
+	// false means that closing the connection does so.
+	Cancel(a Attempt) (Attempt, bool)
+	// Resumes tells whether an endpoint goes on with a broken stream when the
+	// attempt's id is asked for.
+	Resumes() bool
+}
+
+// RefusedError is an endpoint's word that it has not run an attempt.
+type RefusedError struct {
+	RefusalError
+	// Busy is set when it lacked room, NotResident when it does not hold the
+	// unit or is another endpoint than the one meant.
+	Busy, NotResident bool
+}
+
+// OpenAI is the product's own dialect.
+type OpenAI struct{}
+
+// Encode implements Dialect.
+func (OpenAI) Encode(req *http.Request, a Attempt) { req.Header.Set(RequestIDHeader, a.ID) }
+
+// codeNotStarted is the engines' word for a request of which nothing has run.
+const codeNotStarted = "not_started"
+
+// maxRefusalBytes bounds what is read of a refusal.
+const maxRefusalBytes = 4 << 10
+
+// Check implements Dialect. Answers other than refusals are left whole.
+func (OpenAI) Check(resp *http.Response, a Attempt) error {
+	if got := resp.Header.Get(RequestIDHeader); got != "" && got != a.ID {
+		return &ForeignAnswerError{Want: a.ID, Got: got}
+	}
+	if resp.StatusCode < http.StatusBadRequest || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	var body struct {
+		Error struct{ Code, Message string } `json:"error"`
+	}
+	if err == nil && json.Unmarshal(head, &body) == nil && body.Error.Code == codeNotStarted {
+		return &RefusedError{
+			RefusalError: RefusalError{Status: resp.StatusCode, Code: body.Error.Code, Reason: body.Error.Message},
+			Busy:         resp.StatusCode == http.StatusTooManyRequests,
+			NotResident:  resp.StatusCode == http.StatusNotFound,
+		}
+	}
+	resp.Body = restored{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), Closer: resp.Body}
+	return nil
+}
+
+// restored is a body whose beginning was read and put back.
+type restored struct {
+	io.Reader
+	io.Closer
+}
+
+// Cancel implements Dialect.
+func (OpenAI) Cancel(a Attempt) (Attempt, bool) {
+	return Attempt{
+		ID: a.ID, Endpoint: a.Endpoint, Address: a.Address,
+		Method: http.MethodDelete, Path: "/v1/requests/" + url.PathEscape(a.ID),
+	}, true
+}
+
+// Resumes implements Dialect.
+func (OpenAI) Resumes() bool { return true }
+
+// Cancel tells the endpoint that nobody waits for an attempt any more.
+func (c *Client) Cancel(ctx context.Context, a Attempt) error {
+	word, needed := c.dialect.Cancel(a)
+	if !needed {
+		return nil
+	}
+	resp, err := c.Do(ctx, word)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Resumes tells whether Resume may be used.
+func (c *Client) Resumes() bool { return c.dialect.Resumes() }
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -6,6 +6,8 @@
 // byte of it was sent, or the endpoint refused it as a whole.
 type NotStartedError struct {
 	Endpoint string
+	// Unsent is set when no byte of it was sent.
+	Unsent bool
 	// Busy is set when the endpoint refused for lack of room.
 	Busy bool
 	// NotResident is set when the endpoint does not hold the unit.
--- a/engine/once.go
+++ b/engine/once.go
@@ -74,3 +74,10 @@
 	conn := d.conn.Load()
 	return conn == nil || conn.seal(d.before)
 }
+
+// abandon closes the connection that the attempt went out on.
+func (d *departure) abandon() {
+	if conn := d.conn.Load(); conn != nil {
+		conn.Close()
+	}
+}
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"net/http"
 	"sync"
@@ -84,17 +83,17 @@
 	if pickErr != nil {
 		return &RouteError{Err: pickErr}
 	}
-	x.Attempts = append(x.Attempts, Attempt{ID: rand.Text(), Decision: decision})
+	x.Attempts = append(x.Attempts, Attempt{ID: x.attemptID(), Decision: decision})
 	return nil
 }
 
 // startBy is when starting the request has become pointless.
 func startBy(x *Exchange) time.Time {
 	p := x.Target.Policy
-	if p.MayWait {
-		return x.Received.Add(p.Deadline)
+	if p.MayWait || x.reached {
+		return x.deadline()
 	}
-	return x.Received.Add(min(p.FirstToken, p.Deadline))
+	return x.Received.Add(min(p.FirstToken, x.timeout()))
 }
 
 func admitError(err error) error {
--- a/pipeline/bench_test.go
+++ b/pipeline/bench_test.go
@@ -81,9 +81,10 @@
 		Replicas: map[string][]*routing.Endpoint{"m": {e}}, Pools: map[string][]*routing.Endpoint{"web": {e}}, Instances: 1,
 	})
 	return New(Config{
+		Dialect: NewOpenAI(func() *settings.Catalog { return catalog }, 1<<20),
 		Catalog: func() *settings.Catalog { return catalog }, Router: router, Engine: engine.NewClient(engine.Config{}),
 		Gates:   NewGates(admission.Limits{Waiters: 10, Bytes: 1 << 20}, time.Now),
-		Metrics: NewMetrics(new(expvar.Map).Init()), Log: logr.Discard(), Now: time.Now, MaxBody: 1 << 20,
+		Metrics: NewMetrics(new(expvar.Map).Init()), Log: logr.Discard(), Now: time.Now,
 	})
 }
 
--- /dev/null
+++ b/pipeline/dialect.go
@@ -0,0 +1,21 @@
+package pipeline
+
+import "net/http"
+
+// Dialect is how callers ask and how they are answered.
+type Dialect interface {
+	// Prepare returns the filters that find out what is asked. Together they
+	// set Call, Caller and Target of the exchange.
+	Prepare() []Filter
+	// Head completes the end-to-end headers of an answer that is passed on.
+	Head(h http.Header, x *Exchange)
+	// Refuse gives the caller a failure as a whole answer.
+	Refuse(w http.ResponseWriter, a Answer)
+	// Interrupt tells the caller of an event stream, of which a part was
+	// passed on, that it broke. It reports false if the dialect has no way to
+	// tell but to cut the connection.
+	Interrupt(w http.ResponseWriter, a Answer) bool
+	// EndMarker is the data of the event that ends a whole stream; nil means
+	// that a stream is whole when its body ends without an error.
+	EndMarker() []byte
+}
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/eiderspring/eiderspring/engine"
@@ -10,28 +11,59 @@
 
 // dispatch sends the attempt to its endpoint and waits for the answer's header.
 type dispatch struct {
-	client *engine.Client
+	client  *engine.Client
+	retries *RetryBudgets
 }
 
 // Process implements Filter.
 func (f dispatch) Process(ctx context.Context, x *Exchange) error {
 	a := x.attempt()
-	resp, err := f.client.Do(ctx, engine.Attempt{
-		ID: a.ID, Endpoint: a.Decision.Endpoint.Name, Address: a.Decision.Endpoint.Address,
-		Method: x.Call.Method, Path: x.Call.Path, Header: forwardHeader(x.Request.Header), Body: x.Call.Body,
-	})
+	resp, err := f.client.Do(ctx, x.engineAttempt())
 	var notStarted *engine.NotStartedError
 	if errors.As(err, &notStarted) {
+		a.Unsent = notStarted.Unsent
 		return &DispatchError{NotStarted: true, Err: err}
 	}
 	x.dispatched = true
 	if err != nil {
 		return &DispatchError{TimedOut: errors.Is(err, context.DeadlineExceeded), Err: err}
 	}
+	if f.better(x, resp) {
+		resp.Body.Close()
+		return &DispatchError{Err: &FailedAnswerError{Status: resp.StatusCode}}
+	}
 	a.response = resp
 	return nil
 }
 
+// FailedAnswerError is an endpoint's failure that is not passed on, as another
+// attempt may do better.
+type FailedAnswerError struct{ Status int }
+
+// Error gives the status.
+func (e *FailedAnswerError) Error() string {
+	return fmt.Sprintf("the endpoint failed with status %d", e.Status)
+}
+
+// better tells whether another attempt is to be made in place of passing the
+// endpoint's failure on.
+func (f dispatch) better(x *Exchange, resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusInternalServerError &&
+		x.Target.Policy.Repeatable && x.triesLeft() && f.retries.Left(x.Target.Pool)
+}
+
+// engineAttempt is the newest attempt as it goes to the endpoint.
+func (x *Exchange) engineAttempt() engine.Attempt {
+	a := x.attempt()
+	e := a.Decision.Endpoint
+	out := engine.Attempt{
+		ID: a.ID, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
+		Method: x.Call.Method, Path: x.Call.Path, Host: x.Call.Host, Header: forwardHeader(x.Request.Header), Body: x.Call.Body,
+		Priority: x.Target.Policy.Priority, Resume: x.reached, ResumeAfter: x.offset,
+	}
+	return out
+}
+
 // withheld are the request headers that stay between the caller and the
 // instance: those of one hop (RFC 9110, section 7.6.1), and credentials.
 var withheld = map[string]bool{
--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -28,14 +28,16 @@
 
 // Error codes in answers.
 const (
-	codeInvalid        = "invalid_request"
-	codeUnauthorized   = "unauthorized"
-	codeForbidden      = "forbidden"
-	codeNotFound       = "not_found"
-	codeTooLarge       = "request_too_large"
-	codeKeyReused      = "idempotency_key_reused"
-	codeNotRun         = "not_run"
-	codeOutcomeUnknown = "outcome_unknown"
+	codeInvalid      = "invalid_request"
+	codeUnauthorized = "unauthorized"
+	codeForbidden    = "forbidden"
+	codeNotFound     = "not_found"
+	codeTooLarge     = "request_too_large"
+	codeKeyReused    = "idempotency_key_reused"
+	// CodeNotRun says that the request has not run and never will.
+	CodeNotRun = "not_run"
+	// CodeOutcomeUnknown says that the request may have run.
+	CodeOutcomeUnknown = "outcome_unknown"
 )
 
 // DecodeError is a request that cannot be understood.
@@ -131,7 +133,7 @@
 
 // Answer implements Failure.
 func (e *AdmitError) Answer() Answer {
-	return Answer{Status: e.Status, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: e.RetryAfter}
+	return Answer{Status: e.Status, Code: CodeNotRun, Message: e.Err.Error(), RetryAfter: e.RetryAfter}
 }
 
 // RouteError is a request for which no endpoint is left.
@@ -150,7 +152,7 @@
 
 // Answer implements Failure.
 func (e *RouteError) Answer() Answer {
-	return Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
+	return Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
 }
 
 // DispatchError is an attempt that failed before its answer began.
@@ -178,7 +180,7 @@
 // Answer implements Failure.
 func (e *DispatchError) Answer() Answer {
 	if e.NotStarted {
-		return Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
+		return Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: e.Err.Error(), RetryAfter: defaultRetryAfter}
 	}
 	if e.TimedOut {
 		return unknownAnswer(http.StatusGatewayTimeout, e.Err.Error())
@@ -216,5 +218,5 @@
 }
 
 func unknownAnswer(status int, message string) Answer {
-	return Answer{Status: status, Code: codeOutcomeUnknown, Message: message}
+	return Answer{Status: status, Code: CodeOutcomeUnknown, Message: message}
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"crypto/rand"
 	"net/http"
 	"time"
 
@@ -19,6 +20,14 @@
 	Path   string
 	Body   []byte
 	Stream bool
+	// Host is the host that was asked for; empty means that endpoints need not
+	// know it.
+	Host string
+	// AttemptID is the id that endpoints know the request by; empty means that
+	// each attempt gets an id of its own.
+	AttemptID string
+	// Patience is how long the caller waits; 0 means that it did not say.
+	Patience time.Duration
 	// Key is the caller's idempotency key, or empty.
 	Key string
 	// Plain is set for a call below /services/.
@@ -49,6 +58,8 @@
 
 	// reached is set once any byte of an answer may have reached the caller.
 	reached bool
+	// offset is that of the last event that was relayed; -1 for none.
+	offset int64
 	// record keeps the answer of a claimed request, nil for others.
 	record *recorder
 	// dispatched is set once any attempt may have started.
@@ -60,6 +71,8 @@
 	ID       string
 	Decision routing.Decision
 	Resumes  int
+	// Unsent is set once it is certain that nothing of it was sent.
+	Unsent bool
 
 	response *http.Response
 }
@@ -73,3 +86,42 @@
 	}
 	return names
 }
+
+// timeout is how long the whole request may take.
+func (x *Exchange) timeout() time.Duration {
+	if x.Call.Patience > 0 {
+		return min(x.Call.Patience, x.Target.Policy.Deadline)
+	}
+	return x.Target.Policy.Deadline
+}
+
+// deadline is when the request gets its final answer at the latest.
+func (x *Exchange) deadline() time.Time { return x.Received.Add(x.timeout()) }
+
+// resumable tells whether a stream of which a part has reached the caller may
+// be continued by another endpoint.
+func (x *Exchange) resumable() bool { return x.Target.Policy.Resumable && x.offset >= 0 }
+
+// attemptID returns the id of the next attempt.
+func (x *Exchange) attemptID() string {
+	if x.Call.AttemptID != "" {
+		return x.Call.AttemptID
+	}
+	return rand.Text()
+}
+
+// triesLeft tells whether the request may go to one more endpoint. Attempts of
+// which nothing was sent do not count, but they too are bounded.
+func (x *Exchange) triesLeft() bool {
+	sent := 0
+	for i := range x.Attempts {
+		if !x.Attempts[i].Unsent {
+			sent++
+		}
+	}
+	most := maxAttempts
+	if n := x.Target.Policy.MaxAttempts; n > 0 {
+		most = min(n, most)
+	}
+	return sent < most && len(x.Attempts) < maxAttempts
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -37,18 +34,19 @@
 	Now     func() time.Time
 	// FailureDomain is the instance's own.
 	FailureDomain string
-	// MaxBody bounds a request's body, in bytes.
-	MaxBody int64
+	// Dialect is how callers speak.
+	Dialect Dialect
+	// Retries bounds second attempts; nil means DefaultRetryLimits.
+	Retries *RetryBudgets
 }
 
 // Pipeline serves callers. It is an http.Handler.
 type Pipeline struct {
 	cfg     Config
-	auth    authenticate
 	prepare []Filter
 	attempt []Filter
 	settle  settle
-	retries *retryBudget
+	retries *RetryBudgets
 }
 
 // maxAttempts bounds the attempts of one request.
@@ -56,29 +54,25 @@
 
 // New returns a pipeline.
 func New(cfg Config) *Pipeline {
-	auth := authenticate{catalog: cfg.Catalog}
+	if cfg.Retries == nil {
+		cfg.Retries = NewRetryBudgets(DefaultRetryLimits)
+	}
 	return &Pipeline{
-		cfg:  cfg,
-		auth: auth,
-		prepare: []Filter{
-			decode{maxBody: cfg.MaxBody}, auth, resolve{catalog: cfg.Catalog},
-		},
+		cfg:     cfg,
+		prepare: cfg.Dialect.Prepare(),
 		attempt: []Filter{
 			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, now: cfg.Now},
-			route{log: cfg.Log}, dispatch{client: cfg.Engine}, relay{client: cfg.Engine, now: cfg.Now},
+			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries},
+			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
-		settle:  settle{log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
-		retries: newRetryBudget(),
+		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
+		retries: cfg.Retries,
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == pathModels && r.Method == http.MethodGet {
-		p.listModels(w, r)
-		return
-	}
-	x := &Exchange{ID: rand.Text(), Received: p.cfg.Now(), Writer: w, Request: r}
+	x := &Exchange{ID: rand.Text(), Received: p.cfg.Now(), Writer: w, Request: r, offset: -1}
 	p.settle.end(r.Context(), x, p.serve(r.Context(), x))
 }
 
@@ -90,12 +84,12 @@
 		// A claimed request goes on without its caller, who may ask again.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.Received.Add(x.Target.Policy.Deadline))
+	ctx, cancel := context.WithDeadline(ctx, x.deadline())
 	defer cancel()
 	if err := (claimKey{claims: p.cfg.Claims}).Process(ctx, x); err != nil {
 		return err
 	}
-	p.retries.earn()
+	p.retries.Earn(x.Target.Pool)
 	for {
 		err := p.try(ctx, x)
 		if err == nil || !p.again(ctx, x, err) {
@@ -116,7 +110,7 @@
 	p.cfg.Router.Release(a.Decision.Endpoint)
 	p.cfg.Gates.Pool(x.Target.Pool).Completed()
 	if err != nil && mayRun(err) && x.Target.Kind == settings.KindEngine {
-		p.cancel(ctx, x, a)
+		p.cancel(ctx, x)
 	}
 	return err
 }
@@ -147,12 +141,13 @@
 // cancelTimeout bounds the word to an engine that nobody waits any more.
 const cancelTimeout = 2 * time.Second
 
-func (p *Pipeline) cancel(ctx context.Context, x *Exchange, a *Attempt) {
+func (p *Pipeline) cancel(ctx context.Context, x *Exchange) {
+	attempt := x.engineAttempt()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	go func() {
 		defer cancel()
-		if err := p.cfg.Engine.Cancel(ctx, a.Decision.Endpoint.Address, a.ID); err != nil {
-			p.cfg.Log.Info("cancel failed", "request", x.ID, "attempt", a.ID, "error", err.Error())
+		if err := p.cfg.Engine.Cancel(ctx, attempt); err != nil {
+			p.cfg.Log.Info("cancel failed", "request", x.ID, "attempt", attempt.ID, "error", err.Error())
 		}
 	}()
 }
@@ -165,13 +160,20 @@
 	case *DispatchError, *RelayError:
 		fromEndpoint = true
 	}
-	if !fromEndpoint || ctx.Err() != nil || x.reached || len(x.Attempts) >= maxAttempts {
+	if !fromEndpoint || ctx.Err() != nil || !x.triesLeft() {
+		return false
+	}
+	if x.reached && !x.resumable() {
 		return false
 	}
 	if failure.Outcome() != outcome.NotRun && !x.Target.Policy.Repeatable {
 		return false
 	}
-	return p.retries.spend()
+	if x.attempt().Unsent {
+		// Nothing has reached an endpoint, so none is burdened by the retry.
+		return true
+	}
+	return p.retries.Spend(x.Target.Pool)
 }
 
 func run(ctx context.Context, filters []Filter, x *Exchange) error {
@@ -182,33 +184,3 @@
 	}
 	return nil
 }
-
-type modelList struct {
-	Object string      `json:"object"`
-	Data   []modelItem `json:"data"`
-}
-
-type modelItem struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	OwnedBy string `json:"owned_by"`
-}
-
-// listModels answers with what the caller may use.
-func (p *Pipeline) listModels(w http.ResponseWriter, r *http.Request) {
-	caller, err := p.auth.identify(r)
-	if err != nil {
-		x := &Exchange{Writer: w, Request: r}
-		x.answer(classify(err).Answer())
-		return
-	}
-	catalog := p.cfg.Catalog()
-	list := modelList{Object: "list", Data: []modelItem{}}
-	for _, name := range slices.Sorted(maps.Keys(catalog.Targets)) {
-		if caller.May(name) {
-			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: catalog.Tree.Deployment})
-		}
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
-}
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -63,7 +63,7 @@
 	p.ServeHTTP(w, r)
 	require.True(t, strings.HasPrefix(w.Body.String(), "id: 0\ndata: {}\n\nevent: error\ndata: "), w.Body.String())
 	require.NotContains(t, w.Body.String(), "[DONE]")
-	require.Contains(t, w.Body.String(), codeOutcomeUnknown)
+	require.Contains(t, w.Body.String(), CodeOutcomeUnknown)
 }
 
 // TestFailedResumptionStillCancels cuts a stream whose resumption is refused as
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -17,8 +17,9 @@
 
 // relay passes the endpoint's answer on to the caller.
 type relay struct {
-	client *engine.Client
-	now    func() time.Time
+	client  *engine.Client
+	dialect Dialect
+	now     func() time.Time
 }
 
 // Bounds of relaying.
@@ -39,11 +40,19 @@
 // errTruncated is an event stream that ended without its terminator.
 var errTruncated = errors.New("the stream ended without its terminator")
 
+// errNoContinuation is an answer to a continuation that is no event stream.
+var errNoContinuation = errors.New("the stream was not continued")
+
 // Process implements Filter.
 func (f relay) Process(ctx context.Context, x *Exchange) error {
 	if isEventStream(x.attempt().response) {
 		return f.stream(ctx, x)
 	}
+	if x.reached {
+		// A continuation that is no stream cannot follow what was passed on.
+		x.attempt().response.Body.Close()
+		return f.broken(ctx, errNoContinuation)
+	}
 	return f.whole(ctx, x)
 }
 
@@ -67,7 +76,7 @@
 		return f.broken(ctx, err)
 	}
 	x.FirstToken = f.now().Sub(x.Received)
-	x.writeHeader(resp)
+	x.writeHeader(f.dialect, resp)
 	for {
 		if writeErr := x.write(buf[:n]); writeErr != nil {
 			return &RelayError{CallerGone: true, Err: writeErr}
@@ -88,25 +97,25 @@
 // stream relays events one by one and resumes the stream if it breaks.
 func (f relay) stream(ctx context.Context, x *Exchange) error {
 	a := x.attempt()
-	s := eventRelay{exchange: x, now: f.now, offset: -1}
+	s := eventRelay{exchange: x, dialect: f.dialect, now: f.now}
 	idle := 0
 	for {
-		before := s.offset
+		before := x.offset
 		err := s.run(a.response)
 		a.response.Body.Close()
 		var failure *RelayError
 		if err == nil || errors.As(err, &failure) {
 			return err
 		}
-		if s.offset > before {
+		if x.offset > before {
 			idle = 0
 		}
-		if ctx.Err() != nil || idle == maxIdleResumes {
+		if ctx.Err() != nil || idle == maxIdleResumes || !f.client.Resumes() {
 			return f.broken(ctx, err)
 		}
 		idle++
 		a.Resumes++
-		resp, resumeErr := f.client.Resume(ctx, a.Decision.Endpoint.Name, a.Decision.Endpoint.Address, a.ID, s.offset)
+		resp, resumeErr := f.client.Resume(ctx, a.Decision.Endpoint.Name, a.Decision.Endpoint.Address, a.ID, x.offset)
 		if resumeErr != nil {
 			return f.broken(ctx, errors.Join(err, resumeErr))
 		}
@@ -128,9 +137,8 @@
 // eventRelay is the state of one event stream across its resumptions.
 type eventRelay struct {
 	exchange *Exchange
+	dialect  Dialect
 	now      func() time.Time
-	// offset is that of the last token that was relayed whole; -1 for none.
-	offset int64
 	// pending is the event being assembled.
 	pending []byte
 	// next is the offset of the pending event, if it has one.
@@ -139,9 +147,9 @@
 }
 
 var (
-	idField    = []byte("id:")
-	dataField  = []byte("data:")
-	doneMarker = []byte("[DONE]")
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+	eventEnd  = []byte("\n\n")
 )
 
 // run relays until the terminator (nil), the caller leaves (*RelayError), or
@@ -155,7 +163,7 @@
 	for {
 		line, err := lines.ReadSlice('\n')
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return endOfStream(err)
+			return s.ended(err)
 		}
 		s.pending = append(s.pending, line...)
 		if len(s.pending) > maxEventBytes {
@@ -168,7 +176,7 @@
 			s.field(line)
 			continue
 		}
-		if err := s.flush(resp); err != nil {
+		if err := s.flush(resp, eventBuffered(lines)); err != nil {
 			return err
 		}
 		if s.done {
@@ -177,11 +185,21 @@
 	}
 }
 
-func endOfStream(err error) error {
-	if err == io.EOF {
+// eventBuffered tells whether another whole event has arrived already.
+func eventBuffered(lines *bufio.Reader) bool {
+	arrived, err := lines.Peek(lines.Buffered())
+	return err == nil && bytes.Contains(arrived, eventEnd)
+}
+
+// ended tells whether a stream was whole when its body ended with err.
+func (s *eventRelay) ended(err error) error {
+	if err != io.EOF {
+		return err
+	}
+	if s.dialect.EndMarker() != nil || len(s.pending) > 0 || !s.exchange.reached {
 		return errTruncated
 	}
-	return err
+	return nil
 }
 
 func (s *eventRelay) field(line []byte) {
@@ -191,35 +209,39 @@
 		}
 		return
 	}
-	if value, ok := bytes.CutPrefix(line, dataField); ok && bytes.Equal(bytes.TrimSpace(value), doneMarker) {
+	if value, ok := bytes.CutPrefix(line, dataField); ok && s.dialect.EndMarker() != nil && bytes.Equal(bytes.TrimSpace(value), s.dialect.EndMarker()) {
 		s.done = true
 	}
 }
 
 // flush passes the pending event on. A token that was already relayed, as a
-// resumption may repeat it, is dropped.
-func (s *eventRelay) flush(resp *http.Response) error {
+// resumption may repeat it, is dropped. With more behind it that has arrived
+// already, the bytes need not go out at once.
+func (s *eventRelay) flush(resp *http.Response, more bool) error {
 	event, offset := s.pending, s.next
 	s.pending, s.next = s.pending[:0], -1
-	if offset >= 0 && offset <= s.offset {
+	if offset >= 0 && offset <= s.exchange.offset {
 		return nil
 	}
 	x := s.exchange
 	if !x.reached {
 		x.FirstToken = s.now().Sub(x.Received)
-		x.writeHeader(resp)
+		x.writeHeader(s.dialect, resp)
 	}
 	if err := x.write(event); err != nil {
 		return &RelayError{CallerGone: true, Err: err}
 	}
 	if offset >= 0 {
-		s.offset = offset
+		x.offset = offset
+	}
+	if more {
+		return nil
 	}
 	return x.flush()
 }
 
 // writeHeader passes the answer's status and end-to-end headers on.
-func (x *Exchange) writeHeader(resp *http.Response) {
+func (x *Exchange) writeHeader(d Dialect, resp *http.Response) {
 	h := x.Writer.Header()
 	for name, values := range resp.Header {
 		if !withheld[name] {
@@ -229,7 +251,7 @@
 	if resp.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	h.Set(engine.RequestIDHeader, x.ID)
+	d.Head(h, x)
 	x.Writer.WriteHeader(resp.StatusCode)
 	x.reached = true
 	if x.record != nil {
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"math"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -24,6 +21,7 @@
 // settle ends an exchange: the caller gets its final answer, the claim is
 // finished or freed, and the log line and metrics are written.
 type settle struct {
+	dialect Dialect
 	log     logr.Logger
 	metrics *Metrics
 	now     func() time.Time
@@ -47,7 +45,7 @@
 	f.endClaim(ctx, x)
 	f.report(x, err)
 	if failure != nil {
-		x.answer(failure.Answer())
+		f.answer(x, failure.Answer())
 	}
 }
 
@@ -97,44 +95,21 @@
 	f.log.Info("settle", values...)
 }
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Code    string `json:"code"`
-	Message string `json:"message"`
-	Field   string `json:"field,omitempty"`
-}
-
 // answer gives the caller the failure. Behind a partial answer only the break
-// itself can tell: an event stream gets an error event in place of its
-// terminator, and any other answer is cut so that the caller sees it broken.
-func (x *Exchange) answer(a Answer) {
-	body, _ := json.Marshal(errorBody{Error: errorDetail{Code: a.Code, Message: a.Message, Field: a.Field}})
-	if x.reached {
-		if strings.HasPrefix(x.Writer.Header().Get("Content-Type"), eventStreamType) {
-			_, _ = x.Writer.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
-			_ = http.NewResponseController(x.Writer).Flush()
-			return
-		}
-		panic(http.ErrAbortHandler)
+// itself can tell: the dialect may end an event stream with an error, and any
+// other answer is cut so that the caller sees it broken.
+func (f settle) answer(x *Exchange, a Answer) {
+	if !x.reached {
+		f.dialect.Refuse(x.Writer, a)
+		return
 	}
-	h := x.Writer.Header()
-	h.Set("Content-Type", "application/json")
-	switch a.Code {
-	case codeNotRun:
-		h.Set(outcomeHeader, "not-run")
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
-	case codeOutcomeUnknown:
-		h.Set(outcomeHeader, "unknown")
+	stream := strings.HasPrefix(x.Writer.Header().Get("Content-Type"), eventStreamType)
+	if !stream || !f.dialect.Interrupt(x.Writer, a) {
+		panic(http.ErrAbortHandler)
 	}
-	x.Writer.WriteHeader(a.Status)
-	_, _ = x.Writer.Write(append(body, '\n'))
 }
 
 // RefuseNotRun answers a request that was not let into the pipeline.
-func RefuseNotRun(w http.ResponseWriter, message string) {
-	x := &Exchange{Writer: w}
-	x.answer(Answer{Status: http.StatusServiceUnavailable, Code: codeNotRun, Message: message, RetryAfter: defaultRetryAfter})
+func RefuseNotRun(d Dialect, w http.ResponseWriter, message string) {
+	d.Refuse(w, Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: message, RetryAfter: defaultRetryAfter})
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -241,6 +241,9 @@
 	if p.Replicas != nil && *p.Replicas < 1 {
 		c.add(path+"/replicas", "must be at least 1")
 	}
+	if p.MaxAttempts != nil && *p.MaxAttempts < 0 {
+		c.add(path+"/maxAttempts", "must not be negative")
+	}
 	if p.MovePrice != nil && *p.MovePrice < 0 {
 		c.add(path+"/movePrice", "must not be negative")
 	}
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -23,6 +23,11 @@
 	MayWait *bool `json:"mayWait,omitempty"`
 	// Replicas is the least number of replicas to keep.
 	Replicas *int `json:"replicas,omitempty"`
+	// MaxAttempts is the largest number of endpoints that a request may be sent
+	// to; 0 leaves it to the system.
+	MaxAttempts *int `json:"maxAttempts,omitempty"`
+	// Resumable tells whether another endpoint may continue a broken stream.
+	Resumable *bool `json:"resumable,omitempty"`
 	// MovePrice is the cost of one load, in requests that miss their target.
 	MovePrice *float64 `json:"movePrice,omitempty"`
 }
@@ -36,6 +41,8 @@
 	Repeatable    bool
 	MayWait       bool
 	Replicas      int
+	MaxAttempts   int
+	Resumable     bool
 	MovePrice     float64
 }
 
@@ -44,7 +51,7 @@
 	return Policy{
 		Priority: new(0), FirstTokenMS: new(int64(2000)), BetweenTokensMS: new(int64(200)),
 		DeadlineMS: new(int64(60000)), Repeatable: new(true), MayWait: new(false),
-		Replicas: new(1), MovePrice: new(1.0),
+		Replicas: new(1), MaxAttempts: new(0), Resumable: new(false), MovePrice: new(1.0),
 	}
 }
 
@@ -105,6 +112,8 @@
 		Repeatable:    *p.Repeatable,
 		MayWait:       *p.MayWait,
 		Replicas:      *p.Replicas,
+		MaxAttempts:   *p.MaxAttempts,
+		Resumable:     *p.Resumable,
 		MovePrice:     *p.MovePrice,
 	}
 }
