Serve the users' platform: one node program, its ports, and the adapter

Cause: nothing spoke the platform's wire (docs/decisions/0006).

The settings' catalog gains routes by host and path; membership gains entries that lapse while the store is away; the reflector goes on from its version after a broken watch.

--- /dev/null
+++ b/cmd/eiderspring/node.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eiderspring/eiderspring/daemon"
+	"github.com/eiderspring/eiderspring/pipeline"
+	"github.com/eiderspring/eiderspring/platform"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// settingsVariable names the file of a node's configuration.
+const settingsVariable = "EIDERSPRING_SETTINGS"
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run one instance on the users' platform until SIGTERM, then drain",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "config", Usage: "the node's configuration `FILE`", Required: true, Sources: cli.EnvVars(settingsVariable),
+			},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cfg, err := daemon.LoadNodeConfig(c.String("config"))
+			if err != nil {
+				return err
+			}
+			node, err := daemon.NewNode(cfg, platformPorts(), daemon.NewLogger(os.Stdout, cfg.LogLevel))
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return node.Run(ctx)
+		},
+	}
+}
+
+// platformPorts joins the product to the users' platform.
+func platformPorts() daemon.NodePorts {
+	kind, name := platform.SettingsKind()
+	return daemon.NodePorts{
+		Store:        func(cfg store.Config) store.Client { return platform.NewObjects(cfg) },
+		SettingsKind: kind, SettingsName: name, DecodeSettings: platform.DecodeConfig,
+		MembersKind: platform.MembersKind(), DecodeMember: platform.DecodeMember,
+		Callers:   func(catalog func() *settings.Catalog) pipeline.Dialect { return platform.NewCallers(catalog) },
+		Endpoints: platform.Endpoints{}, ReadyPath: platform.ReadyPath,
+	}
+}
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -119,15 +119,9 @@
 }
 
 func (c *configChecker) check(cfg Config) {
-	if cfg.Instance == "" {
-		c.add("/instance", "missing")
-	}
-	if cfg.Incarnation == "" {
-		c.add("/incarnation", "missing")
-	}
-	if cfg.FailureDomain == "" {
-		c.add("/failureDomain", "missing")
-	}
+	c.given("/instance", cfg.Instance)
+	c.given("/incarnation", cfg.Incarnation)
+	c.given("/failureDomain", cfg.FailureDomain)
 	c.address("/callers", cfg.Callers)
 	c.address("/operators", cfg.Operators)
 	c.url("/platform/objectAPI", cfg.Platform.ObjectAPI)
@@ -142,13 +136,29 @@
 			c.add(fmt.Sprintf("/peers/keys/%d", i), err.Error())
 		}
 	}
-	if _, known := routing.Policies()[cfg.RoutingPolicy]; !known {
+	c.choices(cfg.RoutingPolicy, cfg.LogLevel)
+	c.limits(cfg.Limits)
+}
+
+func (c *configChecker) given(path, text string) {
+	if text == "" {
+		c.add(path, "missing")
+	}
+}
+
+func (c *configChecker) choices(policy, level string) {
+	if _, known := routing.Policies()[policy]; !known {
 		c.add("/routingPolicy", "no such policy")
 	}
-	if _, known := logLevels[cfg.LogLevel]; !known {
+	if _, known := logLevels[level]; !known {
 		c.add("/logLevel", "must be debug, info or error")
 	}
-	c.limits(cfg.Limits)
+}
+
+func (c *configChecker) positive(path string, n float64) {
+	if n <= 0 {
+		c.add(path, "must be above 0")
+	}
 }
 
 func (c *configChecker) limits(l Limits) {
@@ -161,9 +171,7 @@
 		{"loadPollsPerSecond", l.LoadPollsPerSecond}, {"freshnessMS", float64(l.FreshnessMS)}, {"drainGraceMS", float64(l.DrainGraceMS)},
 		{"drainMS", float64(l.DrainMS)},
 	} {
-		if bound.n <= 0 {
-			c.add("/limits/"+bound.path, "must be above 0")
-		}
+		c.positive("/limits/"+bound.path, bound.n)
 	}
 }
 
--- /dev/null
+++ b/daemon/follow.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// configDuty follows the one object that holds the settings, where an operator
+// writes it whole.
+type configDuty struct {
+	client store.Client
+	kind   store.Kind
+	name   string
+	decode func(store.Object) (*revision.Accepted, error)
+	events *ring.Ring[event]
+	link   *storeLink
+	log    logr.Logger
+}
+
+func (d *configDuty) run(ctx context.Context) {
+	r := store.NewReflector(d.client, d.kind,
+		func(l store.List) {
+			d.link.heard()
+			for _, o := range l.Items {
+				d.found(ctx, o)
+			}
+		},
+		func(e store.Event) {
+			d.link.heard()
+			if e.Type != store.EventBookmark && e.Type != store.EventDeleted {
+				d.found(ctx, e.Object)
+			}
+		},
+		func(err error) { d.link.failed(string(d.kind), err) })
+	r.Run(ctx)
+}
+
+func (d *configDuty) found(ctx context.Context, o store.Object) {
+	if o.Metadata.Name != d.name {
+		return
+	}
+	accepted, err := d.decode(o)
+	if err != nil {
+		d.log.Error(err, "settings refused", "version", o.Metadata.ResourceVersion)
+		return
+	}
+	_ = d.events.Put(ctx, settingsAccepted{accepted})
+}
+
+// entriesDuty follows the entries of members in the store.
+type entriesDuty struct {
+	client  store.Client
+	kind    store.Kind
+	decode  func(store.Object) (membership.Member, error)
+	entries *membership.Entries
+	inputs  *ring.Ring[membership.EntryEvent]
+	events  *ring.Ring[event]
+	link    *storeLink
+	log     logr.Logger
+	now     func() time.Time
+}
+
+const (
+	// entryInputs bounds the changes that wait for the duty.
+	entryInputs = 256
+	// entriesTick is the time between two looks at entries that are missing.
+	entriesTick = 250 * time.Millisecond
+)
+
+func (d *entriesDuty) watch(ctx context.Context) {
+	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
+	r := store.NewReflector(d.client, d.kind,
+		func(l store.List) {
+			d.link.heard()
+			put(membership.StoreHeard{})
+			put(membership.EntriesListed{Members: d.members(l.Items)})
+		},
+		func(e store.Event) {
+			d.link.heard()
+			put(membership.StoreHeard{})
+			switch e.Type {
+			case store.EventBookmark:
+			case store.EventDeleted:
+				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
+			default:
+				for _, m := range d.members([]store.Object{e.Object}) {
+					put(membership.EntryChanged{Member: m})
+				}
+			}
+		},
+		func(err error) {
+			d.link.failed(string(d.kind), err)
+			if !store.IsExpired(err) {
+				put(membership.StoreLost{})
+			}
+		})
+	r.Run(ctx)
+}
+
+func (d *entriesDuty) members(objects []store.Object) []membership.Member {
+	members := make([]membership.Member, 0, len(objects))
+	for _, o := range objects {
+		m, err := d.decode(o)
+		if err != nil {
+			d.log.Error(err, "entry refused", "name", o.Metadata.Name)
+			continue
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func (d *entriesDuty) run(ctx context.Context) {
+	go d.tick(ctx)
+	for {
+		e, err := d.inputs.Take(ctx)
+		if err != nil {
+			return
+		}
+		if listing, changed := d.entries.Step(d.now(), e); changed {
+			_ = d.events.Put(ctx, membersListed{listing})
+		}
+	}
+}
+
+func (d *entriesDuty) tick(ctx context.Context) {
+	for wait.For(ctx, entriesTick) {
+		_ = d.inputs.Put(ctx, membership.EntriesTick{})
+	}
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -302,14 +302,16 @@
 	kickIdle = 250 * time.Millisecond
 )
 
-func (i *Instance) kickDuty(ctx context.Context) {
+func (i *Instance) kickDuty(ctx context.Context) { kickLoop(ctx, i.gates) }
+
+func kickLoop(ctx context.Context, gates *pipeline.Gates) {
 	for ctx.Err() == nil {
-		if i.gates.Len() == 0 {
+		if gates.Len() == 0 {
 			wait.For(ctx, kickIdle)
 			continue
 		}
 		wait.For(ctx, kickInterval)
-		i.gates.Kick()
+		gates.Kick()
 	}
 }
 
--- /dev/null
+++ b/daemon/node.go
@@ -0,0 +1,326 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/pipeline"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// NodePorts is where a node meets the platform that it runs on.
+type NodePorts struct {
+	// Store returns a client of the platform's object store.
+	Store func(store.Config) store.Client
+	// SettingsKind and SettingsName tell which object holds the settings, and
+	// DecodeSettings reads it.
+	SettingsKind   store.Kind
+	SettingsName   string
+	DecodeSettings func(store.Object) (*revision.Accepted, error)
+	// MembersKind is the kind of the endpoints' entries, which DecodeMember
+	// reads.
+	MembersKind  store.Kind
+	DecodeMember func(store.Object) (membership.Member, error)
+	// Callers returns the callers' dialect over the settings in force.
+	Callers func(catalog func() *settings.Catalog) pipeline.Dialect
+	// Endpoints is the endpoints' dialect.
+	Endpoints engine.Dialect
+	// ReadyPath is where the platform asks for readiness.
+	ReadyPath string
+}
+
+// Node is one instance on a platform that gives it an object store, a list of
+// endpoints and a whole configuration. It keeps nothing: whatever it knows it
+// has from there, and loses at any moment.
+type Node struct {
+	cfg      NodeConfig
+	ports    NodePorts
+	log      logr.Logger
+	now      func() time.Time
+	vars     *expvar.Map
+	router   *routing.Router
+	gates    *pipeline.Gates
+	retries  *pipeline.RetryBudgets
+	engine   *engine.Client
+	events   *ring.Ring[event]
+	link     *storeLink
+	idle     *idleConns
+	catalog  atomic.Pointer[settings.Catalog]
+	stopping atomic.Pointer[time.Time]
+
+	front, ready, operators *nodeServer
+	work                    context.Context
+	stop                    context.CancelFunc
+	done                    sync.WaitGroup
+}
+
+// nodeServer is one listener and what serves it.
+type nodeServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// NewNode returns a node that listens but serves nothing yet.
+func NewNode(cfg NodeConfig, ports NodePorts, log logr.Logger) (*Node, error) {
+	n := &Node{
+		cfg: cfg, ports: ports, log: log, now: time.Now, vars: new(expvar.Map).Init(),
+		router:  routing.NewRouter(routing.Policies()[cfg.RoutingPolicy], randv2.Float64),
+		retries: pipeline.NewRetryBudgets(cfg.Retries.limits()),
+		events:  ring.New[event](eventsCapacity, ring.Block),
+	}
+	n.work, n.stop = context.WithCancel(context.Background())
+	n.link = &storeLink{log: log, now: n.now}
+	n.idle = newIdleConns(n.now, n.idleLimit)
+	n.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, n.now)
+	n.engine = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints})
+	if err := n.listen(); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	return n, nil
+}
+
+// assumedInstances is among how many the common slack of retries is divided
+// while their number is not known.
+const assumedInstances = 16
+
+// limits is this instance's share of what all may make. A little stays unused,
+// as an instance that is restarted begins anew.
+func (r NodeRetry) limits() pipeline.RetryLimits {
+	const used = 0.8
+	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/assumedInstances), Initial: 1}
+}
+
+func (n *Node) listen() error {
+	dialect := n.ports.Callers(n.catalog.Load)
+	handler := pipeline.New(pipeline.Config{
+		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
+		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
+	})
+	for _, s := range []struct {
+		into    **nodeServer
+		address string
+		handler http.Handler
+	}{
+		{&n.front, n.cfg.Callers, n.guard(dialect, handler)},
+		{&n.ready, n.cfg.Readiness, n.readiness()},
+		{&n.operators, n.cfg.Operators, n.metrics()},
+	} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		read := milliseconds(n.cfg.Limits.ReadMS)
+		*s.into = &nodeServer{listener: listener, server: &http.Server{
+			Handler: s.handler, MaxHeaderBytes: n.cfg.Limits.HeaderBytes, ReadHeaderTimeout: read, ReadTimeout: read,
+			// Callers' connections rest for as long as the settings in force
+			// allow, which idleConns sees to.
+			IdleTimeout: longestRest,
+		}}
+	}
+	n.front.server.ConnState = n.idle.note
+	return nil
+}
+
+// longestRest is how long a connection may rest whatever the settings say.
+const longestRest = time.Hour
+
+func (n *Node) idleLimit() time.Duration {
+	c := n.catalog.Load()
+	if c == nil || c.Tree.Edge == nil {
+		return 0
+	}
+	return time.Duration(c.Tree.Edge.Limits.IdleMS) * time.Millisecond
+}
+
+// guard lets callers in while there are settings to serve them by and the node
+// has not stopped taking work.
+func (n *Node) guard(d pipeline.Dialect, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() != nil {
+			// The platform sends no more on this connection once it has this answer.
+			w.Header().Set("Connection", "close")
+		}
+		catalog := n.catalog.Load()
+		switch {
+		case catalog == nil:
+			pipeline.RefuseNotRun(d, w, "no settings are known yet")
+		case n.takesNoMore():
+			pipeline.RefuseNotRun(d, w, "the instance is stopping")
+		case headerBytes(r) > catalog.Tree.Edge.Limits.HeaderBytes:
+			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// headerBytes is the size of a request's head as it was sent, but for blanks.
+func headerBytes(r *http.Request) int {
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			total += len(name) + len(v)
+		}
+	}
+	return total
+}
+
+// Times of a planned stop, as shares of the grace that the platform gives.
+const (
+	// stopTaking is when new requests are refused: by then the platform has
+	// asked for readiness twice and sends none.
+	stopTaking = 3 * time.Second
+	// stopEarly is how long before the end of the grace the process ends.
+	stopEarly = 300 * time.Millisecond
+)
+
+// takesNoMore tells whether a planned stop has gone so far that a new request
+// might not be finished in it.
+func (n *Node) takesNoMore() bool {
+	since := n.stopping.Load()
+	return since != nil && n.now().Sub(*since) >= stopTaking
+}
+
+// Ready tells whether the node takes callers.
+func (n *Node) Ready() bool {
+	return n.catalog.Load() != nil && len(n.router.View().Pools) > 0 && n.stopping.Load() == nil
+}
+
+func (n *Node) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.ports.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (n *Node) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(n.vars.String() + "\n"))
+	})
+	return mux
+}
+
+// duties starts what follows the store and builds the view.
+func (n *Node) duties() {
+	calls := new(expvar.Map).Init()
+	n.vars.Set("store_calls", calls)
+	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
+	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Transport: &http.Transport{
+		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
+	}})
+	view := &viewDuty{
+		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
+		cells: func(*settings.Catalog, *membership.List) {}, peers: func(*membership.List) {},
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, ready: map[string][]string{},
+		catalog: n.adopt,
+	}
+	config := &configDuty{
+		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
+		events: n.events, link: n.link, log: n.log,
+	}
+	entries := &entriesDuty{
+		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
+		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
+	}
+	for _, run := range []func(context.Context){
+		view.run, config.run, entries.watch, entries.run, n.idle.run, n.kick,
+	} {
+		n.done.Go(func() { run(n.work) })
+	}
+}
+
+// kick offers waiting requests to the router now and then.
+func (n *Node) kick(ctx context.Context) { kickLoop(ctx, n.gates) }
+
+func (n *Node) revision() int64 {
+	if c := n.catalog.Load(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+// adopt puts a configuration in force.
+func (n *Node) adopt(a *revision.Accepted) *settings.Catalog {
+	c := settings.NewCatalog(a.Tree)
+	c.Revision = a.Entry.Revision
+	n.catalog.Store(c)
+	return c
+}
+
+// Run serves until ctx ends, then makes a planned stop.
+func (n *Node) Run(ctx context.Context) error {
+	n.duties()
+	failed := make(chan error, 3)
+	for _, s := range []*nodeServer{n.front, n.ready, n.operators} {
+		n.done.Go(func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	n.log.Info("start", "instance", n.cfg.Instance, "failure_domain", n.cfg.FailureDomain, "callers", n.cfg.Callers, "store", n.cfg.ObjectStore)
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+	}
+	n.Kill()
+	n.done.Wait()
+	n.log.Info("stop", "requests", n.vars.Get("requests"))
+	return trace.Wrap(err)
+}
+
+// drain makes a planned stop: not ready at once, while callers that are still
+// sent here are served on connections that end with their answer; then nothing
+// new, and what is in progress is finished.
+func (n *Node) drain() {
+	began := n.now()
+	n.stopping.Store(&began)
+	n.log.Info("draining", "waiting", n.gates.Len())
+	wait.For(context.Background(), stopTaking)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(milliseconds(n.cfg.Limits.GraceMS)-stopEarly))
+	defer cancel()
+	if err := n.front.server.Shutdown(ctx); err != nil {
+		n.log.Info("requests cut by the end of the grace", "error", err.Error())
+		return
+	}
+	n.log.Info("drained", "took_ms", n.now().Sub(began).Milliseconds())
+}
+
+// Kill stops at once, as a crash would: connections are cut.
+func (n *Node) Kill() {
+	n.stop()
+	for _, s := range []*nodeServer{n.front, n.ready, n.operators} {
+		if s != nil {
+			s.server.Close()
+			s.listener.Close()
+		}
+	}
+	n.engine.Close()
+}
--- /dev/null
+++ b/daemon/nodeconfig.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"os"
+
+	"github.com/eiderspring/eiderspring/jsonc"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// NodeConfig is the settings of one instance on the users' platform, as its
+// file gives them.
+type NodeConfig struct {
+	// Instance names the instance; it is the same after a restart.
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failureDomain"`
+	// Callers, Readiness and Operators are the addresses to listen on.
+	Callers   string `json:"callers"`
+	Readiness string `json:"readiness"`
+	Operators string `json:"operators"`
+	// ObjectStore is the URL of the platform's object store.
+	ObjectStore string `json:"objectStore"`
+	// PeerPorts are the first and the last port that instances may use among
+	// themselves.
+	PeerPorts []int `json:"peerPorts"`
+	// RoutingPolicy names one of routing.Policies.
+	RoutingPolicy string `json:"routingPolicy"`
+	// LogLevel is debug, info or error.
+	LogLevel string     `json:"logLevel"`
+	Retries  NodeRetry  `json:"retries"`
+	Orders   NodeOrders `json:"orders"`
+	Limits   NodeLimits `json:"limits"`
+}
+
+// NodeRetry bounds the second attempts of all instances together.
+type NodeRetry struct {
+	// Ratio is how many second attempts each request earns.
+	Ratio float64 `json:"ratio"`
+	// Slack is how many more all instances may make in a window.
+	Slack float64 `json:"slack"`
+}
+
+// NodeOrders bounds the orders to engines.
+type NodeOrders struct {
+	// LeaseMS is how long an engine must have had no order from one holder
+	// before another may send it one, in milliseconds.
+	LeaseMS int `json:"leaseMS"`
+	// ChecksFencing tells whether engines refuse orders of earlier holders.
+	ChecksFencing bool `json:"checksFencing"`
+	// RateWindowS and RateOver bound the loads from the weight store: RateOver
+	// times its rate in any window of so many seconds.
+	RateWindowS float64 `json:"rateWindowS"`
+	RateOver    float64 `json:"rateOver"`
+}
+
+// NodeLimits bound what one instance takes on.
+type NodeLimits struct {
+	HeaderBytes int `json:"headerBytes"`
+	// ReadMS bounds the time to read a request, in milliseconds.
+	ReadMS int `json:"readMS"`
+	// QueueRequests and QueueBytes bound the queue of each pool.
+	QueueRequests int `json:"queueRequests"`
+	QueueBytes    int `json:"queueBytes"`
+	// GraceMS is how long the platform waits after SIGTERM before it kills, in
+	// milliseconds.
+	GraceMS int `json:"graceMS"`
+}
+
+// DefaultNodeConfig returns the values of fields that a file leaves out.
+func DefaultNodeConfig() NodeConfig {
+	return NodeConfig{
+		RoutingPolicy: routing.DefaultPolicy, LogLevel: "info",
+		Retries: NodeRetry{Ratio: 0.1, Slack: 10},
+		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
+		Limits: NodeLimits{
+			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000,
+		},
+	}
+}
+
+// LoadNodeConfig reads a node's file. Faults come in one *jsonc.Error.
+func LoadNodeConfig(path string) (NodeConfig, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return NodeConfig{}, err
+	}
+	return ParseNodeConfig(path, src)
+}
+
+// ParseNodeConfig reads and checks a node's configuration text.
+func ParseNodeConfig(file string, src []byte) (NodeConfig, error) {
+	cfg := DefaultNodeConfig()
+	doc, err := jsonc.Parse(file, src)
+	if err != nil {
+		return cfg, err
+	}
+	if err := doc.Decode(&cfg); err != nil {
+		return cfg, err
+	}
+	c := configChecker{doc: doc}
+	c.node(cfg)
+	if len(c.faults) > 0 {
+		return cfg, &jsonc.Error{Faults: c.faults}
+	}
+	return cfg, nil
+}
+
+func (c *configChecker) node(cfg NodeConfig) {
+	c.given("/instance", cfg.Instance)
+	c.given("/failureDomain", cfg.FailureDomain)
+	c.address("/callers", cfg.Callers)
+	c.address("/readiness", cfg.Readiness)
+	c.address("/operators", cfg.Operators)
+	c.url("/objectStore", cfg.ObjectStore)
+	if len(cfg.PeerPorts) != 2 || cfg.PeerPorts[0] < 1 || cfg.PeerPorts[1] < cfg.PeerPorts[0] {
+		c.add("/peerPorts", "must be the first and the last of a range of ports")
+	}
+	c.choices(cfg.RoutingPolicy, cfg.LogLevel)
+	for _, bound := range []struct {
+		path string
+		n    float64
+	}{
+		{"limits/headerBytes", float64(cfg.Limits.HeaderBytes)}, {"limits/readMS", float64(cfg.Limits.ReadMS)},
+		{"limits/queueRequests", float64(cfg.Limits.QueueRequests)}, {"limits/queueBytes", float64(cfg.Limits.QueueBytes)},
+		{"limits/graceMS", float64(cfg.Limits.GraceMS)}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
+		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
+	} {
+		c.positive("/"+bound.path, bound.n)
+	}
+	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack} {
+		if n < 0 {
+			c.add(path, "must not be negative")
+		}
+	}
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -104,7 +104,7 @@
 		},
 		func(e store.Event) {
 			d.heard.store()
-			if e.Type != store.EventDeleted {
+			if e.Type != store.EventDeleted && e.Type != store.EventBookmark {
 				d.found(ctx, e.Object)
 			}
 		},
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -142,7 +143,10 @@
 			continue
 		}
 		present[m.Name] = true
-		e := d.endpoint(m, pool.Concurrency)
+		e := d.endpoint(m, cmp.Or(m.Slots, pool.Concurrency))
+		if m.Resident != nil {
+			d.ready[m.Name] = m.Resident
+		}
 		v.Pools[m.Pool] = append(v.Pools[m.Pool], e)
 		for _, unit := range d.ready[m.Name] {
 			v.Replicas[unit] = append(v.Replicas[unit], e)
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -26,6 +26,9 @@
 	// Resumes tells whether an endpoint goes on with a broken stream when the
 	// attempt's id is asked for.
 	Resumes() bool
+	// Load reads the load that an endpoint tells with an answer, the answered
+	// request included; false means that it tells none.
+	Load(h http.Header) (running, waiting int, ok bool)
 }
 
 // RefusedError is an endpoint's word that it has not run an attempt.
@@ -88,6 +91,9 @@
 // Resumes implements Dialect.
 func (OpenAI) Resumes() bool { return true }
 
+// Load implements Dialect: engines tell it when asked.
+func (OpenAI) Load(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
+
 // Cancel tells the endpoint that nobody waits for an attempt any more.
 func (c *Client) Cancel(ctx context.Context, a Attempt) error {
 	word, needed := c.dialect.Cancel(a)
@@ -101,5 +107,10 @@
 	return resp.Body.Close()
 }
 
+// ToldLoad returns the load that an endpoint told with an answer.
+func (c *Client) ToldLoad(resp *http.Response) (running, waiting int, ok bool) {
+	return c.dialect.Load(resp.Header)
+}
+
 // Resumes tells whether Resume may be used.
 func (c *Client) Resumes() bool { return c.dialect.Resumes() }
--- /dev/null
+++ b/membership/entries.go
@@ -0,0 +1,160 @@
+package membership
+
+import "time"
+
+// EntryEvent is an input of Entries.
+type EntryEvent interface{ isEntryEvent() }
+
+// EntriesListed is the whole list of entries.
+type EntriesListed struct{ Members []Member }
+
+// EntryChanged is an entry that is new or has changed.
+type EntryChanged struct{ Member Member }
+
+// EntryRemoved is an entry that has gone from the store.
+type EntryRemoved struct{ Name string }
+
+// StoreLost says that the store gave no answer.
+type StoreLost struct{}
+
+// StoreHeard says that it gave one.
+type StoreHeard struct{}
+
+// EntriesTick lets time pass.
+type EntriesTick struct{}
+
+func (EntriesListed) isEntryEvent() {}
+func (EntryChanged) isEntryEvent()  {}
+func (EntryRemoved) isEntryEvent()  {}
+func (StoreLost) isEntryEvent()     {}
+func (StoreHeard) isEntryEvent()    {}
+func (EntriesTick) isEntryEvent()   {}
+
+// ReturnGrace is how long after the store's return an entry that lapsed while
+// it was away may take to come back; its members renew entries about that
+// often.
+const ReturnGrace = 2 * time.Second
+
+// Entries is the members by their entries in a store, where an entry lapses
+// unless its member renews it.
+//
+// An entry that goes while the store answers says that its member is gone. One
+// that lapsed while members could not reach the store says nothing: it is kept
+// until ReturnGrace after the store's return.
+//
+// Invariant: each key of missing is one of members.
+type Entries struct {
+	version int64
+	members map[string]Member
+	// missing holds when each kept entry was first seen to be missing.
+	missing map[string]time.Time
+	lost    bool
+	// returnedAt is when the store was last heard after it was lost.
+	returnedAt time.Time
+}
+
+// NewEntries returns an empty set.
+func NewEntries() *Entries {
+	return &Entries{members: map[string]Member{}, missing: map[string]time.Time{}}
+}
+
+// Step applies an event. It returns the list and whether it has changed.
+func (s *Entries) Step(now time.Time, e EntryEvent) (Listing, bool) {
+	changed := false
+	switch e := e.(type) {
+	case EntriesListed:
+		changed = s.listed(now, e.Members)
+	case EntryChanged:
+		changed = s.put(e.Member)
+	case EntryRemoved:
+		changed = s.remove(now, e.Name)
+	case StoreLost:
+		s.lost = true
+	case StoreHeard:
+		if s.lost {
+			s.lost, s.returnedAt = false, now
+		}
+	}
+	changed = s.expire(now) || changed
+	if !changed {
+		return Listing{}, false
+	}
+	s.version++
+	return s.listing(), true
+}
+
+// Waiting tells whether entries are missing that may come back.
+func (s *Entries) Waiting() bool { return len(s.missing) > 0 }
+
+func (s *Entries) listed(now time.Time, members []Member) bool {
+	present := make(map[string]bool, len(members))
+	// The first list is one also when it is empty.
+	changed := s.version == 0
+	for _, m := range members {
+		present[m.Name] = true
+		changed = s.put(m) || changed
+	}
+	for name := range s.members {
+		if !present[name] {
+			changed = s.remove(now, name) || changed
+		}
+	}
+	return changed
+}
+
+func (s *Entries) put(m Member) bool {
+	delete(s.missing, m.Name)
+	known, listed := s.members[m.Name]
+	if listed && known.equal(m) {
+		return false
+	}
+	s.members[m.Name] = m
+	return true
+}
+
+func (s *Entries) remove(now time.Time, name string) bool {
+	m, known := s.members[name]
+	if !known {
+		return false
+	}
+	if m.State == Live && s.lapses(now) {
+		if _, missed := s.missing[name]; !missed {
+			s.missing[name] = now
+		}
+		return false
+	}
+	s.drop(name)
+	return true
+}
+
+// lapses tells whether an entry that is missing now may have lapsed only
+// because the store was away.
+func (s *Entries) lapses(now time.Time) bool {
+	return s.lost || !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < ReturnGrace
+}
+
+func (s *Entries) drop(name string) {
+	delete(s.members, name)
+	delete(s.missing, name)
+}
+
+// expire drops what is still missing when the grace has passed.
+func (s *Entries) expire(now time.Time) bool {
+	if s.lapses(now) {
+		return false
+	}
+	changed := false
+	for name := range s.missing {
+		s.drop(name)
+		changed = true
+	}
+	return changed
+}
+
+func (s *Entries) listing() Listing {
+	l := Listing{Version: s.version, Members: make([]Member, 0, len(s.members))}
+	for _, m := range s.members {
+		l.Members = append(l.Members, m)
+	}
+	return l
+}
--- a/membership/list.go
+++ b/membership/list.go
@@ -67,7 +67,7 @@
 		if l.left[m.Name] == m.Incarnation {
 			m.State = Leaving
 		}
-		if l.members[m.Name] != m {
+		if known, listed := l.members[m.Name]; !listed || !known.equal(m) {
 			l.members[m.Name] = m
 			changes = append(changes, Change{Member: m, At: now})
 		}
--- a/membership/member.go
+++ b/membership/member.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // State is where a member is in its life.
 type State string
@@ -28,8 +31,20 @@
 	// Incarnation changes whenever the member is started anew.
 	Incarnation string `json:"incarnation"`
 	State       State  `json:"state"`
+	// Slots is how many requests an endpoint runs at once; 0 means that only
+	// the settings tell.
+	Slots int `json:"slots,omitempty"`
+	// Resident holds the units that an endpoint has ready, where the list tells
+	// them, in order; nil means that it does not.
+	Resident []string `json:"resident,omitempty"`
+	// LeavesInMS is how long a leaving endpoint still runs, in milliseconds, as
+	// it said when it began to leave; 0 means that it did not say.
+	LeavesInMS int64 `json:"leavesInMS,omitempty"`
 }
 
+// equal tells whether nothing differs.
+func (m Member) equal(o Member) bool { return reflect.DeepEqual(m, o) }
+
 // Listing is one answer of the platform's list.
 type Listing struct {
 	Version int64    `json:"version"`
--- a/pipeline/decode.go
+++ b/pipeline/decode.go
@@ -33,7 +33,7 @@
 	if len(x.Call.Key) > maxKeyBytes {
 		return &DecodeError{Status: http.StatusBadRequest, Field: idempotencyKey, Reason: "longer than 256 bytes"}
 	}
-	if err := d.body(x); err != nil {
+	if err := x.ReadBody(d.maxBody); err != nil {
 		return err
 	}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
@@ -42,8 +42,9 @@
 	return decodeCompletion(x)
 }
 
-func (d decode) body(x *Exchange) error {
-	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, d.maxBody))
+// ReadBody reads the body of the request, of max bytes at most.
+func (x *Exchange) ReadBody(max int64) error {
+	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, max))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &DecodeError{Status: http.StatusRequestEntityTooLarge, Field: "body", Reason: err.Error()}
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -5,14 +5,17 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/routing"
 )
 
 // dispatch sends the attempt to its endpoint and waits for the answer's header.
 type dispatch struct {
 	client  *engine.Client
 	retries *RetryBudgets
+	now     func() time.Time
 }
 
 // Process implements Filter.
@@ -28,6 +31,7 @@
 	if err != nil {
 		return &DispatchError{TimedOut: errors.Is(err, context.DeadlineExceeded), Err: err}
 	}
+	f.noteLoad(x, resp)
 	if f.better(x, resp) {
 		resp.Body.Close()
 		return &DispatchError{Err: &FailedAnswerError{Status: resp.StatusCode}}
@@ -36,6 +40,16 @@
 	return nil
 }
 
+// noteLoad records the load that the endpoint told with its answer.
+func (f dispatch) noteLoad(x *Exchange, resp *http.Response) {
+	running, waiting, told := f.client.ToldLoad(resp)
+	if !told {
+		return
+	}
+	e := x.attempt().Decision.Endpoint
+	e.Report(routing.Load{At: f.now(), Running: running, Waiting: waiting, OwnAtReport: e.Own()})
+}
+
 // FailedAnswerError is an endpoint's failure that is not passed on, as another
 // attempt may do better.
 type FailedAnswerError struct{ Status int }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -28,6 +28,9 @@
 	// PeerKeys are the keys of the link between instances, in hex, the one to
 	// use first. They come before the keys of an instance's own configuration.
 	PeerKeys []string `json:"peerKeys,omitempty"`
+	// Edge is what the deployment's operator says of the callers' side, where
+	// callers are told apart by host and path; the settings' own text has none.
+	Edge *Edge `json:"-"`
 }
 
 // DefaultClaimHorizonMS is for how long keys are remembered unless set.
@@ -62,7 +65,16 @@
 	// network may hold an order to an endpoint; 0 means DefaultMaxOrderDelayMS.
 	MaxOrderDelayMS int64 `json:"maxOrderDelayMS,omitempty"`
 	// Concurrency is how many requests one endpoint runs at once.
-	Concurrency int               `json:"concurrency"`
+	Concurrency int `json:"concurrency"`
+	// AdapterSlots is how many adapters one endpoint holds; 0 means that only
+	// their memory bounds them.
+	AdapterSlots int `json:"adapterSlots,omitempty"`
+	// KVTokens is how many tokens of prompts and answers one endpoint has
+	// memory for; 0 means that it is not known.
+	KVTokens int `json:"kvTokens,omitempty"`
+	// Connections is how many connections one endpoint takes from all
+	// instances together; 0 means that it is not known.
+	Connections int               `json:"connections,omitempty"`
 	Policy      Policy            `json:"policy"`
 	Models      map[string]*Model `json:"models,omitempty"`
 }
@@ -83,7 +95,14 @@
 	// WeightsMB is the size of the weights in MiB.
 	WeightsMB int64 `json:"weightsMB"`
 	// KVMB is the KV cache reserved for each replica in MiB.
-	KVMB     int64               `json:"kvMB"`
+	KVMB int64 `json:"kvMB"`
+	// LoadMS, DiskMS and WarmMS are how long a load takes from the weight store,
+	// from the endpoint's disk and from its host memory, in milliseconds; 0
+	// means that it is not known.
+	LoadMS int64 `json:"loadMS,omitempty"`
+	DiskMS int64 `json:"diskMS,omitempty"`
+	WarmMS int64 `json:"warmMS,omitempty"`
+
 	Policy   Policy              `json:"policy"`
 	Adapters map[string]*Adapter `json:"adapters,omitempty"`
 	Versions map[string]*Version `json:"versions,omitempty"`
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -36,9 +36,13 @@
 // Catalog is the tree resolved for use: every unit and every name that a
 // request may carry. It is immutable.
 type Catalog struct {
-	Tree    *Tree
-	Units   map[string]Unit
-	Targets map[string]Target
+	Tree *Tree
+	// Revision is that of the settings, 0 where it is kept elsewhere.
+	Revision int64
+	Units    map[string]Unit
+	Targets  map[string]Target
+	// Routes finds requests that are told apart by host and path.
+	Routes  RouteTable
 	callers map[string]callerEntry
 }
 
@@ -63,6 +67,9 @@
 	for name, caller := range t.Callers {
 		c.addCaller(name, caller)
 	}
+	if t.Edge != nil {
+		c.Routes = NewRouteTable(t.Edge.Routes)
+	}
 	return c
 }
 
--- /dev/null
+++ b/store/caller.go
@@ -0,0 +1,114 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Call is one call to an object API.
+type Call struct {
+	Verb string
+	Kind Kind
+	// Name is that of the object, for errors; empty for a list.
+	Name string
+	URL  string
+	Body []byte
+}
+
+// verbWatch counts a call that waits for changes.
+const verbWatch = "WATCH"
+
+// Caller makes calls and tells by the error what a failure proves.
+type Caller struct {
+	timeout time.Duration
+	calls   *expvar.Map
+	http    *http.Client
+}
+
+// DefaultCallTimeout bounds a call where Config does not.
+const DefaultCallTimeout = 2 * time.Second
+
+// NewCaller returns a caller; it makes no call by itself. The URL of the
+// configuration is not used.
+func NewCaller(cfg Config) *Caller {
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	}
+	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, http: &http.Client{Transport: cfg.Transport}}
+}
+
+// Call makes a call within the caller's timeout and decodes the answer into
+// into, unless that is nil.
+func (c *Caller) Call(ctx context.Context, call Call, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.Wait(ctx, call, into)
+}
+
+// Wait is Call bounded by ctx alone, for a call that waits for changes.
+func (c *Caller) Wait(ctx context.Context, call Call, into any) error {
+	resp, err := c.open(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if into == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
+		return &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
+	}
+	return nil
+}
+
+// open makes a call and returns the answer if it is a success.
+func (c *Caller) open(ctx context.Context, call Call) (*http.Response, error) {
+	if c.calls != nil {
+		c.calls.Add(call.Verb+" "+string(call.Kind), 1)
+	}
+	method := call.Verb
+	if method == verbWatch {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, call.URL, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &EncodeError{Kind: call.Kind, Name: call.Name, Err: err}
+	}
+	if call.Body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
+	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	err = statusError(resp, call.Kind, call.Name)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		err = &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
+	}
+	return nil, err
+}
+
+// maxAnswerBytes bounds what is read of an answer; a list of many objects is
+// larger than one object.
+const maxAnswerBytes = 64 * MaxObjectBytes
+
+// maxMessageBytes bounds what is kept of an error's text.
+const maxMessageBytes = 512
+
+func statusError(resp *http.Response, kind Kind, name string) error {
+	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	return &StatusError{Code: resp.StatusCode, Kind: kind, Name: name, Message: strings.TrimSpace(string(message))}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -1,11 +1,9 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -43,31 +41,15 @@
 	Transport http.RoundTripper
 }
 
-// DefaultCallTimeout bounds a call where Config does not.
-const DefaultCallTimeout = 2 * time.Second
-
 // HTTPClient speaks to the object API over net/http.
 type HTTPClient struct {
-	base    string
-	timeout time.Duration
-	calls   *expvar.Map
-	http    *http.Client
+	base   string
+	caller *Caller
 }
 
 // NewHTTPClient returns a client; it makes no call by itself.
 func NewHTTPClient(cfg Config) *HTTPClient {
-	if cfg.CallTimeout == 0 {
-		cfg.CallTimeout = DefaultCallTimeout
-	}
-	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
-	}
-	return &HTTPClient{
-		base:    strings.TrimSuffix(cfg.URL, "/") + "/apis/" + APIVersion + "/",
-		timeout: cfg.CallTimeout,
-		calls:   cfg.Calls,
-		http:    &http.Client{Transport: cfg.Transport},
-	}
+	return &HTTPClient{base: strings.TrimSuffix(cfg.URL, "/") + "/apis/" + APIVersion + "/", caller: NewCaller(cfg)}
 }
 
 // Get implements Client.
@@ -111,26 +93,18 @@
 		Metadata Metadata `json:"metadata"`
 		Items    []Object `json:"items"`
 	}
-	err := c.callTarget(ctx, http.MethodGet, kind, "", c.base+string(kind)+query, nil, &page)
+	err := c.caller.Call(ctx, Call{Verb: http.MethodGet, Kind: kind, URL: c.base + string(kind) + query}, &page)
 	return List{ResourceVersion: page.Metadata.ResourceVersion, Items: page.Items}, err
 }
 
 // Watch implements Client.
 func (c *HTTPClient) Watch(ctx context.Context, kind Kind, resourceVersion string, handle func(Event)) error {
-	c.count("WATCH", kind)
 	target := c.base + string(kind) + "?watch=1&resourceVersion=" + url.QueryEscape(resourceVersion)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	resp, err := c.caller.open(ctx, Call{Verb: verbWatch, Kind: kind, URL: target})
 	if err != nil {
-		return &EncodeError{Kind: kind, Err: err}
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return &UnansweredError{Kind: kind, Err: err}
+		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return statusError(resp, kind, "")
-	}
 	dec := json.NewDecoder(resp.Body)
 	for {
 		var e Event
@@ -154,52 +128,5 @@
 	if name != "" {
 		target += "/" + url.PathEscape(name)
 	}
-	return c.callTarget(ctx, verb, kind, name, target, body, into)
-}
-
-func (c *HTTPClient) callTarget(ctx context.Context, verb string, kind Kind, name, target string, body []byte, into any) error {
-	c.count(verb, kind)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, verb, target, bytes.NewReader(body))
-	if err != nil {
-		return &EncodeError{Kind: kind, Name: name, Err: err}
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return &UnansweredError{Kind: kind, Name: name, Err: err}
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode >= http.StatusInternalServerError {
-		return &UnansweredError{Kind: kind, Name: name, Err: statusError(resp, kind, name)}
-	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return statusError(resp, kind, name)
-	}
-	if into == nil {
-		return nil
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
-		return &UnansweredError{Kind: kind, Name: name, Err: err}
-	}
-	return nil
-}
-
-// maxAnswerBytes bounds what is read of an answer; a list of many objects is
-// larger than one object.
-const maxAnswerBytes = 64 * MaxObjectBytes
-
-// maxMessageBytes bounds what is kept of an error's text.
-const maxMessageBytes = 512
-
-func statusError(resp *http.Response, kind Kind, name string) error {
-	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
-	return &StatusError{Code: resp.StatusCode, Kind: kind, Name: name, Message: strings.TrimSpace(string(message))}
-}
-
-func (c *HTTPClient) count(verb string, kind Kind) {
-	if c.calls != nil {
-		c.calls.Add(verb+" "+string(kind), 1)
-	}
+	return c.caller.Call(ctx, Call{Verb: verb, Kind: kind, Name: name, URL: target, Body: body}, into)
 }
--- a/store/object.go
+++ b/store/object.go
@@ -83,6 +83,8 @@
 	EventAdded    EventType = "ADDED"
 	EventModified EventType = "MODIFIED"
 	EventDeleted  EventType = "DELETED"
+	// EventBookmark only tells a newer resource version.
+	EventBookmark EventType = "BOOKMARK"
 )
 
 // Event is one change that a watch reports.
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -15,13 +15,15 @@
 	kind   Kind
 	// replace gets the whole list after each (re)list.
 	replace func(List)
-	// apply gets each change that follows.
+	// apply gets each change that follows, and bookmarks.
 	apply func(Event)
 	// fail gets each error that interrupts the watch.
 	fail func(error)
 	// jitter returns a number in [0,1); it spreads the reconnections of many
 	// instances over the retry interval.
 	jitter func() float64
+	// version is where the watch goes on; empty means that a list is needed.
+	version string
 }
 
 // Bounds of the pause before a reflector lists again after a failure. With the
@@ -29,7 +31,7 @@
 // at once.
 const (
 	reflectorMinPause = 200 * time.Millisecond
-	reflectorMaxPause = 5 * time.Second
+	reflectorMaxPause = time.Second
 )
 
 // NewReflector returns a reflector; Run starts it.
@@ -41,12 +43,12 @@
 func (r *Reflector) Run(ctx context.Context) {
 	pause := reflectorMinPause
 	for ctx.Err() == nil {
-		listed, err := r.listAndWatch(ctx)
+		progress, err := r.listAndWatch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		r.fail(err)
-		if listed {
+		if progress {
 			pause = reflectorMinPause
 		}
 		if !wait.For(ctx, time.Duration(float64(pause)*(0.5+r.jitter()))) {
@@ -56,23 +58,26 @@
 	}
 }
 
-// listAndWatch returns when the watch breaks; listed tells whether the store
-// answered the list.
-func (r *Reflector) listAndWatch(ctx context.Context) (listed bool, err error) {
-	list, err := r.client.List(ctx, r.kind)
-	if err != nil {
-		return false, err
-	}
-	r.replace(list)
-	version := list.ResourceVersion
-	for {
-		before := version
-		err = r.client.Watch(ctx, r.kind, version, func(e Event) {
-			version = e.Object.Metadata.ResourceVersion
-			r.apply(e)
-		})
-		if IsExpired(err) || version == before {
-			return true, err
+// listAndWatch lists unless a version to go on from is known, and watches until
+// the watch breaks. It tells whether the store has answered anything. A version
+// that the store no longer keeps is forgotten.
+func (r *Reflector) listAndWatch(ctx context.Context) (progress bool, err error) {
+	if r.version == "" {
+		list, err := r.client.List(ctx, r.kind)
+		if err != nil {
+			return false, err
 		}
+		r.version = list.ResourceVersion
+		r.replace(list)
+		progress = true
+	}
+	err = r.client.Watch(ctx, r.kind, r.version, func(e Event) {
+		progress = true
+		r.version = e.Object.Metadata.ResourceVersion
+		r.apply(e)
+	})
+	if IsExpired(err) {
+		r.version = ""
 	}
+	return progress, err
 }
