--- a/admission/gate.go
+++ b/admission/gate.go
@@ -122,6 +122,15 @@
 	delete(g.waiting, w)
 }
 
+// Waiting adds the number of requests waiting for each unit to counts.
+func (g *Gate) Waiting(counts map[string]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for unit, list := range g.queue.units {
+		counts[unit] += len(list)
+	}
+}
+
 // Len returns the number of waiting requests.
 func (g *Gate) Len() int {
 	g.mu.Lock()
--- a/bench/slopes_test.go
+++ b/bench/slopes_test.go
@@ -146,7 +146,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				r.Release(d.Endpoint)
+				r.Release(&d)
 			}
 		})
 	}
--- a/cmd/eiderspring/node.go
+++ b/cmd/eiderspring/node.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/eiderspring/eiderspring/daemon"
+	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/platform"
 	"github.com/eiderspring/eiderspring/settings"
@@ -52,6 +53,7 @@
 		SettingsKind: kind, SettingsName: name, DecodeSettings: platform.DecodeConfig,
 		MembersKind: platform.MembersKind(), DecodeMember: platform.DecodeMember,
 		Callers:   func(catalog func() *settings.Catalog) pipeline.Dialect { return platform.NewCallers(catalog) },
+		Controls:  func(c *engine.Client, instance string) daemon.Controls { return platform.NewOrders(c, instance) },
 		Endpoints: platform.Endpoints{}, ReadyPath: platform.ReadyPath,
 	}
 }
--- a/daemon/cells.go
+++ b/daemon/cells.go
@@ -106,11 +106,16 @@
 	c.mu.Lock()
 	ranked := slices.Clone(c.instances)
 	c.mu.Unlock()
-	weight := func(name string) uint64 { return xxhash.Sum64String(task + "\x00" + name) }
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	rendezvous(task, ranked)
 	return ranked
 }
 
+// rendezvous puts instances in the order of rendezvous hashing for a task.
+func rendezvous(task string, instances []string) {
+	weight := func(name string) uint64 { return xxhash.Sum64String(task + "\x00" + name) }
+	slices.SortFunc(instances, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+}
+
 func (c *cells) start(cell string) *cellDuty {
 	d := &cellDuty{
 		cell: cell, client: c.client, writer: store.NewWriter(c.client), engine: c.engine, now: c.now,
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/revision"
 )
 
@@ -25,6 +26,10 @@
 // instanceLeaving is an instance's word that it makes a planned stop.
 type instanceLeaving struct{ name string }
 
+// placementsTold is the word of the instance that places units.
+type placementsTold struct{ placements []peer.Placement }
+
+func (placementsTold) isEvent()   {}
 func (instanceLeaving) isEvent()  {}
 func (settingsAccepted) isEvent() {}
 func (membersListed) isEvent()    {}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"expvar"
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +20,7 @@
 	"github.com/eiderspring/eiderspring/admission"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
@@ -43,6 +47,8 @@
 	Callers func(catalog func() *settings.Catalog) pipeline.Dialect
 	// Endpoints is the endpoints' dialect.
 	Endpoints engine.Dialect
+	// Controls returns what orders engines about, in the name of an instance.
+	Controls func(c *engine.Client, instance string) Controls
 	// ReadyPath is where the platform asks for readiness.
 	ReadyPath string
 }
@@ -51,15 +57,20 @@
 // endpoints and a whole configuration. It keeps nothing: whatever it knows it
 // has from there, and loses at any moment.
 type Node struct {
-	cfg      NodeConfig
-	ports    NodePorts
-	log      logr.Logger
-	now      func() time.Time
-	vars     *expvar.Map
-	router   *routing.Router
-	gates    *pipeline.Gates
-	retries  *pipeline.RetryBudgets
-	engine   *engine.Client
+	cfg     NodeConfig
+	ports   NodePorts
+	log     logr.Logger
+	now     func() time.Time
+	vars    *expvar.Map
+	router  *routing.Router
+	gates   *pipeline.Gates
+	retries *pipeline.RetryBudgets
+	engine  *engine.Client
+	// control carries reports and orders, apart from callers' requests.
+	control  *engine.Client
+	mesh     *mesh
+	placers  *placers
+	presence *presenceDuty
 	events   *ring.Ring[event]
 	link     *storeLink
 	idle     *idleConns
@@ -91,6 +102,8 @@
 	n.idle = newIdleConns(n.now, n.idleLimit)
 	n.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, n.now)
 	n.engine = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints})
+	n.control = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints, IdlePerEndpoint: 1})
+	n.mesh = n.newMesh()
 	if err := n.listen(); err != nil {
 		n.Kill()
 		return nil, err
@@ -109,10 +122,43 @@
 	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/assumedInstances), Initial: 1}
 }
 
+func (n *Node) newMesh() *mesh {
+	host, _, err := net.SplitHostPort(n.cfg.Callers)
+	if err != nil {
+		// The configuration was checked where it was read.
+		host = ""
+	}
+	return &mesh{
+		instance: n.cfg.Instance, process: rand.Text(), address: net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPorts[0])),
+		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, log: n.log, now: n.now,
+		placed:   func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
+		demanded: func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
+		leaving:  func() bool { return n.stopping.Load() != nil },
+		inputs:   ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
+		listed: map[string]string{}, board: peer.NewBoard(),
+	}
+}
+
+// holder names this process among all that ever run.
+func (n *Node) holder() string { return n.cfg.Instance + "/" + n.mesh.process }
+
+// campaigns tells whether this instance should hold the lease of a pool: it is
+// among the first by rendezvous hashing over those that are alive.
+func (n *Node) campaigns(pool string) bool {
+	if n.stopping.Load() != nil {
+		return false
+	}
+	alive := slices.Clone(n.mesh.alive())
+	rendezvous(pool, alive)
+	at := slices.Index(alive, n.cfg.Instance)
+	return at >= 0 && at < campaigners
+}
+
 func (n *Node) listen() error {
 	dialect := n.ports.Callers(n.catalog.Load)
 	handler := pipeline.New(pipeline.Config{
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
+		Demand: n.mesh.demand, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
 	})
 	for _, s := range []struct {
@@ -233,10 +279,18 @@
 	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
+	n.placers = &placers{
+		ctx: n.work, cfg: n.cfg.Orders, instance: n.cfg.Instance, holder: n.holder(), client: objects, log: n.log, now: n.now, done: &n.done,
+		controls: n.ports.Controls(n.control, n.cfg.Instance), campaigns: n.campaigns, place: n.mesh.place, running: map[string]*placer{},
+	}
+	n.presence = &presenceDuty{
+		client: objects, writer: store.NewWriter(objects), instance: n.cfg.Instance, link: n.link, log: n.log,
+		self: presence{Datagrams: n.mesh.address, Process: n.mesh.process}, opened: n.mesh.open, found: n.mesh.find,
+	}
 	view := &viewDuty{
 		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
-		cells: func(*settings.Catalog, *membership.List) {}, peers: func(*membership.List) {},
-		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, ready: map[string][]string{},
+		cells: n.placers.update, peers: func(*membership.List) {},
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(),
 		catalog: n.adopt,
 	}
 	config := &configDuty{
@@ -248,7 +302,7 @@
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
 	}
 	for _, run := range []func(context.Context){
-		view.run, config.run, entries.watch, entries.run, n.idle.run, n.kick,
+		view.run, config.run, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
@@ -302,6 +356,8 @@
 func (n *Node) drain() {
 	began := n.now()
 	n.stopping.Store(&began)
+	n.mesh.hurry()
+	n.done.Go(func() { n.presence.withdraw(n.work) })
 	n.log.Info("draining", "waiting", n.gates.Len())
 	wait.For(context.Background(), stopTaking)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(milliseconds(n.cfg.Limits.GraceMS)-stopEarly))
@@ -323,4 +379,6 @@
 		}
 	}
 	n.engine.Close()
+	n.control.Close()
+	n.mesh.close()
 }
--- /dev/null
+++ b/daemon/placer.go
@@ -0,0 +1,257 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/lease"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/placement/counted"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// Controls orders engines about. Send's error is for the log; the result alone
+// says what became of the order.
+type Controls interface {
+	Report(ctx context.Context, endpoint, address string) (*counted.Report, error)
+	Send(ctx context.Context, endpoint, address string, o counted.Order) (counted.Result, error)
+}
+
+const (
+	// placerEvents bounds the events that wait for a placer's controller.
+	placerEvents = 1024
+	// placerTick is the time between ticks of a controller that may order,
+	// placerIdle that of one that may not.
+	placerTick = 50 * time.Millisecond
+	placerIdle = 500 * time.Millisecond
+	// leaseRenewals is how many times a lease is renewed while it lasts.
+	leaseRenewals = 4
+	// leaseDrift is what a challenger waits longer, and a holder stops earlier.
+	leaseDrift = 250 * time.Millisecond
+	// leaseLook is the time between two looks at the lease.
+	leaseLook = 200 * time.Millisecond
+	// orderMargin is how long before the end of its lease a holder stops to
+	// order: an order takes a moment to arrive.
+	orderMargin = 500 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = time.Second
+	// orderAnswer bounds the wait for the answer to an order.
+	orderAnswer = time.Second
+)
+
+// placer runs the controller of one pool of engines, and the lease by which at
+// most one instance orders there.
+type placer struct {
+	pool       string
+	controls   Controls
+	controller *counted.Controller
+	runner     *lease.Runner
+	events     *ring.Ring[counted.Event]
+	log        logr.Logger
+	now        func() time.Time
+	// place tells all instances what endpoints hold.
+	place func([]peer.Placement)
+	epoch int64
+}
+
+func (p *placer) put(e counted.Event) { _ = p.events.Put(context.Background(), e) }
+
+func (p *placer) leaseChanged(a lease.Action) {
+	switch a := a.(type) {
+	case lease.Acquired:
+		p.log.Info("lease acquired", "epoch", a.Epoch)
+		p.put(counted.LeaseAcquired{Epoch: a.Epoch, Succeeds: a.Epoch > 1})
+	case lease.Lost:
+		p.log.Info("lease lost", "epoch", a.Epoch)
+		p.put(counted.LeaseLost{})
+	}
+}
+
+func (p *placer) run(ctx context.Context) {
+	go p.tick(ctx)
+	for {
+		e, err := p.events.Take(ctx)
+		if err != nil {
+			p.events.Close()
+			return
+		}
+		p.carryOut(ctx, p.controller.Step(p.now(), e))
+	}
+}
+
+func (p *placer) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := placerIdle
+		if _, held := p.runner.Hold(); held {
+			pause = placerTick
+		}
+		wait.For(ctx, pause)
+		p.put(counted.Tick{})
+	}
+}
+
+func (p *placer) carryOut(ctx context.Context, actions []counted.Action) {
+	var told []peer.Placement
+	for _, a := range actions {
+		switch a := a.(type) {
+		case counted.Ask:
+			go p.ask(ctx, a)
+		case counted.Send:
+			go p.send(ctx, a)
+		case counted.Tell:
+			told = append(told, peer.Placement{Epoch: p.heldEpoch(), Endpoint: a.Endpoint, Units: a.Units, Going: a.Going})
+		case counted.Decided:
+			m := a.Move
+			p.log.Info("place", "op", m.Op, "unit", m.Unit, "endpoint", m.Endpoint, "reason", m.Reason, "for", m.For,
+				"replicas", m.Replicas, "share", m.Share, "waiting", m.Waiting)
+		case counted.Noted:
+			p.log.Info("placement", "event", a.What, "endpoint", a.Endpoint, "unit", a.Unit, "detail", a.Detail)
+		}
+	}
+	if len(told) > 0 {
+		p.place(told)
+	}
+}
+
+func (p *placer) heldEpoch() int64 {
+	h, _ := p.runner.Hold()
+	return h.Epoch
+}
+
+func (p *placer) ask(ctx context.Context, a counted.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	askedAt := p.now()
+	r, err := p.controls.Report(ctx, a.Endpoint, a.Address)
+	if err != nil {
+		p.log.V(1).Info("no report", "endpoint", a.Endpoint, "error", err.Error())
+	}
+	p.put(counted.Reported{Endpoint: a.Endpoint, AskedAt: askedAt, Report: r})
+}
+
+// errNotHeld keeps back an order for which the lease no longer stands.
+var errNotHeld = errors.New("the lease does not last long enough")
+
+// send sends an order if the lease stands, by this instance's clock right
+// before the send: the process may have been paused since the decision.
+func (p *placer) send(ctx context.Context, s counted.Send) {
+	result, err := counted.Refused, errNotHeld
+	hold, held := p.runner.Hold()
+	if held && hold.Epoch == s.Order.Epoch && p.now().Before(hold.Until.Add(-orderMargin)) {
+		ctx, cancel := context.WithTimeout(ctx, orderAnswer)
+		defer cancel()
+		result, err = p.controls.Send(ctx, s.Endpoint, s.Address, s.Order)
+	}
+	if err != nil {
+		p.log.Info("order not confirmed", "op", s.Order.Op, "unit", s.Order.Unit, "endpoint", s.Endpoint, "error", err.Error())
+	}
+	p.put(counted.OrderEnded{Endpoint: s.Endpoint, Order: s.Order, Result: result})
+}
+
+// placers runs a placer for each pool of engines.
+type placers struct {
+	ctx      context.Context
+	cfg      NodeOrders
+	instance string
+	holder   string
+	client   store.Client
+	controls Controls
+	log      logr.Logger
+	now      func() time.Time
+	done     *sync.WaitGroup
+	// campaigns tells whether this instance should hold the lease of a pool.
+	campaigns func(pool string) bool
+	place     func([]peer.Placement)
+
+	mu      sync.Mutex
+	running map[string]*placer
+}
+
+// update gives the settings and the list to every placer, and starts placers of
+// pools that are new.
+func (p *placers) update(catalog *settings.Catalog, list *membership.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range enginePools(catalog) {
+		if p.running[pool] == nil {
+			p.running[pool] = p.start(pool)
+		}
+	}
+	for pool, placer := range p.running {
+		if catalog.Tree.Pools[pool] != nil {
+			placer.put(countedCell(catalog, pool))
+		}
+		placer.put(countedMembers(list, pool))
+	}
+}
+
+// demanded passes the demand of all instances on.
+func (p *placers) demanded(rate map[string]float64, waiting map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, placer := range p.running {
+		placer.put(counted.Demanded{Rate: rate, Waiting: waiting})
+	}
+}
+
+func (p *placers) start(pool string) *placer {
+	duration := milliseconds(p.cfg.LeaseMS)
+	d := &placer{
+		pool: pool, controls: p.controls, now: p.now, log: p.log.WithValues("pool", pool), place: p.place,
+		events: ring.New[counted.Event](placerEvents, ring.Block),
+		controller: counted.NewController(counted.Config{
+			OrderLease: duration, RateOver: p.cfg.RateOver,
+			RateWindow: time.Duration(p.cfg.RateWindowS * float64(time.Second)),
+		}),
+	}
+	d.runner = lease.NewRunner(lease.RunnerConfig{
+		Name: "cell-" + pool, Client: p.client, Now: p.now, Changed: d.leaseChanged, Tick: leaseLook,
+		Campaign: func() bool { return p.campaigns(pool) },
+		Lease:    lease.Config{Holder: p.holder, Duration: duration, RenewEvery: duration / leaseRenewals, Drift: leaseDrift},
+	})
+	p.done.Go(func() { d.run(p.ctx) })
+	p.done.Go(func() { d.runner.Run(p.ctx) })
+	return d
+}
+
+// countedCell is what the settings say of a pool.
+func countedCell(catalog *settings.Catalog, pool string) counted.Configured {
+	t := catalog.Tree.Pools[pool]
+	c := counted.Configured{
+		CapacityMB: t.MemoryMB, AdapterSlots: t.AdapterSlots, LoadsPerSecond: catalog.Tree.WeightStore.LoadsPerSecond,
+	}
+	for name, u := range catalog.Units {
+		if u.Pool != pool {
+			continue
+		}
+		unit := counted.Unit{Name: name, Base: u.Base, MemoryMB: u.MemoryMB}
+		if m := t.Models[name]; m != nil {
+			unit.Rank = m.Rank
+			unit.FromStore = time.Duration(m.LoadMS) * time.Millisecond
+			unit.FromDisk = time.Duration(m.DiskMS) * time.Millisecond
+			unit.FromMemory = time.Duration(m.WarmMS) * time.Millisecond
+		}
+		c.Units = append(c.Units, unit)
+	}
+	return c
+}
+
+func countedMembers(list *membership.List, pool string) counted.Listed {
+	var l counted.Listed
+	for _, m := range list.Pool(pool) {
+		l.Members = append(l.Members, counted.Member{
+			Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain,
+			Leaving: m.State != membership.Live, Resident: slices.Clone(m.Resident),
+		})
+	}
+	return l
+}
--- /dev/null
+++ b/daemon/presence.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// presence is the spec of an instance's object: how others reach it.
+type presence struct {
+	Datagrams string `json:"datagrams"`
+	Process   string `json:"process"`
+}
+
+// peerKey is the spec of the object that holds the datagrams' key.
+type peerKey struct {
+	Key string `json:"key"`
+}
+
+// peerKeyName is the one object of its kind.
+const peerKeyName = "datagrams"
+
+// presenceDuty makes this instance known to the others, and the others to it.
+// It writes once when the instance starts and once when it stops.
+type presenceDuty struct {
+	client   store.Client
+	writer   *store.Writer
+	instance string
+	self     presence
+	link     *storeLink
+	log      logr.Logger
+	// opened gets the key of the datagrams, found gets where an instance
+	// receives them; an empty address says that it is gone.
+	opened func(key []byte) error
+	found  func(instance, address string)
+}
+
+// presencePause is the pause before a call that failed is made again.
+const presencePause = 500 * time.Millisecond
+
+func (d *presenceDuty) run(ctx context.Context) {
+	d.until(ctx, "key", d.key)
+	d.until(ctx, "presence", d.register)
+}
+
+// until makes a call until it succeeds.
+func (d *presenceDuty) until(ctx context.Context, what string, call func(context.Context) error) {
+	for ctx.Err() == nil {
+		err := call(ctx)
+		if err == nil {
+			return
+		}
+		d.log.V(1).Info("not registered yet", "what", what, "error", err.Error())
+		wait.For(ctx, jitter(presencePause))
+	}
+}
+
+// key reads the datagrams' key, or makes it if there is none.
+func (d *presenceDuty) key(ctx context.Context) error {
+	o, err := d.client.Get(ctx, store.KindPeerKey, peerKeyName)
+	if store.IsNotFound(err) {
+		o, err = d.makeKey(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	var k peerKey
+	if err := json.Unmarshal(o.Spec, &k); err != nil {
+		return &store.EncodeError{Kind: o.Kind, Name: o.Metadata.Name, Err: err}
+	}
+	key, err := peer.ParseKey(k.Key)
+	if err != nil {
+		return err
+	}
+	return d.opened(key)
+}
+
+func (d *presenceDuty) makeKey(ctx context.Context) (store.Object, error) {
+	key := make([]byte, peer.KeyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return store.Object{}, err
+	}
+	o, err := store.NewObject(store.KindPeerKey, peerKeyName, peerKey{Key: hex.EncodeToString(key)})
+	if err != nil {
+		return o, err
+	}
+	return d.writer.Create(ctx, o)
+}
+
+func (d *presenceDuty) register(ctx context.Context) error {
+	o, err := store.NewObject(store.KindInstance, d.instance, d.self)
+	if err != nil {
+		return err
+	}
+	old, err := d.client.Get(ctx, store.KindInstance, d.instance)
+	switch {
+	case store.IsNotFound(err):
+		_, err = d.writer.Create(ctx, o)
+	case err == nil:
+		o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+		_, err = d.writer.Update(ctx, o)
+	}
+	return err
+}
+
+// withdraw removes the instance's object, for a planned stop.
+func (d *presenceDuty) withdraw(ctx context.Context) {
+	if err := d.client.Delete(ctx, store.KindInstance, d.instance); err != nil && !store.IsNotFound(err) {
+		d.log.Info("presence not withdrawn", "error", err.Error())
+	}
+}
+
+// watch follows the other instances.
+func (d *presenceDuty) watch(ctx context.Context) {
+	r := store.NewReflector(d.client, store.KindInstance,
+		func(l store.List) {
+			d.link.heard()
+			for _, o := range l.Items {
+				d.note(o)
+			}
+		},
+		func(e store.Event) {
+			d.link.heard()
+			switch e.Type {
+			case store.EventBookmark:
+			case store.EventDeleted:
+				d.found(e.Object.Metadata.Name, "")
+			default:
+				d.note(e.Object)
+			}
+		},
+		func(err error) { d.link.failed(string(store.KindInstance), err) })
+	r.Run(ctx)
+}
+
+func (d *presenceDuty) note(o store.Object) {
+	var p presence
+	if err := json.Unmarshal(o.Spec, &p); err != nil {
+		d.log.Error(err, "presence unreadable", "name", o.Metadata.Name)
+		return
+	}
+	d.found(o.Metadata.Name, p.Datagrams)
+}
--- /dev/null
+++ b/daemon/residency.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"slices"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+// residency is which units each endpoint holds, by whichever word came last:
+// the endpoint's report, its entry in the platform's list, or that of the
+// instance that places units, which knows first.
+type residency struct {
+	units map[string]heldUnits
+}
+
+// heldUnits is what is known of one endpoint.
+type heldUnits struct {
+	ready []string
+	// going are those that get no new requests.
+	going []string
+	// entry is what its entry told last; nil if it told nothing yet.
+	entry []string
+	// epoch is the newest whose word was taken.
+	epoch int64
+}
+
+func newResidency() residency { return residency{units: map[string]heldUnits{}} }
+
+// reported takes an endpoint's report and tells whether it was news.
+func (r residency) reported(endpoint string, ready []string) bool {
+	h := r.units[endpoint]
+	changed := !sameSet(h.ready, ready)
+	h.ready = ready
+	r.units[endpoint] = h
+	return changed
+}
+
+// listed takes an endpoint's entry. One that has not changed may be behind what
+// was told since, and is no news.
+func (r residency) listed(m membership.Member) {
+	h := r.units[m.Name]
+	if m.Resident == nil || h.entry != nil && sameSet(h.entry, m.Resident) {
+		return
+	}
+	h.entry, h.ready = m.Resident, m.Resident
+	r.units[m.Name] = h
+}
+
+// placed takes the word of an instance that places units, unless a later one's
+// was taken, and tells whether it was news.
+func (r residency) placed(p peer.Placement) bool {
+	h := r.units[p.Endpoint]
+	if p.Epoch < h.epoch {
+		return false
+	}
+	changed := !sameSet(h.ready, p.Units) || !sameSet(h.going, p.Going)
+	h.epoch, h.ready, h.going = p.Epoch, p.Units, p.Going
+	r.units[p.Endpoint] = h
+	return changed
+}
+
+// serving returns the units that an endpoint takes requests for.
+func (r residency) serving(endpoint string) []string {
+	h := r.units[endpoint]
+	return slices.DeleteFunc(slices.Clone(h.ready), func(u string) bool { return slices.Contains(h.going, u) })
+}
+
+func (r residency) forget(endpoint string) { delete(r.units, endpoint) }
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	in := make(map[string]bool, len(a))
+	for _, s := range a {
+		in[s] = true
+	}
+	for _, s := range b {
+		if !in[s] {
+			return false
+		}
+	}
+	return true
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -33,8 +33,8 @@
 	resolved  *settings.Catalog
 	list      *membership.List
 	endpoints map[string]*routing.Endpoint
-	// ready holds the units that each endpoint reports as ready.
-	ready map[string][]string
+	// residency is what each endpoint holds.
+	residency residency
 }
 
 func (d *viewDuty) run(ctx context.Context) {
@@ -67,6 +67,8 @@
 		return known && len(d.list.Step(d.now(), observed)) > 0 && d.inform()
 	case loadReported:
 		return d.report(e)
+	case placementsTold:
+		return d.placed(e)
 	default:
 		return false
 	}
@@ -104,25 +106,18 @@
 			ready = append(ready, u.Name)
 		}
 	}
-	changed := !sameSet(d.ready[e.endpoint], ready)
-	d.ready[e.endpoint] = ready
-	return changed
+	return d.residency.reported(e.endpoint, ready)
 }
 
-func sameSet(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	in := make(map[string]bool, len(a))
-	for _, s := range a {
-		in[s] = true
-	}
-	for _, s := range b {
-		if !in[s] {
-			return false
+// placed takes the word of the instance that places units.
+func (d *viewDuty) placed(e placementsTold) bool {
+	changed := false
+	for _, p := range e.placements {
+		if _, known := d.endpoints[p.Endpoint]; known {
+			changed = d.residency.placed(p) || changed
 		}
 	}
-	return true
+	return changed
 }
 
 func (d *viewDuty) rebuild() {
@@ -144,18 +139,16 @@
 		}
 		present[m.Name] = true
 		e := d.endpoint(m, cmp.Or(m.Slots, pool.Concurrency))
-		if m.Resident != nil {
-			d.ready[m.Name] = m.Resident
-		}
+		d.residency.listed(m)
 		v.Pools[m.Pool] = append(v.Pools[m.Pool], e)
-		for _, unit := range d.ready[m.Name] {
+		for _, unit := range d.residency.serving(m.Name) {
 			v.Replicas[unit] = append(v.Replicas[unit], e)
 		}
 	}
 	for name := range d.endpoints {
 		if !present[name] {
 			delete(d.endpoints, name)
-			delete(d.ready, name)
+			d.residency.forget(name)
 		}
 	}
 	d.router.SetView(v)
@@ -171,7 +164,7 @@
 			Incarnation: m.Incarnation, Concurrency: concurrency,
 		}
 		d.endpoints[m.Name] = e
-		delete(d.ready, m.Name)
+		d.residency.forget(m.Name)
 	}
 	e.SetLeaving(m.State != membership.Live)
 	return e
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/eiderspring/eiderspring/commit"
@@ -19,6 +20,14 @@
 	changed func(Action)
 	// campaign tells at each tick whether this instance wants the lease.
 	campaign func() bool
+	tick     time.Duration
+	hold     atomic.Pointer[Hold]
+}
+
+// Hold is a lease that is held until a moment of this instance's clock.
+type Hold struct {
+	Epoch int64
+	Until time.Time
 }
 
 // RunnerConfig sets up a Runner.
@@ -32,11 +41,17 @@
 	Changed func(Action)
 	// Campaign tells whether this instance wants the lease now.
 	Campaign func() bool
+	// Tick is the time between looks at the lease; 0 means the default.
+	Tick time.Duration
 }
 
 // NewRunner returns a runner; Run starts it.
 func NewRunner(cfg RunnerConfig) *Runner {
+	if cfg.Tick == 0 {
+		cfg.Tick = tickEvery
+	}
 	return &Runner{
+		tick: cfg.Tick,
 		name: cfg.Name, machine: NewMachine(cfg.Lease), client: cfg.Client,
 		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign,
 	}
@@ -50,7 +65,7 @@
 
 // Run campaigns until ctx ends, then hands the lease over if it is held.
 func (r *Runner) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(r.tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -69,9 +84,29 @@
 	r.step(ctx, Campaign{Want: false})
 }
 
+// Hold returns the lease as it is held; false if it is not. It may be called
+// from any goroutine.
+func (r *Runner) Hold() (Hold, bool) {
+	if h := r.hold.Load(); h != nil {
+		return *h, true
+	}
+	return Hold{}, false
+}
+
+// note keeps what Hold returns.
+func (r *Runner) note() {
+	if !r.machine.held {
+		r.hold.Store(nil)
+		return
+	}
+	r.hold.Store(&Hold{Epoch: r.machine.epoch, Until: r.machine.validUntil})
+}
+
 // step runs an event and all that follows from it.
 func (r *Runner) step(ctx context.Context, e Event) {
-	for _, a := range r.machine.Step(r.now(), e) {
+	actions := r.machine.Step(r.now(), e)
+	r.note()
+	for _, a := range actions {
 		switch a := a.(type) {
 		case Read:
 			if next := r.read(ctx); next != nil {
--- /dev/null
+++ b/peer/packet.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// PacketVersion is the version of the packet's form. A neighbouring release
+// may add fields, which this one ignores; another version is refused.
+const PacketVersion = 1
+
+// MaxPacketBytes bounds an encoded packet, so that it fits one datagram.
+const MaxPacketBytes = 1200
+
+// Packet is what an instance tells others several times a second: what it has
+// under way at endpoints, what it is asked for, and, from the instance that
+// places units, where they are. A lost packet costs only time.
+type Packet struct {
+	Version int `cbor:"1,keyasint"`
+	// From names the sender, Process this run of it, and Address where it
+	// receives packets.
+	From    string `cbor:"2,keyasint"`
+	Process string `cbor:"3,keyasint"`
+	Address string `cbor:"4,keyasint"`
+	// Seq grows with every packet of the process.
+	Seq uint64 `cbor:"5,keyasint"`
+	// Loads replaces what the sender told before.
+	Loads []EndpointLoad `cbor:"6,keyasint,omitempty"`
+	// Demands are units that were asked for lately.
+	Demands []UnitDemand `cbor:"7,keyasint,omitempty"`
+	// Placements come from the instance that places units; a packet with some
+	// tells nothing else.
+	Placements []Placement `cbor:"8,keyasint,omitempty"`
+	// Leaving tells that the sender makes a planned stop.
+	Leaving bool `cbor:"9,keyasint,omitempty"`
+}
+
+// EndpointLoad is what one instance has under way at an endpoint.
+type EndpointLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	// Running is requests, Prompt the tokens of those that have had no answer.
+	Running, Prompt int64
+}
+
+// UnitDemand is what one instance is asked for.
+type UnitDemand struct {
+	_    struct{} `cbor:",toarray"`
+	Unit string
+	// Work is the tokens asked for since the process began.
+	Work float64
+	// Waiting is the requests that wait for a replica.
+	Waiting int
+}
+
+// Placement is what an endpoint holds, by the word of the instance that places
+// units there.
+type Placement struct {
+	_ struct{} `cbor:",toarray"`
+	// Epoch is that of the instance's lease.
+	Epoch    int64
+	Endpoint string
+	// Units are what it holds, Going those of them that get no new requests.
+	Units, Going []string
+}
+
+var packetDecoder = mustPacketDecoder()
+
+func mustPacketDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodePacket returns the packet's encoding.
+func EncodePacket(p Packet) ([]byte, error) { return cbor.Marshal(p) }
+
+// DecodePacket reads a packet.
+func DecodePacket(data []byte) (Packet, error) {
+	var p Packet
+	if len(data) > MaxPacketBytes {
+		return p, ErrTooLarge
+	}
+	if err := packetDecoder.Unmarshal(data, &p); err != nil {
+		return p, fmt.Errorf("packet: %w", err)
+	}
+	if p.Version != PacketVersion {
+		return p, ErrVersion
+	}
+	return p, nil
+}
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -40,6 +40,14 @@
 	})
 }
 
+// Waiting adds the number of requests waiting for each unit to counts.
+func (g *Gates) Waiting(counts map[string]int) {
+	g.gates.Range(func(_, gate any) bool {
+		gate.(*admission.Gate).Waiting(counts)
+		return true
+	})
+}
+
 // Len returns the number of requests waiting at all gates.
 func (g *Gates) Len() int {
 	n := 0
@@ -55,6 +63,7 @@
 	gates         *Gates
 	router        *routing.Router
 	failureDomain string
+	unreachable   func()
 	now           func() time.Time
 }
 
@@ -64,12 +73,18 @@
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
+		PromptTokens: x.Call.PromptTokens,
 	}
 	var decision routing.Decision
 	var pickErr error
+	told := false
 	take := func() bool {
 		req.Now = f.now()
 		decision, pickErr = f.router.Pick(&req)
+		if !told && errors.Is(pickErr, routing.ErrNoReplica) {
+			told = true
+			f.unreachable()
+		}
 		// No wait helps where nothing is left to try; the error ends it below.
 		return pickErr == nil || errors.Is(pickErr, routing.ErrNoneLeft)
 	}
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return &DispatchError{TimedOut: errors.Is(err, context.DeadlineExceeded), Err: err}
 	}
+	a.Decision.Answered()
 	f.noteLoad(x, resp)
 	if f.better(x, resp) {
 		resp.Body.Close()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -26,6 +26,9 @@
 	// AttemptID is the id that endpoints know the request by; empty means that
 	// each attempt gets an id of its own.
 	AttemptID string
+	// PromptTokens and OutputTokens are the length of the prompt and the most
+	// that may be generated; 0 where the caller does not say.
+	PromptTokens, OutputTokens int64
 	// Patience is how long the caller waits; 0 means that it did not say.
 	Patience time.Duration
 	// Key is the caller's idempotency key, or empty.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -36,6 +36,10 @@
 	FailureDomain string
 	// Dialect is how callers speak.
 	Dialect Dialect
+	// Demand is told what is asked for; nil tells nobody.
+	Demand *Demand
+	// Unreachable is told when a request finds no replica of its unit.
+	Unreachable func()
 	// Retries bounds second attempts; nil means DefaultRetryLimits.
 	Retries *RetryBudgets
 }
@@ -57,11 +61,14 @@
 	if cfg.Retries == nil {
 		cfg.Retries = NewRetryBudgets(DefaultRetryLimits)
 	}
+	if cfg.Unreachable == nil {
+		cfg.Unreachable = func() {}
+	}
 	return &Pipeline{
 		cfg:     cfg,
 		prepare: cfg.Dialect.Prepare(),
 		attempt: []Filter{
-			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, now: cfg.Now},
+			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, now: cfg.Now},
 			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
@@ -90,6 +97,7 @@
 		return err
 	}
 	p.retries.Earn(x.Target.Pool)
+	p.cfg.Demand.asked(x)
 	for {
 		err := p.try(ctx, x)
 		if err == nil || !p.again(ctx, x, err) {
@@ -107,7 +115,7 @@
 	}
 	a := x.attempt()
 	p.rate(ctx, a, err)
-	p.cfg.Router.Release(a.Decision.Endpoint)
+	p.cfg.Router.Release(&a.Decision)
 	p.cfg.Gates.Pool(x.Target.Pool).Completed()
 	if err != nil && mayRun(err) && x.Target.Kind == settings.KindEngine {
 		p.cancel(ctx, x)
--- /dev/null
+++ b/placement/counted/controller.go
@@ -0,0 +1,318 @@
+package counted
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Config sets up a Controller.
+type Config struct {
+	// OrderLease is how long an endpoint must have had no order of another
+	// holder.
+	OrderLease time.Duration
+	// RateWindow and RateOver bound the loads from the weight store: RateOver
+	// times its rate in any RateWindow.
+	RateWindow time.Duration
+	RateOver   float64
+}
+
+// Times of a Controller.
+const (
+	// planEvery is the time between plans, unless a request waits.
+	planEvery = 200 * time.Millisecond
+	// refreshEvery is the time between reports of an endpoint at which nothing
+	// is under way; its entry tells of changes besides.
+	refreshEvery = 5 * time.Second
+	// pollEvery is the time between reports of one at which something is late.
+	pollEvery = 400 * time.Millisecond
+	// askRetry is the time before a report that did not come is asked for again.
+	askRetry = 500 * time.Millisecond
+	// settleTime is how old a report may be: one asked for sooner after an
+	// order's end may not show its effect.
+	settleTime = 150 * time.Millisecond
+	// withdrawTime is the time between the withdrawal of a unit from routing
+	// and its unload, for requests that are being sent.
+	withdrawTime = 60 * time.Millisecond
+	// unloadTime is how long an unload of an idle model takes, about.
+	unloadTime = 150 * time.Millisecond
+	// unknownLoadTime stands for a load time that the settings do not tell.
+	unknownLoadTime = 10 * time.Second
+	// adapterTime is how long an adapter takes to load, about.
+	adapterTime = 25 * time.Millisecond
+)
+
+// spentAtTakeover is how many loads of the window a successor takes for
+// unspent: the platform's bound allows that many beyond its rate.
+const spentAtTakeover = 3
+
+// Controller places the units of one cell while its instance may order.
+type Controller struct {
+	cfg      Config
+	settings Configured
+	units    map[string]Unit
+	// endpoints is keyed by name.
+	endpoints map[string]*endpoint
+	demand    demand
+	window    loadWindow
+
+	holding bool
+	epoch   int64
+	// orderFrom is when the first order may be sent.
+	orderFrom time.Time
+	planAt    time.Time
+}
+
+// NewController returns a controller that may not order.
+func NewController(cfg Config) *Controller {
+	return &Controller{cfg: cfg, units: map[string]Unit{}, endpoints: map[string]*endpoint{}, demand: newDemand()}
+}
+
+// Step applies an event and returns what to do, in order.
+func (c *Controller) Step(now time.Time, e Event) []Action {
+	var actions []Action
+	switch e := e.(type) {
+	case Configured:
+		c.configure(e)
+	case Listed:
+		c.list(now, e)
+	case Reported:
+		actions = c.reported(now, e)
+	case OrderEnded:
+		actions = c.orderEnded(now, e)
+	case Demanded:
+		c.demand.observe(now, e)
+		c.hurry(now, e)
+	case LeaseAcquired:
+		actions = c.acquired(now, e)
+	case LeaseLost:
+		c.holding = false
+	}
+	if !c.holding {
+		return actions
+	}
+	actions = append(actions, c.ask(now)...)
+	if now.Before(c.orderFrom) {
+		return actions
+	}
+	return append(actions, c.place(now)...)
+}
+
+// Holding tells whether the controller decides.
+func (c *Controller) Holding() bool { return c.holding }
+
+func (c *Controller) configure(e Configured) {
+	c.settings = e
+	c.units = make(map[string]Unit, len(e.Units))
+	for _, u := range e.Units {
+		c.units[u.Name] = u
+	}
+	c.window.configure(e.LoadsPerSecond, c.cfg.RateWindow, c.cfg.RateOver)
+}
+
+func (c *Controller) list(now time.Time, l Listed) {
+	present := make(map[string]bool, len(l.Members))
+	for _, m := range l.Members {
+		present[m.Name] = true
+		e := c.endpoints[m.Name]
+		if e == nil {
+			c.endpoints[m.Name] = newEndpoint(m, now)
+			continue
+		}
+		if !slices.Equal(e.Member.Resident, m.Resident) {
+			// The entry has changed: something that was ordered is done, or
+			// something else has happened.
+			e.askAt = now
+		}
+		e.Member = m
+	}
+	for name := range c.endpoints {
+		if !present[name] {
+			delete(c.endpoints, name)
+		}
+	}
+}
+
+func (c *Controller) acquired(now time.Time, e LeaseAcquired) []Action {
+	c.holding, c.epoch, c.orderFrom = true, e.Epoch, now
+	if e.Succeeds {
+		c.orderFrom = now.Add(c.cfg.OrderLease)
+		c.window.begin(now, max(0, c.window.limit-spentAtTakeover))
+	}
+	for _, ep := range c.endpoints {
+		// What the former holder ordered is not known here.
+		ep.known, ep.sending, ep.doubt, ep.askAt, ep.asking, ep.moving = false, nil, nil, now, false, nil
+		clear(ep.going)
+	}
+	return []Action{Noted{What: "placement taken over", Detail: "epoch " + strconv.FormatInt(e.Epoch, 10)}}
+}
+
+// ask asks endpoints whose state is not known, or at which something is due.
+func (c *Controller) ask(now time.Time) []Action {
+	var actions []Action
+	for _, name := range sortedNames(c.endpoints) {
+		e := c.endpoints[name]
+		if e.asking || e.sending != nil || now.Before(e.askAt) || now.Sub(e.endedAt) < settleTime {
+			continue
+		}
+		e.asking = true
+		actions = append(actions, Ask{Endpoint: e.Name, Address: e.Address})
+	}
+	return actions
+}
+
+func (c *Controller) reported(now time.Time, r Reported) []Action {
+	e := c.endpoints[r.Endpoint]
+	if e == nil {
+		return nil
+	}
+	e.asking = false
+	e.askAt = now.Add(askRetry)
+	if r.Report == nil || e.sending != nil || r.AskedAt.Before(e.endedAt.Add(settleTime)) {
+		return nil
+	}
+	if !e.believe(now, r.Report) {
+		e.askAt = now.Add(pollEvery)
+		return nil
+	}
+	e.askAt = now.Add(c.nextAsk(now, e))
+	return []Action{e.tell()}
+}
+
+// nextAsk is how long the report just taken will do.
+func (c *Controller) nextAsk(now time.Time, e *endpoint) time.Duration {
+	switch {
+	case e.moving != nil:
+		left := e.moving.since.Add(c.duration(e, Order{Op: e.moving.op, Unit: e.moving.unit})).Sub(now)
+		return max(left, pollEvery)
+	case e.foreignBusy || e.doubt != nil || len(e.coming) > 0:
+		return pollEvery
+	default:
+		return refreshEvery
+	}
+}
+
+// duration is how long an order takes at an endpoint, about.
+func (c *Controller) duration(e *endpoint, o Order) time.Duration {
+	u := c.units[o.Unit]
+	switch {
+	case o.Op == OpUnload:
+		return unloadTime
+	case u.Base != "":
+		return adapterTime
+	case e.inMemory[o.Unit] && u.FromMemory > 0:
+		return u.FromMemory
+	case e.onDisk[o.Unit] && u.FromDisk > 0:
+		return u.FromDisk
+	case u.FromStore > 0:
+		return u.FromStore
+	default:
+		return unknownLoadTime
+	}
+}
+
+// fromStore tells whether a load of the model draws on the weight store.
+func (e *endpoint) fromStore(model string) bool { return !e.inMemory[model] && !e.onDisk[model] }
+
+// doubtful is how many orders of unknown fate may yet begin a load from the
+// weight store.
+func (c *Controller) doubtful() int {
+	n := 0
+	for _, e := range c.endpoints {
+		if e.doubt != nil && e.doubt.Op == OpLoad && c.units[e.doubt.Unit].Base == "" && e.fromStore(e.doubt.Unit) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Controller) orderEnded(now time.Time, o OrderEnded) []Action {
+	e := c.endpoints[o.Endpoint]
+	if e == nil || e.sending == nil || *e.sending != o.Order {
+		return nil
+	}
+	e.sending, e.endedAt, e.askAt = nil, now, now
+	switch o.Result {
+	case Taken:
+		e.took(now, o.Order, c.units, c.duration(e, o.Order))
+		e.askAt = now.Add(max(c.duration(e, o.Order), settleTime))
+		return []Action{e.tell()}
+	case Superseded:
+		c.holding = false
+		return []Action{Noted{What: "superseded", Endpoint: o.Endpoint}}
+	case Unknown:
+		doubt := o.Order
+		e.doubt = &doubt
+		return []Action{Noted{What: "order unanswered", Endpoint: o.Endpoint, Unit: o.Order.Unit, Detail: string(o.Order.Op)}}
+	default:
+		e.known = false
+		return []Action{Noted{What: "order refused", Endpoint: o.Endpoint, Unit: o.Order.Unit, Detail: string(o.Order.Op)}}
+	}
+}
+
+// hurry brings the next plan forward if a request waits for a unit that nobody
+// has.
+func (c *Controller) hurry(now time.Time, d Demanded) {
+	for unit, n := range d.Waiting {
+		if n > 0 && !c.reachable(unit) {
+			c.planAt = minTime(c.planAt, now)
+			return
+		}
+	}
+}
+
+func (c *Controller) reachable(unit string) bool {
+	for _, e := range c.endpoints {
+		if _, coming := e.coming[unit]; coming || e.serves(unit) {
+			return true
+		}
+	}
+	return false
+}
+
+// place plans and sends what is due.
+func (c *Controller) place(now time.Time) []Action {
+	actions := c.unloadWithdrawn(now)
+	if now.Before(c.planAt) || len(c.units) == 0 {
+		return actions
+	}
+	c.planAt = now.Add(planEvery)
+	for _, m := range c.plan(now) {
+		actions = append(actions, Decided{Move: m})
+		actions = append(actions, c.carryOut(now, m)...)
+	}
+	return actions
+}
+
+// unloadWithdrawn sends the unloads whose withdrawal has been told.
+func (c *Controller) unloadWithdrawn(now time.Time) []Action {
+	var actions []Action
+	for _, name := range sortedNames(c.endpoints) {
+		e := c.endpoints[name]
+		for _, unit := range sortedNames(e.going) {
+			if now.Sub(e.going[unit]) < withdrawTime || !e.movable() {
+				continue
+			}
+			actions = append(actions, c.send(e, Order{Op: OpUnload, Unit: unit}))
+		}
+	}
+	return actions
+}
+
+func (c *Controller) carryOut(now time.Time, m Move) []Action {
+	e := c.endpoints[m.Endpoint]
+	if m.Op == OpUnload && c.units[m.Unit].Base == "" {
+		e.going[m.Unit] = now
+		return []Action{e.tell()}
+	}
+	if m.Op == OpLoad && c.units[m.Unit].Base == "" && e.fromStore(m.Unit) {
+		c.window.begin(now, 1)
+	}
+	return []Action{c.send(e, Order{Op: m.Op, Unit: m.Unit})}
+}
+
+func (c *Controller) send(e *endpoint, o Order) Send {
+	o.Count, o.Epoch = e.count, c.epoch
+	e.sending = &o
+	return Send{Endpoint: e.Name, Address: e.Address, Order: o}
+}
--- /dev/null
+++ b/placement/counted/demand.go
@@ -0,0 +1,55 @@
+package counted
+
+import (
+	"math"
+	"time"
+)
+
+// demand follows how much work is asked of each unit. It rises at once and
+// falls slowly, as a replica too many costs less than one too few.
+type demand struct {
+	rate    map[string]float64
+	waiting map[string]int
+	// askedAt is when each unit was last asked for.
+	askedAt map[string]time.Time
+	at      time.Time
+}
+
+// fallTime is the time in which a demand that has ended falls to a third.
+const fallTime = 4 * time.Second
+
+func newDemand() demand {
+	return demand{rate: map[string]float64{}, waiting: map[string]int{}, askedAt: map[string]time.Time{}}
+}
+
+func (d *demand) observe(now time.Time, e Demanded) {
+	kept := math.Exp(-now.Sub(d.at).Seconds() / fallTime.Seconds())
+	d.at = now
+	for unit, rate := range d.rate {
+		if rate *= kept; rate < 1 {
+			delete(d.rate, unit)
+			continue
+		}
+		d.rate[unit] = rate
+	}
+	for unit, rate := range e.Rate {
+		if rate > 0 {
+			d.askedAt[unit] = now
+		}
+		d.rate[unit] = max(d.rate[unit], rate)
+	}
+	for unit, n := range e.Waiting {
+		if n > 0 {
+			d.askedAt[unit] = now
+		}
+	}
+	d.waiting = e.Waiting
+}
+
+// idle is how long ago the unit was last asked for.
+func (d *demand) idle(now time.Time, unit string) time.Duration {
+	if at, asked := d.askedAt[unit]; asked {
+		return now.Sub(at)
+	}
+	return math.MaxInt64
+}
--- /dev/null
+++ b/placement/counted/endpoint.go
@@ -0,0 +1,219 @@
+package counted
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// endpoint is what the controller believes of one endpoint.
+//
+// Invariants: at most one order is under way; if known, resident, coming and
+// moving are the effect of the orders up to count.
+type endpoint struct {
+	Member
+	known bool
+	count int64
+
+	resident map[string]bool
+	// coming holds the adapters on their way and when they should be there.
+	coming map[string]time.Time
+	// moving is the load or unload of a model under way; nil for none.
+	moving *moving
+	// foreignBusy tells that a move is under way that this controller did not
+	// order.
+	foreignBusy      bool
+	inMemory, onDisk map[string]bool
+	// since is when each unit was first seen resident.
+	since map[string]time.Time
+	// going holds the models that are withdrawn from routing, to be unloaded,
+	// and when that was told.
+	going map[string]time.Time
+
+	sending *Order
+	// doubt is the last order of unknown fate; it may still take effect while
+	// the count is the one it carries.
+	doubt *Order
+
+	asking  bool
+	askAt   time.Time
+	endedAt time.Time
+	// behind counts reports in a row that were older than what is known.
+	behind int
+}
+
+// moving is a load or unload of a model.
+type moving struct {
+	op    Op
+	unit  string
+	since time.Time
+}
+
+func newEndpoint(m Member, now time.Time) *endpoint {
+	return &endpoint{
+		Member: m, askAt: now, resident: map[string]bool{}, coming: map[string]time.Time{},
+		since: map[string]time.Time{}, going: map[string]time.Time{}, inMemory: map[string]bool{}, onDisk: map[string]bool{},
+	}
+}
+
+// serves tells whether the endpoint takes requests for the unit.
+func (e *endpoint) serves(unit string) bool {
+	_, going := e.going[unit]
+	return !e.Leaving && e.resident[unit] && !going
+}
+
+// orderable tells whether an order may be sent now.
+func (e *endpoint) orderable() bool {
+	return e.known && e.sending == nil && !e.Leaving
+}
+
+// movable tells whether a model may be loaded or unloaded now.
+func (e *endpoint) movable() bool {
+	return e.orderable() && e.moving == nil && !e.foreignBusy
+}
+
+// maxBehind is how many reports in a row must tell an older count before they
+// are believed: a report is a few hundred milliseconds old at most.
+const maxBehind = 4
+
+// believe takes a report. It tells whether the report was news.
+func (e *endpoint) believe(now time.Time, r *Report) bool {
+	if e.known && r.Count < e.count && e.behind < maxBehind {
+		e.behind++
+		return false
+	}
+	e.behind = 0
+	if e.doubt != nil && r.Count > e.doubt.Count {
+		e.doubt = nil
+	}
+	moved := e.known && r.Count == e.count && e.moving != nil && r.Busy
+	e.known, e.count = true, r.Count
+	e.resident = setOf(r.Resident)
+	e.inMemory, e.onDisk = setOf(r.InMemory), setOf(r.OnDisk)
+	e.foreignBusy = r.Busy && !moved
+	if !moved {
+		e.moving = nil
+	}
+	coming := make(map[string]time.Time, len(r.Coming))
+	for _, u := range r.Coming {
+		coming[u] = now
+		if at, known := e.coming[u]; known {
+			coming[u] = at
+		}
+	}
+	e.coming = coming
+	e.settle(now)
+	return true
+}
+
+// settle brings what is derived from the resident units up to date.
+func (e *endpoint) settle(now time.Time) {
+	for u := range e.resident {
+		if _, known := e.since[u]; !known {
+			e.since[u] = now
+		}
+		delete(e.coming, u)
+	}
+	for u := range e.since {
+		if !e.resident[u] {
+			delete(e.since, u)
+		}
+	}
+	for u := range e.going {
+		if !e.resident[u] {
+			delete(e.going, u)
+		}
+	}
+}
+
+// took moves the state on by an order that the endpoint has taken.
+func (e *endpoint) took(now time.Time, o Order, units map[string]Unit, eta time.Duration) {
+	e.count = o.Count + 1
+	e.doubt = nil
+	switch {
+	case units[o.Unit].Base == "":
+		e.moving = &moving{op: o.Op, unit: o.Unit, since: now}
+		if o.Op == OpUnload {
+			// The adapters go with their model.
+			e.dropAdapters(o.Unit, units)
+		}
+		e.askAt = now.Add(eta)
+	case o.Op == OpLoad:
+		e.coming[o.Unit] = now.Add(eta)
+		e.askAt = minTime(e.askAt, now.Add(eta))
+	default:
+		delete(e.resident, o.Unit)
+		e.settle(now)
+	}
+}
+
+func (e *endpoint) dropAdapters(model string, units map[string]Unit) {
+	for u := range e.resident {
+		if units[u].Base == model {
+			delete(e.resident, u)
+		}
+	}
+	for u := range e.coming {
+		if units[u].Base == model {
+			delete(e.coming, u)
+		}
+	}
+}
+
+// freeMB is the memory that is left when all orders up to the count have taken
+// effect. Where a unit is held that the settings do not know, or a move that is
+// not known is under way, nothing counts as free.
+func (e *endpoint) freeMB(units map[string]Unit, capacity int64) int64 {
+	if e.foreignBusy {
+		return 0
+	}
+	free := capacity
+	held := maps.Clone(e.resident)
+	for u := range e.coming {
+		held[u] = true
+	}
+	if e.moving != nil && e.moving.op == OpLoad {
+		held[e.moving.unit] = true
+	}
+	for name := range held {
+		u, known := units[name]
+		if !known {
+			return 0
+		}
+		free -= u.MemoryMB
+	}
+	return free
+}
+
+// adapters is how many adapter slots are taken.
+func (e *endpoint) adapters(units map[string]Unit) int {
+	n := len(e.coming)
+	for u := range e.resident {
+		if units[u].Base != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// tell is what routing is to know of the endpoint.
+func (e *endpoint) tell() Tell {
+	return Tell{
+		Endpoint: e.Name, Units: slices.Sorted(maps.Keys(e.resident)), Going: slices.Sorted(maps.Keys(e.going)),
+	}
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/placement/counted/events.go
@@ -0,0 +1,165 @@
+package counted
+
+import "time"
+
+// Op is what an order asks for.
+type Op string
+
+// Operations of orders.
+const (
+	OpLoad   Op = "load"
+	OpUnload Op = "unload"
+)
+
+// Unit is something that endpoints load as a whole: a model, or an adapter of
+// one.
+type Unit struct {
+	Name string
+	// Base is the model that an adapter belongs to; empty for a model.
+	Base     string
+	MemoryMB int64
+	// Rank is the unit's place in the operator's list.
+	Rank int
+	// FromStore, FromDisk and FromMemory are the times of a load from the
+	// weight store, the endpoint's disk and its host memory; 0 where unknown.
+	FromStore, FromDisk, FromMemory time.Duration
+}
+
+// Configured is what the settings say of the cell.
+type Configured struct {
+	Units []Unit
+	// CapacityMB and AdapterSlots are those of each endpoint; 0 slots means
+	// that only memory bounds adapters.
+	CapacityMB   int64
+	AdapterSlots int
+	// LoadsPerSecond is the weight store's rate.
+	LoadsPerSecond float64
+}
+
+// Member is an endpoint of the cell.
+type Member struct {
+	// Name is the endpoint's incarnation too: a restart gives a new one.
+	Name, Address, FailureDomain string
+	Leaving                      bool
+	// Resident is what the endpoint's entry last told.
+	Resident []string
+}
+
+// Listed is the endpoints of the cell.
+type Listed struct{ Members []Member }
+
+// Report is an endpoint's account of itself, a little behind the truth.
+type Report struct {
+	// Count is how many orders it has taken.
+	Count int64
+	// Busy tells that a load or unload of a model is under way.
+	Busy bool
+	// Resident are the units it holds, Coming the adapters on their way.
+	Resident, Coming []string
+	// InMemory and OnDisk are the models of which it keeps copies.
+	InMemory, OnDisk []string
+}
+
+// Reported is the end of an Ask; a nil Report means that none came.
+type Reported struct {
+	Endpoint string
+	AskedAt  time.Time
+	Report   *Report
+}
+
+// Result is what became of an order.
+type Result int
+
+// Results of orders.
+const (
+	// Taken: the endpoint has it and carries it out.
+	Taken Result = iota
+	// Refused: it has no effect and never will.
+	Refused
+	// Superseded: the endpoint has seen a later holder.
+	Superseded
+	// Unknown: it may take effect while the endpoint's count is the expected.
+	Unknown
+)
+
+// OrderEnded is the end of a Send.
+type OrderEnded struct {
+	Endpoint string
+	Order    Order
+	Result   Result
+}
+
+// Demanded is the demand for units as all instances together tell it.
+type Demanded struct {
+	// Rate is the work a second that is asked for, by unit, in tokens.
+	Rate map[string]float64
+	// Waiting is the requests that wait for a replica, by unit.
+	Waiting map[string]int
+}
+
+// LeaseAcquired says that this instance may order until it hears LeaseLost.
+type LeaseAcquired struct {
+	Epoch int64
+	// Succeeds tells that another holder may have ordered before.
+	Succeeds bool
+}
+
+// LeaseLost says that it may no longer.
+type LeaseLost struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Event is an input of a Controller.
+type Event interface{ isEvent() }
+
+func (Configured) isEvent()    {}
+func (Listed) isEvent()        {}
+func (Reported) isEvent()      {}
+func (OrderEnded) isEvent()    {}
+func (Demanded) isEvent()      {}
+func (LeaseAcquired) isEvent() {}
+func (LeaseLost) isEvent()     {}
+func (Tick) isEvent()          {}
+
+// Order is one order to an endpoint.
+type Order struct {
+	Op   Op
+	Unit string
+	// Count is what the endpoint must have taken for the order to count.
+	Count int64
+	Epoch int64
+}
+
+// Action is an output of a Controller.
+type Action interface{ isAction() }
+
+// Ask asks an endpoint for its report.
+type Ask struct{ Endpoint, Address string }
+
+// Send sends an order, once.
+type Send struct {
+	Endpoint, Address string
+	Order             Order
+}
+
+// Tell says what an endpoint holds and takes requests for; routing everywhere
+// is to go by it.
+type Tell struct {
+	Endpoint string
+	Units    []string
+	// Going are units that are about to be unloaded.
+	Going []string
+}
+
+// Decided is a decision to log, with the numbers that led to it.
+type Decided struct{ Move Move }
+
+// Noted is something that happened, to log.
+type Noted struct{ What, Endpoint, Unit, Detail string }
+
+func (Ask) isAction()     {}
+func (Send) isAction()    {}
+func (Tell) isAction()    {}
+func (Decided) isAction() {}
+func (Noted) isAction()   {}
--- /dev/null
+++ b/placement/counted/window.go
@@ -0,0 +1,36 @@
+package counted
+
+import "time"
+
+// loadWindow keeps the loads from the weight store within its rate: at most
+// limit begin in any window.
+type loadWindow struct {
+	window time.Duration
+	limit  int
+	begun  []time.Time
+}
+
+// configure sets the rate; over is by how much a window may go beyond it.
+func (w *loadWindow) configure(perSecond float64, window time.Duration, over float64) {
+	w.window = window
+	w.limit = max(1, int(perSecond*window.Seconds()*over))
+}
+
+// begin counts n loads that begin now.
+func (w *loadWindow) begin(now time.Time, n int) {
+	for range n {
+		w.begun = append(w.begun, now)
+	}
+}
+
+// left is how many loads may begin now, if doubtful ones may begin besides.
+func (w *loadWindow) left(now time.Time, doubtful int) int {
+	kept := w.begun[:0]
+	for _, at := range w.begun {
+		if now.Sub(at) < w.window {
+			kept = append(kept, at)
+		}
+	}
+	w.begun = kept
+	return max(0, w.limit-len(w.begun)-doubtful)
+}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -26,7 +26,12 @@
 	// Concurrency is how many requests the endpoint runs at once.
 	Concurrency int
 
-	own      atomic.Int64
+	own atomic.Int64
+	// ownPrompt is the tokens of this instance's attempts that have had no
+	// answer yet.
+	ownPrompt atomic.Int64
+	// others is what the other instances tell that they have here.
+	others   atomic.Pointer[Others]
 	load     atomic.Pointer[Load]
 	failures atomic.Int64
 	// retryAt is the Unix time in nanoseconds before which an endpoint that
@@ -35,6 +40,27 @@
 	leaving atomic.Bool
 }
 
+// Others is what the other instances have under way at an endpoint.
+type Others struct {
+	// Running is requests, Prompt the tokens of those that have had no answer.
+	Running, Prompt int64
+}
+
+// SetOthers records what the other instances tell.
+func (e *Endpoint) SetOthers(o Others) { e.others.Store(&o) }
+
+// Others returns what the other instances told last.
+func (e *Endpoint) Others() Others {
+	if o := e.others.Load(); o != nil {
+		return *o
+	}
+	return Others{}
+}
+
+// OwnPrompt returns the tokens of this instance's attempts here that have had
+// no answer yet.
+func (e *Endpoint) OwnPrompt() int64 { return e.ownPrompt.Load() }
+
 // Own returns the number of attempts of this instance at the endpoint.
 func (e *Endpoint) Own() int64 { return e.own.Load() }
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -7,6 +7,8 @@
 	ID   string
 	Unit string
 	Pool string
+	// PromptTokens is the length of the prompt, 0 where it is not known.
+	PromptTokens int64
 	// FailureDomain is the instance's own.
 	FailureDomain string
 	// Excluded are endpoints that an earlier attempt has tried.
--- a/routing/router.go
+++ b/routing/router.go
@@ -24,6 +24,8 @@
 	// Candidates is how many endpoints held the unit, Eligible how many of
 	// them passed the filters.
 	Candidates, Eligible int
+	// PromptTokens is what was reserved for the prompt.
+	PromptTokens int64
 	// Estimate is the load that the endpoint was taken to have.
 	Estimate int64
 }
@@ -64,14 +66,25 @@
 	chosen := r.policy.Picker.Pick(scored, r.random)
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
-		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
+		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(), PromptTokens: req.PromptTokens,
 	}
 	chosen.Endpoint.own.Add(1)
+	chosen.Endpoint.ownPrompt.Add(req.PromptTokens)
 	return d, nil
 }
 
-// Release gives back a place that Pick reserved.
-func (r *Router) Release(e *Endpoint) { e.own.Add(-1) }
+// Answered tells that the prompt of an attempt has been read: its answer has
+// begun.
+func (d *Decision) Answered() {
+	d.Endpoint.ownPrompt.Add(-d.PromptTokens)
+	d.PromptTokens = 0
+}
+
+// Release gives back what Pick reserved.
+func (r *Router) Release(d *Decision) {
+	d.Answered()
+	d.Endpoint.own.Add(-1)
+}
 
 // score filters and rates. Endpoints that failed lately are used only if
 // nothing else is left, so ejection never makes a unit unreachable.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -67,7 +67,7 @@
 			require.NoError(t, err)
 			require.Equal(t, tc.want, d.Endpoint.Name)
 			before := d.Endpoint.Own()
-			r.Release(d.Endpoint)
+			r.Release(&d)
 			require.Equal(t, before-1, d.Endpoint.Own())
 		})
 	}
@@ -114,6 +114,6 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		r.Release(d.Endpoint)
+		r.Release(&d)
 	}
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -96,6 +96,8 @@
 	WeightsMB int64 `json:"weightsMB"`
 	// KVMB is the KV cache reserved for each replica in MiB.
 	KVMB int64 `json:"kvMB"`
+	// Rank is the model's place in the operator's list.
+	Rank int `json:"rank,omitempty"`
 	// LoadMS, DiskMS and WarmMS are how long a load takes from the weight store,
 	// from the endpoint's disk and from its host memory, in milliseconds; 0
 	// means that it is not known.
--- a/store/object.go
+++ b/store/object.go
@@ -20,6 +20,10 @@
 	// KindSettlement holds an earlier controller's word that none of its orders
 	// can arrive any more.
 	KindSettlement Kind = "settlements"
+	// KindInstance holds where each instance reaches the others.
+	KindInstance Kind = "instances"
+	// KindPeerKey holds the key of the instances' datagrams.
+	KindPeerKey Kind = "peerkeys"
 )
 
 // APIVersion is the group and version of the system's own kinds.
