Merge: do not bring back fields that the other side removed

One side removed all fields of a node, the other set one field there; the whole node was copied, with the fields that had been removed.

Change: of a parent that is missing on the other side only the changed fields are copied.

--- a/settings/merge.go
+++ b/settings/merge.go
@@ -59,12 +59,16 @@
 	if err != nil {
 		return nil, err
 	}
+	changed := make(map[string]bool, len(mineChanges))
+	for _, c := range mineChanges {
+		changed[c.Path] = true
+	}
 	for _, c := range mineChanges {
 		path := strings.Split(c.Path, "/")[1:]
 		if c.New == "" {
 			remove(&target, &source, path)
 		} else {
-			set(&target, &source, path)
+			set(&target, &source, path, "", changed)
 		}
 	}
 	return target.Pack(), nil
@@ -93,9 +97,11 @@
 	return strings.HasPrefix(b.Path, a.Path+"/") && a.New != "" && b.New != "" && a.New != emptyObject
 }
 
-// set copies the value at path from source into target. Where target lacks a
-// parent, the whole parent is copied, comments included.
-func set(target, source *hujson.Value, path []string) {
+// set copies the value at path, below the object at prefix, from source into
+// target. Where target lacks a parent, the parent is copied, comments included,
+// with those of its fields that were changed: the others are missing in target
+// because the other side has removed them.
+func set(target, source *hujson.Value, path []string, prefix string, changed map[string]bool) {
 	from, ok := member(source, path[0])
 	if !ok {
 		return
@@ -105,18 +111,39 @@
 	if !isObject {
 		return
 	}
+	prefix += "/" + path[0]
 	if !exists {
-		obj.Members = append(obj.Members, *from)
+		added := *from
+		added.Value.Value = from.Value.Clone().Value
+		prune(&added.Value, prefix, changed)
+		obj.Members = append(obj.Members, added)
 		return
 	}
 	_, both := from.Value.Value.(*hujson.Object)
 	if _, intoObject := into.Value.Value.(*hujson.Object); len(path) > 1 && both && intoObject {
-		set(&into.Value, &from.Value, path[1:])
+		set(&into.Value, &from.Value, path[1:], prefix, changed)
 		return
 	}
 	into.Value.Value = from.Value.Value
 }
 
+// prune takes out of the object at prefix all fields that were not changed.
+func prune(v *hujson.Value, prefix string, changed map[string]bool) {
+	obj, isObject := v.Value.(*hujson.Object)
+	if !isObject || changed[prefix] {
+		return
+	}
+	kept := obj.Members[:0]
+	for _, m := range obj.Members {
+		path := prefix + "/" + jsonc.EscapePointer(memberName(m))
+		prune(&m.Value, path, changed)
+		if below, nested := m.Value.Value.(*hujson.Object); changed[path] || nested && len(below.Members) > 0 {
+			kept = append(kept, m)
+		}
+	}
+	obj.Members = kept
+}
+
 // remove takes the field at path out of target, and with it the parents that
 // source does not have either and that are empty then.
 func remove(target, source *hujson.Value, path []string) {
