Reload the configuration on SIGHUP

Change: SIGHUP reads the configuration again; one that is not valid changes nothing. Addresses need a restart.

--- a/cmd/eiderspring/node.go
+++ b/cmd/eiderspring/node.go
@@ -40,11 +40,29 @@
 			}
 			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 			defer stop()
+			go reloadOnHangup(ctx, c.String("config"), node)
 			return node.Run(ctx)
 		},
 	}
 }
 
+// reloadOnHangup reads the configuration again on each SIGHUP. One that is not
+// valid changes nothing.
+func reloadOnHangup(ctx context.Context, path string, node *daemon.Node) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			cfg, err := daemon.LoadNodeConfig(path)
+			node.Reload(cfg, err)
+		}
+	}
+}
+
 // platformPorts joins the product to the users' platform.
 func platformPorts() daemon.NodePorts {
 	kind, name := platform.SettingsKind()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -326,6 +326,18 @@
 	return c
 }
 
+// Reload takes a configuration that was read again. What can change while the
+// node runs is in force at once; addresses need a restart. A configuration that
+// could not be read changes nothing.
+func (n *Node) Reload(cfg NodeConfig, err error) {
+	if err != nil {
+		n.log.Error(err, "configuration refused, the old one stays")
+		return
+	}
+	n.retries.SetLimits(cfg.Retries.limits())
+	n.log.Info("reload", "retry_ratio", cfg.Retries.Ratio, "retry_slack", cfg.Retries.Slack)
+}
+
 // Run serves until ctx ends, then makes a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	n.duties()
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -60,7 +60,6 @@
 	now        func() time.Time
 	// place tells all instances what endpoints hold.
 	place func([]peer.Placement)
-	epoch int64
 }
 
 func (p *placer) put(e counted.Event) { _ = p.events.Put(context.Background(), e) }
