Route by the expected time to the first token, and refuse early

Change: the timely policy: the first token is expected from the work of the prompts ahead, of all instances, at a pace learned for each unit; an endpoint that would be late, or whose streams pause too long, gets no more. Policies gain holdMS; a request without a place is refused when it is over, with a Retry-After by the reason.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -155,7 +155,7 @@
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
 			l := others[e.Name]
-			e.SetOthers(routing.Others{Running: l.Running, Prompt: l.Prompt})
+			e.SetOthers(routing.Others{Running: l.Running, Prompt: time.Duration(l.Prompt) * time.Microsecond})
 		}
 	}
 	m.mu.Lock()
@@ -212,7 +212,7 @@
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
 			if n := e.Own(); n > 0 && len(p.Loads) < maxLoads {
-				p.Loads = append(p.Loads, peer.EndpointLoad{Endpoint: e.Name, Running: n, Prompt: e.OwnPrompt()})
+				p.Loads = append(p.Loads, peer.EndpointLoad{Endpoint: e.Name, Running: n, Prompt: e.OwnPrompt().Microseconds()})
 			}
 		}
 	}
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -68,7 +68,7 @@
 // DefaultNodeConfig returns the values of fields that a file leaves out.
 func DefaultNodeConfig() NodeConfig {
 	return NodeConfig{
-		RoutingPolicy: routing.DefaultPolicy, LogLevel: "info",
+		RoutingPolicy: routing.PolicyTimely, LogLevel: "info",
 		Retries: NodeRetry{Ratio: 0.1, Slack: 10},
 		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
 		Limits: NodeLimits{
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -40,7 +40,8 @@
 type EndpointLoad struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint string
-	// Running is requests, Prompt the tokens of those that have had no answer.
+	// Running is requests, Prompt the work of reading the prompts of those that
+	// have had no answer, in microseconds.
 	Running, Prompt int64
 }
 
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -73,7 +73,7 @@
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
-		PromptTokens: x.Call.PromptTokens,
+		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(),
 	}
 	var decision routing.Decision
 	var pickErr error
@@ -93,7 +93,7 @@
 		Arrived: now, StartBy: startBy(x), Bytes: len(x.Call.Body),
 	}
 	if err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take); err != nil {
-		return admitError(err)
+		return f.admitError(err, pickErr)
 	}
 	if pickErr != nil {
 		return &RouteError{Err: pickErr}
@@ -105,20 +105,39 @@
 // startBy is when starting the request has become pointless.
 func startBy(x *Exchange) time.Time {
 	p := x.Target.Policy
-	if p.MayWait || x.reached {
+	switch {
+	case p.MayWait || x.reached:
 		return x.deadline()
+	case p.Hold > 0:
+		return x.Received.Add(min(p.Hold, x.timeout()))
 	}
 	return x.Received.Add(min(p.FirstToken, x.timeout()))
 }
 
-func admitError(err error) error {
+// Times after which a refused caller finds a place, about.
+const (
+	// loadRetryAfter is for a unit without a replica, which has to be loaded.
+	loadRetryAfter = 1500 * time.Millisecond
+	// roomRetryAfter is for one whose replicas have no room: in this time some of
+	// the prompts ahead have been read.
+	roomRetryAfter = 600 * time.Millisecond
+)
+
+// admitError is the refusal of a request that got no place; pickErr is why.
+func (f admit) admitError(err, pickErr error) error {
+	refusal := &AdmitError{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Err: err}
 	var refused *admission.RefusedError
 	if !errors.As(err, &refused) {
-		return &AdmitError{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Err: err}
+		return refusal
 	}
-	status := http.StatusServiceUnavailable
-	if refused.Reason == admission.ReasonQueueFull {
-		status = http.StatusTooManyRequests
+	refusal.RetryAfter = refused.RetryAfter
+	switch {
+	case refused.Reason == admission.ReasonQueueFull:
+		refusal.Status = http.StatusTooManyRequests
+	case refused.Reason == admission.ReasonExpired && errors.Is(pickErr, routing.ErrNoReplica):
+		refusal.RetryAfter = loadRetryAfter
+	case refused.Reason == admission.ReasonExpired && errors.Is(pickErr, routing.ErrNoRoom):
+		refusal.RetryAfter = roomRetryAfter
 	}
-	return &AdmitError{Status: status, RetryAfter: refused.RetryAfter, Err: err}
+	return refusal
 }
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -15,6 +15,7 @@
 type dispatch struct {
 	client  *engine.Client
 	retries *RetryBudgets
+	router  *routing.Router
 	now     func() time.Time
 }
 
@@ -31,6 +32,9 @@
 	if err != nil {
 		return &DispatchError{TimedOut: errors.Is(err, context.DeadlineExceeded), Err: err}
 	}
+	if x.Target.Unit != "" && resp.StatusCode == http.StatusOK {
+		f.router.Learn(&a.Decision, x.Target.Unit, f.now())
+	}
 	a.Decision.Answered()
 	f.noteLoad(x, resp)
 	if f.better(x, resp) {
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -101,6 +101,23 @@
 // deadline is when the request gets its final answer at the latest.
 func (x *Exchange) deadline() time.Time { return x.Received.Add(x.timeout()) }
 
+// firstBy is when the first token should be there, zero where there is no
+// target that can still be met.
+func (x *Exchange) firstBy() time.Time {
+	if x.reached || x.Target.Unit == "" {
+		return time.Time{}
+	}
+	return x.Received.Add(x.Target.Policy.FirstToken)
+}
+
+// gapAim is the longest pause between events, 0 where there is no target.
+func (x *Exchange) gapAim() time.Duration {
+	if !x.Call.Stream {
+		return 0
+	}
+	return x.Target.Policy.BetweenTokens
+}
+
 // resumable tells whether a stream of which a part has reached the caller may
 // be continued by another endpoint.
 func (x *Exchange) resumable() bool { return x.Target.Policy.Resumable && x.offset >= 0 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -69,7 +69,7 @@
 		prepare: cfg.Dialect.Prepare(),
 		attempt: []Filter{
 			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, now: cfg.Now},
-			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries, now: cfg.Now},
+			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
 		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -139,6 +139,8 @@
 	exchange *Exchange
 	dialect  Dialect
 	now      func() time.Time
+	// lastAt is when the last event was relayed; zero for none in this attempt.
+	lastAt time.Time
 	// pending is the event being assembled.
 	pending []byte
 	// next is the offset of the pending event, if it has one.
@@ -228,6 +230,7 @@
 		x.FirstToken = s.now().Sub(x.Received)
 		x.writeHeader(s.dialect, resp)
 	}
+	s.noteGap()
 	if err := x.write(event); err != nil {
 		return &RelayError{CallerGone: true, Err: err}
 	}
@@ -240,6 +243,15 @@
 	return x.flush()
 }
 
+// noteGap tells the endpoint's record the time since the event before.
+func (s *eventRelay) noteGap() {
+	now := s.now()
+	if !s.lastAt.IsZero() {
+		s.exchange.attempt().Decision.Endpoint.NoteGap(now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 // writeHeader passes the answer's status and end-to-end headers on.
 func (x *Exchange) writeHeader(d Dialect, resp *http.Response) {
 	h := x.Writer.Header()
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -27,9 +27,11 @@
 	Concurrency int
 
 	own atomic.Int64
-	// ownPrompt is the tokens of this instance's attempts that have had no
-	// answer yet.
+	// ownPrompt is the work, in nanoseconds, of reading the prompts of this
+	// instance's attempts that have had no answer yet.
 	ownPrompt atomic.Int64
+	// gap is the mean time between events of streams, in nanoseconds.
+	gap atomic.Int64
 	// others is what the other instances tell that they have here.
 	others   atomic.Pointer[Others]
 	load     atomic.Pointer[Load]
@@ -42,8 +44,10 @@
 
 // Others is what the other instances have under way at an endpoint.
 type Others struct {
-	// Running is requests, Prompt the tokens of those that have had no answer.
-	Running, Prompt int64
+	// Running is requests, Prompt the work of reading the prompts of those that
+	// have had no answer.
+	Running int64
+	Prompt  time.Duration
 }
 
 // SetOthers records what the other instances tell.
@@ -57,9 +61,9 @@
 	return Others{}
 }
 
-// OwnPrompt returns the tokens of this instance's attempts here that have had
-// no answer yet.
-func (e *Endpoint) OwnPrompt() int64 { return e.ownPrompt.Load() }
+// OwnPrompt returns the work of reading the prompts of this instance's attempts
+// here that have had no answer yet.
+func (e *Endpoint) OwnPrompt() time.Duration { return time.Duration(e.ownPrompt.Load()) }
 
 // Own returns the number of attempts of this instance at the endpoint.
 func (e *Endpoint) Own() int64 { return e.own.Load() }
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -16,6 +16,38 @@
 	return !slices.Contains(r.Excluded, e.Name)
 }
 
+// timelyFilter keeps endpoints that give the first token in time and whose
+// streams flow as they should. An endpoint at which nothing is ahead is always
+// kept: nowhere else would be sooner.
+type timelyFilter struct {
+	// firstShare is the share of the time left that the first token may be
+	// expected to take, gapShare the share of the longest pause that pauses may
+	// take on the mean.
+	firstShare, gapShare float64
+}
+
+func (timelyFilter) Name() string { return "timely" }
+func (f timelyFilter) Keep(r *Request, e *Endpoint) bool {
+	if e.Own()+e.Others().Running == 0 {
+		return true
+	}
+	if r.GapAim > 0 && float64(e.Gap()) > f.gapShare*float64(r.GapAim) {
+		return false
+	}
+	if r.FirstBy.IsZero() {
+		return true
+	}
+	return float64(e.Expect(r.Work)) <= f.firstShare*float64(r.FirstBy.Sub(r.Now))
+}
+
+// slotFilter keeps endpoints with a free place, by what all instances tell.
+type slotFilter struct{}
+
+func (slotFilter) Name() string { return "slot" }
+func (slotFilter) Keep(_ *Request, e *Endpoint) bool {
+	return e.Own()+e.Others().Running < int64(max(1, e.Concurrency))
+}
+
 // headroomFilter keeps endpoints whose estimated load leaves room. Instances
 // that see the same report must not fill that room together, so between two
 // reports each takes no more than its share of it, with slack for a balancer
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -13,6 +13,10 @@
 	PolicyEstimate = "estimate"
 )
 
+// PolicyTimely picks the endpoint that is expected to give the first token
+// soonest, among those that give it in time.
+const PolicyTimely = "timely"
+
 // DefaultPolicy is the policy that instances use unless told otherwise.
 const DefaultPolicy = PolicyEstimate
 
@@ -24,6 +28,14 @@
 	headroomSlack  = 2.0
 )
 
+// Weights and bounds of the timely policy.
+const (
+	soonestWeight    = 1.0
+	nearWeight       = 0.01
+	timelyFirstShare = 0.8
+	timelyGapShare   = 0.5
+)
+
 // Policies returns the policies by name.
 func Policies() map[string]Policy {
 	base := []Filter{liveFilter{}, untriedFilter{}}
@@ -38,5 +50,11 @@
 			Scorers: []WeightedScorer{{estimateScorer{}, estimateWeight}, {domainScorer{}, domainWeight}},
 			Picker:  bestPicker{},
 		},
+		PolicyTimely: {
+			Name:    PolicyTimely,
+			Filters: append(base[:2:2], slotFilter{}, timelyFilter{firstShare: timelyFirstShare, gapShare: timelyGapShare}),
+			Scorers: []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
+			Picker:  bestPicker{},
+		},
 	}
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -9,6 +9,12 @@
 	Pool string
 	// PromptTokens is the length of the prompt, 0 where it is not known.
 	PromptTokens int64
+	// Work is the time that reading the prompt takes; Pick sets it.
+	Work time.Duration
+	// FirstBy is when the first token should be there, GapAim the longest pause
+	// between events; zero where there is no target.
+	FirstBy time.Time
+	GapAim  time.Duration
 	// FailureDomain is the instance's own.
 	FailureDomain string
 	// Excluded are endpoints that an earlier attempt has tried.
--- a/routing/router.go
+++ b/routing/router.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync/atomic"
+	"time"
 )
 
 // Errors of Router.Pick.
@@ -24,8 +25,10 @@
 	// Candidates is how many endpoints held the unit, Eligible how many of
 	// them passed the filters.
 	Candidates, Eligible int
-	// PromptTokens is what was reserved for the prompt.
-	PromptTokens int64
+	// Work is what was reserved for the prompt, Expected how long the first token
+	// was expected to take from At on.
+	Work, Expected time.Duration
+	At             time.Time
 	// Estimate is the load that the endpoint was taken to have.
 	Estimate int64
 }
@@ -35,6 +38,7 @@
 	policy Policy
 	random func() float64
 	view   atomic.Pointer[View]
+	paces  paces
 }
 
 // NewRouter returns a router with an empty view. random returns numbers in
@@ -55,6 +59,7 @@
 func (r *Router) Pick(req *Request) (Decision, error) {
 	view := r.view.Load()
 	req.Instances = view.Instances
+	req.Work = r.paces.work(req.Unit, req.PromptTokens)
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
 		return Decision{}, ErrNoReplica
@@ -66,18 +71,24 @@
 	chosen := r.policy.Picker.Pick(scored, r.random)
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
-		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(), PromptTokens: req.PromptTokens,
+		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
 	}
+	d.Expected, d.Work, d.At = chosen.Endpoint.Expect(req.Work), req.Work, req.Now
 	chosen.Endpoint.own.Add(1)
-	chosen.Endpoint.ownPrompt.Add(req.PromptTokens)
+	chosen.Endpoint.ownPrompt.Add(int64(req.Work))
 	return d, nil
 }
 
 // Answered tells that the prompt of an attempt has been read: its answer has
 // begun.
 func (d *Decision) Answered() {
-	d.Endpoint.ownPrompt.Add(-d.PromptTokens)
-	d.PromptTokens = 0
+	d.Endpoint.ownPrompt.Add(-int64(d.Work))
+	d.Work = 0
+}
+
+// Learn takes the time of the first token of an attempt for the unit.
+func (r *Router) Learn(d *Decision, unit string, now time.Time) {
+	r.paces.learn(unit, d.Expected, now.Sub(d.At))
 }
 
 // Release gives back what Pick reserved.
--- a/routing/scorers.go
+++ b/routing/scorers.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // reportedScorer rates by the last report alone.
 type reportedScorer struct{}
 
@@ -21,6 +23,18 @@
 	return 1 / (1 + float64(load)/float64(max(1, concurrency)))
 }
 
+// soonestScorer prefers the endpoint that is expected to give the first token
+// soonest.
+type soonestScorer struct{}
+
+func (soonestScorer) Name() string { return "soonest" }
+func (soonestScorer) Score(r *Request, e *Endpoint) float64 {
+	return 1 / (1 + float64(e.Expect(r.Work)+e.Gap())/float64(soonestScale))
+}
+
+// soonestScale is the time at which the score has fallen to a half.
+const soonestScale = 200 * time.Millisecond
+
 // domainScorer prefers the instance's own failure domain.
 type domainScorer struct{}
 
