--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -71,6 +71,9 @@
 const (
 	// entryInputs bounds the changes that wait for the duty.
 	entryInputs = 256
+	// gatherTime is how long changes of endpoints gather before they are asked
+	// for; the bounds on leaving endpoints leave room for it.
+	gatherTime = 500 * time.Millisecond
 	// entriesTick is the time between two looks at entries that are missing.
 	entriesTick = 250 * time.Millisecond
 )
@@ -88,6 +91,9 @@
 			put(membership.StoreHeard{})
 			switch e.Type {
 			case store.EventBookmark:
+				// Endpoints change many times a second as units come and go, and
+				// each answer of the store costs a call: changes gather meanwhile.
+				wait.For(ctx, gatherTime)
 			case store.EventDeleted:
 				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
 			default:
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -142,6 +142,10 @@
 // holder names this process among all that ever run.
 func (n *Node) holder() string { return n.cfg.Instance + "/" + n.mesh.process }
 
+// nodeCampaigners is how many instances campaign for the lease of a pool; each
+// but the holder reads it now and then.
+const nodeCampaigners = 2
+
 // campaigns tells whether this instance should hold the lease of a pool: it is
 // among the first by rendezvous hashing over those that are alive.
 func (n *Node) campaigns(pool string) bool {
@@ -151,7 +155,7 @@
 	alive := slices.Clone(n.mesh.alive())
 	rendezvous(pool, alive)
 	at := slices.Index(alive, n.cfg.Instance)
-	return at >= 0 && at < campaigners
+	return at >= 0 && at < nodeCampaigners
 }
 
 func (n *Node) listen() error {
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -131,6 +131,9 @@
 		return refusal
 	}
 	refusal.RetryAfter = refused.RetryAfter
+	if pickErr != nil {
+		refusal.Err = errors.Join(err, pickErr)
+	}
 	switch {
 	case refused.Reason == admission.ReasonQueueFull:
 		refusal.Status = http.StatusTooManyRequests
