--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 // TestGolden runs the sessions in testdata: times are milliseconds since the
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/eiderspring/eiderspring/commit"
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 	"github.com/eiderspring/eiderspring/standin"
 	"github.com/eiderspring/eiderspring/store"
 )
--- a/cmd/eiderspring/node.go
+++ b/cmd/eiderspring/node.go
@@ -10,11 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/eiderspring/eiderspring/daemon"
-	"github.com/eiderspring/eiderspring/engine"
-	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/platform"
-	"github.com/eiderspring/eiderspring/settings"
-	"github.com/eiderspring/eiderspring/store"
 )
 
 // settingsVariable names the file of a node's configuration.
@@ -34,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			node, err := daemon.NewNode(cfg, platformPorts(), daemon.NewLogger(os.Stdout, cfg.LogLevel))
+			node, err := daemon.NewNode(cfg, platform.Ports(), daemon.NewLogger(os.Stdout, cfg.LogLevel))
 			if err != nil {
 				return trace.Wrap(err)
 			}
@@ -62,16 +58,3 @@
 		}
 	}
 }
-
-// platformPorts joins the product to the users' platform.
-func platformPorts() daemon.NodePorts {
-	kind, name := platform.SettingsKind()
-	return daemon.NodePorts{
-		Store:        func(cfg store.Config) store.Client { return platform.NewObjects(cfg) },
-		SettingsKind: kind, SettingsName: name, DecodeSettings: platform.DecodeConfig,
-		MembersKind: platform.MembersKind(), DecodeMember: platform.DecodeMember,
-		Callers:   func(catalog func() *settings.Catalog) pipeline.Dialect { return platform.NewCallers(catalog) },
-		Controls:  func(c *engine.Client, instance string) daemon.Controls { return platform.NewOrders(c, instance) },
-		Endpoints: platform.Endpoints{}, ReadyPath: platform.ReadyPath,
-	}
-}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -206,10 +206,7 @@
 // has not stopped taking work.
 func (n *Node) guard(d pipeline.Dialect, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() != nil {
-			// The platform sends no more on this connection once it has this answer.
-			w.Header().Set("Connection", "close")
-		}
+		w = &closingWriter{ResponseWriter: w, stopping: func() bool { return n.stopping.Load() != nil }}
 		catalog := n.catalog.Load()
 		switch {
 		case catalog == nil:
@@ -224,6 +221,24 @@
 	})
 }
 
+// closingWriter ends a connection with its answer once the node stops, also if
+// the request came before.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // headerBytes is the size of a request's head as it was sent, but for blanks.
 func headerBytes(r *http.Request) int {
 	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
@@ -256,6 +271,11 @@
 	return n.catalog.Load() != nil && len(n.router.View().Pools) > 0 && n.stopping.Load() == nil
 }
 
+// CallersAddr, ReadinessAddr and OperatorsAddr are where the node listens.
+func (n *Node) CallersAddr() string   { return n.front.listener.Addr().String() }
+func (n *Node) ReadinessAddr() string { return n.ready.listener.Addr().String() }
+func (n *Node) OperatorsAddr() string { return n.operators.listener.Addr().String() }
+
 func (n *Node) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.ports.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/daemon/residency_test.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+func TestNewestWordOnResidencyCounts(t *testing.T) {
+	r := newResidency()
+	entry := func(units ...string) { r.listed(membership.Member{Name: "e", Resident: units}) }
+	entry("m0")
+	require.Equal(t, []string{"m0"}, r.serving("e"))
+
+	require.True(t, r.placed(peer.Placement{Epoch: 2, Endpoint: "e", Units: []string{"m0", "m1"}, Going: []string{"m0"}}))
+	require.Equal(t, []string{"m1"}, r.serving("e"))
+	entry("m0")
+	require.Equal(t, []string{"m1"}, r.serving("e"), "an entry that has not changed is behind")
+
+	require.False(t, r.placed(peer.Placement{Epoch: 1, Endpoint: "e", Units: []string{"m9"}}), "an earlier holder's word")
+	entry("m0", "m1")
+	require.Equal(t, []string{"m1"}, r.serving("e"), "what is going gets no requests, whatever the entry says")
+	require.True(t, r.placed(peer.Placement{Epoch: 2, Endpoint: "e", Units: []string{"m1"}}))
+	require.Equal(t, []string{"m1"}, r.serving("e"))
+	r.forget("e")
+	require.Empty(t, r.serving("e"))
+}
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/eiderspring/eiderspring/commit"
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 // simStore is the object API with one lease object, as an adversary runs it.
--- /dev/null
+++ b/membership/entries_test.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestEntriesGolden runs the sessions in testdata/entries: times are
+// milliseconds since the start.
+func TestEntriesGolden(t *testing.T) {
+	datadriven.Walk(t, "testdata/entries", func(t *testing.T, path string) {
+		s := NewEntries()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var ms int
+			d.ScanArgs(t, "at", &ms)
+			listing, changed := s.Step(time.UnixMilli(int64(ms)), entryEvent(t, d))
+			if !changed {
+				return "unchanged\n"
+			}
+			return show(listing)
+		})
+	})
+}
+
+func entryEvent(t *testing.T, d *datadriven.TestData) EntryEvent {
+	switch d.Cmd {
+	case "listed":
+		return EntriesListed{Members: entryMembers(d)}
+	case "changed":
+		return EntryChanged{Member: entryMembers(d)[0]}
+	case "removed":
+		var name string
+		d.ScanArgs(t, "name", &name)
+		return EntryRemoved{Name: name}
+	case "lost":
+		return StoreLost{}
+	case "heard":
+		return StoreHeard{}
+	default:
+		return EntriesTick{}
+	}
+}
+
+// entryMembers reads a member a line: NAME STATE [UNIT ...].
+func entryMembers(d *datadriven.TestData) []Member {
+	var members []Member
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		members = append(members, Member{Name: fields[0], State: State(fields[1]), Resident: fields[2:]})
+	}
+	return members
+}
+
+func show(l Listing) string {
+	slices.SortFunc(l.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	var b strings.Builder
+	fmt.Fprintf(&b, "version %d\n", l.Version)
+	for _, m := range l.Members {
+		fmt.Fprintln(&b, strings.TrimSpace(fmt.Sprintf("%s %s %s", m.Name, m.State, strings.Join(m.Resident, " "))))
+	}
+	return b.String()
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 func key(b byte) []byte { return bytes.Repeat([]byte{b}, KeyBytes) }
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/eiderspring/eiderspring/commit"
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 // schedules is how many seeds the simulation runs for each kind of endpoint.
--- /dev/null
+++ b/placement/counted/simulation_test.go
@@ -0,0 +1,462 @@
+package counted
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var schedules = flag.Int("schedules", 40, "random schedules that TestSchedules plays")
+
+// world is endpoints that count orders, behind a network that delays and loses
+// whatever it likes, and a judge of the rules that must hold.
+type world struct {
+	t   *testing.T
+	rnd *rand.Rand
+	now time.Time
+	cfg Configured
+	// over is the rate window's allowance, for the judge.
+	limit int
+
+	engines map[string]*simEngine
+	mail    []mail
+	nextID  int
+	begun   []time.Time
+	// faults says what the judge saw.
+	faults []string
+}
+
+// simEngine is one endpoint.
+type simEngine struct {
+	name     string
+	count    int64
+	resident map[string]bool
+	coming   map[string]time.Time
+	moving   string
+	op       Op
+	done     time.Time
+	disk     map[string]bool
+	down     bool
+	// history holds what reports tell: they lag.
+	history []simReport
+}
+
+type simReport struct {
+	at     time.Time
+	report Report
+}
+
+// mail is something that arrives later.
+type mail struct {
+	at   time.Time
+	open func()
+}
+
+func simUnits() []Unit {
+	var units []Unit
+	for i := range 7 {
+		name := fmt.Sprintf("m%d", i)
+		units = append(units, Unit{
+			Name: name, MemoryMB: 70, Rank: i, FromStore: 3 * time.Second, FromDisk: time.Second, FromMemory: 400 * time.Millisecond,
+		})
+		for a := range 3 {
+			units = append(units, Unit{Name: fmt.Sprintf("%s/a%d", name, a), Base: name, MemoryMB: 4})
+		}
+	}
+	return units
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), engines: map[string]*simEngine{},
+		cfg: Configured{Units: simUnits(), CapacityMB: 160, AdapterSlots: 2, LoadsPerSecond: 1},
+	}
+	for range 4 {
+		w.start(nil)
+	}
+	return w
+}
+
+// start adds an endpoint that holds nothing, with what its disk kept.
+func (w *world) start(disk map[string]bool) {
+	w.nextID++
+	if disk == nil {
+		disk = map[string]bool{}
+	}
+	e := &simEngine{name: fmt.Sprintf("e%d", w.nextID), resident: map[string]bool{}, coming: map[string]time.Time{}, disk: disk}
+	w.engines[e.name] = e
+}
+
+func (w *world) unit(name string) Unit {
+	i := slices.IndexFunc(w.cfg.Units, func(u Unit) bool { return u.Name == name })
+	return w.cfg.Units[i]
+}
+
+func (w *world) after(least, most time.Duration, open func()) {
+	d := least + time.Duration(w.rnd.Int64N(int64(most-least)+1))
+	w.mail = append(w.mail, mail{at: w.now.Add(d), open: open})
+}
+
+// deliver opens the mail that is due, in the order of its time.
+func (w *world) deliver() {
+	for {
+		due := -1
+		for i, m := range w.mail {
+			if !m.at.After(w.now) && (due < 0 || m.at.Before(w.mail[due].at)) {
+				due = i
+			}
+		}
+		if due < 0 {
+			return
+		}
+		m := w.mail[due]
+		w.mail = slices.Delete(w.mail, due, due+1)
+		m.open()
+	}
+}
+
+// pass lets time pass at the endpoints.
+func (w *world) pass() {
+	for _, e := range w.engines {
+		for u, at := range e.coming {
+			if !at.After(w.now) {
+				delete(e.coming, u)
+				e.resident[u] = true
+			}
+		}
+		if e.moving != "" && !e.done.After(w.now) {
+			w.finish(e)
+		}
+		e.history = append(e.history, simReport{at: w.now, report: e.report()})
+		if len(e.history) > 40 {
+			e.history = e.history[1:]
+		}
+	}
+}
+
+func (w *world) finish(e *simEngine) {
+	if e.op == OpLoad {
+		e.resident[e.moving], e.disk[e.moving] = true, true
+	} else {
+		delete(e.resident, e.moving)
+	}
+	e.moving = ""
+}
+
+func (e *simEngine) report() Report {
+	r := Report{Count: e.count, Busy: e.moving != ""}
+	r.Resident = sortedNames(e.resident)
+	r.Coming = sortedNames(e.coming)
+	r.OnDisk = sortedNames(e.disk)
+	return r
+}
+
+// lagged is a report as it stood a while ago.
+func (e *simEngine) lagged(at time.Time) *Report {
+	for i := len(e.history) - 1; i >= 0; i-- {
+		if !e.history[i].at.After(at) {
+			r := e.history[i].report
+			return &r
+		}
+	}
+	r := e.report()
+	return &r
+}
+
+// order is an order as it arrives.
+func (w *world) order(name string, o Order) Result {
+	e := w.engines[name]
+	if e == nil || e.down {
+		return Refused
+	}
+	if o.Count != e.count || e.moving != "" {
+		return Refused
+	}
+	e.count++
+	u := w.unit(o.Unit)
+	switch {
+	case u.Base == "" && o.Op == OpLoad:
+		w.load(e, u)
+	case u.Base == "":
+		e.moving, e.op, e.done = o.Unit, OpUnload, w.now.Add(100*time.Millisecond)
+		for a := range e.resident {
+			if w.unit(a).Base == o.Unit {
+				delete(e.resident, a)
+			}
+		}
+	case o.Op == OpLoad:
+		if !e.resident[u.Base] {
+			w.fault("%s: adapter %s without its model", e.name, u.Name)
+		}
+		e.coming[o.Unit] = w.now.Add(20 * time.Millisecond)
+	default:
+		delete(e.resident, o.Unit)
+	}
+	w.judge(e)
+	return Taken
+}
+
+func (w *world) load(e *simEngine, u Unit) {
+	took := u.FromDisk
+	if !e.disk[u.Name] {
+		took = u.FromStore
+		w.begun = append(w.begun, w.now)
+	}
+	e.moving, e.op, e.done = u.Name, OpLoad, w.now.Add(took)
+}
+
+// judge checks an endpoint's memory, slots and adapters under way.
+func (w *world) judge(e *simEngine) {
+	held := map[string]bool{}
+	for u := range e.resident {
+		held[u] = true
+	}
+	for u := range e.coming {
+		held[u] = true
+	}
+	if e.moving != "" && e.op == OpLoad {
+		held[e.moving] = true
+	}
+	var mb int64
+	slots := 0
+	for u := range held {
+		mb += w.unit(u).MemoryMB
+		if w.unit(u).Base != "" {
+			slots++
+		}
+	}
+	if mb > w.cfg.CapacityMB {
+		w.fault("%s holds %d MB of %d", e.name, mb, w.cfg.CapacityMB)
+	}
+	if slots > w.cfg.AdapterSlots {
+		w.fault("%s holds %d adapters of %d", e.name, slots, w.cfg.AdapterSlots)
+	}
+	if len(e.coming) > maxComing {
+		w.fault("%s has %d adapters on their way", e.name, len(e.coming))
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, w.now.Sub(time.Unix(1000, 0)).String()+" "+fmt.Sprintf(format, args...))
+}
+
+// player is one instance with its controller.
+type player struct {
+	w *world
+	c *Controller
+	// sees is the demand it is told.
+	demand Demanded
+}
+
+func (w *world) newPlayer() *player {
+	p := &player{w: w, c: NewController(Config{RateWindow: 5 * time.Second, RateOver: 1.1})}
+	p.step(w.cfg)
+	return p
+}
+
+func (p *player) step(e Event) {
+	for _, a := range p.c.Step(p.w.now, e) {
+		switch a := a.(type) {
+		case Ask:
+			p.ask(a)
+		case Send:
+			p.send(a)
+		}
+	}
+}
+
+func (p *player) ask(a Ask) {
+	w, asked := p.w, p.w.now
+	w.after(time.Millisecond, 30*time.Millisecond, func() {
+		var r *Report
+		if e := w.engines[a.Endpoint]; e != nil && !e.down {
+			r = e.lagged(w.now.Add(-time.Duration(w.rnd.IntN(100)) * time.Millisecond))
+		}
+		if w.rnd.IntN(12) == 0 {
+			r = nil
+		}
+		w.after(0, 30*time.Millisecond, func() { p.step(Reported{Endpoint: a.Endpoint, AskedAt: asked, Report: r}) })
+	})
+}
+
+// send delivers an order at once, late, or not at all; its answer may be lost.
+func (p *player) send(s Send) {
+	w := p.w
+	ended := func(r Result) func() {
+		return func() { p.step(OrderEnded{Endpoint: s.Endpoint, Order: s.Order, Result: r}) }
+	}
+	switch w.rnd.IntN(10) {
+	case 0:
+		w.after(2*time.Second, 12*time.Second, func() { w.order(s.Endpoint, s.Order) })
+		w.after(time.Second, time.Second, ended(Unknown))
+	case 1:
+		w.after(0, 50*time.Millisecond, func() { w.order(s.Endpoint, s.Order) })
+		w.after(time.Second, time.Second, ended(Unknown))
+	case 2:
+		w.after(time.Second, time.Second, ended(Unknown))
+	default:
+		w.after(0, 50*time.Millisecond, func() {
+			r := w.order(s.Endpoint, s.Order)
+			w.after(0, 20*time.Millisecond, ended(r))
+		})
+	}
+}
+
+// tick shows a player the list and the demand.
+func (p *player) tick() {
+	var l Listed
+	for _, name := range sortedNames(p.w.engines) {
+		if e := p.w.engines[name]; !e.down {
+			l.Members = append(l.Members, Member{Name: name, FailureDomain: "d" + name[len(name)-1:], Resident: sortedNames(e.resident)})
+		}
+	}
+	p.step(l)
+	p.step(p.demand)
+	p.step(Tick{})
+}
+
+// play runs a schedule with endpoints that restart, demand that moves, and
+// holders that follow one another; it ends with a calm span.
+func play(t *testing.T, seed uint64, spoil func(*player)) *world {
+	w := newWorld(t, seed)
+	players := []*player{w.newPlayer(), w.newPlayer()}
+	for _, p := range players {
+		if spoil != nil {
+			spoil(p)
+		}
+	}
+	w.limit = players[0].c.window.limit
+	holder, epoch := 0, int64(1)
+	players[0].step(LeaseAcquired{Epoch: epoch})
+	changeAt := w.now.Add(15 * time.Second)
+	var demand Demanded
+	for step := range 2400 {
+		w.now = w.now.Add(25 * time.Millisecond)
+		calm := step > 1500
+		if !calm {
+			w.trouble()
+		}
+		if step%80 == 0 && step < 1600 {
+			demand = w.drawDemand()
+		}
+		if !calm && w.now.After(changeAt) {
+			// The former holder stops, but what it has sent may still arrive.
+			players[holder].step(LeaseLost{})
+			holder, epoch = 1-holder, epoch+1
+			players[holder].step(LeaseAcquired{Epoch: epoch, Succeeds: true, Wait: time.Second})
+			changeAt = w.now.Add(time.Duration(5+w.rnd.IntN(15)) * time.Second)
+		}
+		w.deliver()
+		w.pass()
+		for _, p := range players {
+			p.demand = demand
+			p.tick()
+		}
+	}
+	w.judgeLoads()
+	w.judgeReach(demand)
+	return w
+}
+
+func (w *world) trouble() {
+	if w.rnd.IntN(250) == 0 {
+		names := sortedNames(w.engines)
+		e := w.engines[names[w.rnd.IntN(len(names))]]
+		delete(w.engines, e.name)
+		w.start(e.disk)
+	}
+}
+
+func (w *world) drawDemand() Demanded {
+	d := Demanded{Rate: map[string]float64{}, Waiting: map[string]int{}}
+	first := w.rnd.IntN(5)
+	for i := range 2 {
+		model := fmt.Sprintf("m%d", first+i)
+		d.Rate[model] = float64(20000 + w.rnd.IntN(80000))
+		d.Rate[model+"/a1"] = float64(w.rnd.IntN(20000))
+	}
+	rare := fmt.Sprintf("m%d", w.rnd.IntN(7))
+	d.Rate[rare] += 500
+	d.Waiting[rare] = 1
+	return d
+}
+
+// judgeLoads checks that loads from the weight store kept to the rate.
+func (w *world) judgeLoads() {
+	const allowance = 3
+	slices.SortFunc(w.begun, time.Time.Compare)
+	for i := range w.begun {
+		n := 0
+		for _, at := range w.begun[i:] {
+			if at.Sub(w.begun[i]) < 5*time.Second {
+				n++
+			}
+		}
+		if n > w.limit+allowance {
+			w.fault("%d loads from the weight store within 5 s, %d allowed", n, w.limit+allowance)
+			return
+		}
+	}
+}
+
+// judgeReach checks that the calm span has brought what is asked for.
+func (w *world) judgeReach(d Demanded) {
+	for unit, rate := range d.Rate {
+		if rate < 1 || slices.ContainsFunc(sortedNames(w.engines), func(n string) bool { return w.engines[n].resident[unit] }) {
+			continue
+		}
+		w.fault("%s is asked for and nowhere resident", unit)
+	}
+}
+
+// TestSchedules plays random schedules in which orders are lost, late and
+// carried out after newer ones, and holders change while orders are on their
+// way: nothing is ever held beyond memory or slots, loads keep to the weight
+// store's rate, and what is asked for is resident in the end.
+func TestSchedules(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		w := play(t, seed, nil)
+		require.Empty(t, w.faults, "seed %d", seed)
+	}
+}
+
+// TestJudgeSeesBrokenControllers shows that the judge can fail: controllers that
+// break one of the rules are caught within a few schedules.
+func TestJudgeSeesBrokenControllers(t *testing.T) {
+	for name, spoil := range map[string]func(*player){
+		"memory is not checked": func(p *player) {
+			bigger := p.w.cfg
+			bigger.CapacityMB += 70
+			p.step(bigger)
+		},
+		"slots are not checked": func(p *player) {
+			more := p.w.cfg
+			more.AdapterSlots += 2
+			p.step(more)
+		},
+		"the rate is not kept": func(p *player) { p.c.window.limit = 1000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				w := newWorldFor(t, seed, spoil)
+				if len(w.faults) > 0 {
+					return
+				}
+			}
+			t.Fatal("no schedule showed the fault")
+		})
+	}
+}
+
+// newWorldFor plays a schedule and judges loads by the true limit.
+func newWorldFor(t *testing.T, seed uint64, spoil func(*player)) *world {
+	w := play(t, seed, spoil)
+	w.limit = 5
+	w.judgeLoads()
+	return w
+}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 // TestPlannerGolden runs the sessions in testdata: units and endpoints are
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/eiderspring/eiderspring/examples"
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 	"github.com/eiderspring/eiderspring/settings"
 	"github.com/eiderspring/eiderspring/standin"
 	"github.com/eiderspring/eiderspring/store"
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 func TestRingAgainstSlice(t *testing.T) {
--- /dev/null
+++ b/routing/pace_test.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func timelyRouter(endpoints ...*Endpoint) *Router {
+	r := NewRouter(Policies()[PolicyTimely], noRandom)
+	r.SetView(&View{Replicas: map[string][]*Endpoint{"m": endpoints}})
+	return r
+}
+
+// TestTimelyTakesTheSoonest reserves prompts at one endpoint and expects the
+// next request at the other, also where the prompts are other instances'.
+func TestTimelyTakesTheSoonest(t *testing.T) {
+	a, b := &Endpoint{Name: "a", Concurrency: 8}, &Endpoint{Name: "b", Concurrency: 8}
+	r := timelyRouter(a, b)
+	a.SetOthers(Others{Running: 2, Prompt: 50 * time.Millisecond})
+	req := &Request{Unit: "m", PromptTokens: 400, Now: testNow, FirstBy: testNow.Add(time.Second)}
+	d, err := r.Pick(req)
+	require.NoError(t, err)
+	require.Equal(t, "b", d.Endpoint.Name)
+	d2, err := r.Pick(&Request{Unit: "m", PromptTokens: 4000, Now: testNow, FirstBy: testNow.Add(time.Second)})
+	require.NoError(t, err)
+	require.Equal(t, "b", d2.Endpoint.Name, "20 ms are ahead there, 50 at the other")
+	d3, err := r.Pick(req)
+	require.NoError(t, err)
+	require.Equal(t, "a", d3.Endpoint.Name)
+	r.Release(&d)
+	d2.Answered()
+	require.Zero(t, b.OwnPrompt())
+	require.EqualValues(t, 1, b.Own())
+}
+
+// TestTimelyRefusesWhatWouldBeLate lets prompts ahead take all the time left.
+func TestTimelyRefusesWhatWouldBeLate(t *testing.T) {
+	e := &Endpoint{Name: "a", Concurrency: 8}
+	r := timelyRouter(e)
+	e.SetOthers(Others{Running: 3, Prompt: 700 * time.Millisecond})
+	req := Request{Unit: "m", PromptTokens: 2000, Now: testNow, FirstBy: testNow.Add(800 * time.Millisecond)}
+	_, err := r.Pick(&req)
+	require.ErrorIs(t, err, ErrNoRoom)
+	e.SetOthers(Others{})
+	_, err = r.Pick(&req)
+	require.NoError(t, err, "nowhere would be sooner than where nothing is ahead")
+}
+
+// TestTimelyRefusesWhereStreamsPause keeps requests from an endpoint whose
+// streams pause for half of what they may.
+func TestTimelyRefusesWhereStreamsPause(t *testing.T) {
+	e := &Endpoint{Name: "a", Concurrency: 8}
+	r := timelyRouter(e)
+	e.SetOthers(Others{Running: 1})
+	for range 100 {
+		e.NoteGap(300 * time.Millisecond)
+	}
+	_, err := r.Pick(&Request{Unit: "m", PromptTokens: 10, Now: testNow, GapAim: 400 * time.Millisecond})
+	require.ErrorIs(t, err, ErrNoRoom)
+	_, err = r.Pick(&Request{Unit: "m", PromptTokens: 10, Now: testNow})
+	require.NoError(t, err, "a request without a target for pauses goes there")
+}
+
+// TestPaceIsLearned gives observations of an engine that takes 20 µs a token.
+func TestPaceIsLearned(t *testing.T) {
+	e := &Endpoint{Name: "a", Concurrency: 8}
+	r := timelyRouter(e)
+	for range 60 {
+		d, err := r.Pick(&Request{Unit: "m", PromptTokens: 1000, Now: testNow})
+		require.NoError(t, err)
+		r.Learn(&d, "m", testNow.Add(firstStep+20*time.Millisecond))
+		r.Release(&d)
+	}
+	require.InDelta(t, float64(20*time.Millisecond), float64(r.paces.work("m", 1000)), float64(time.Millisecond))
+	r.paces.learn("m", time.Second, time.Hour)
+	require.Less(t, r.paces.work("m", 1000), 30*time.Millisecond, "one surprise changes little")
+}
+
+func TestSlotsOfAllInstancesCount(t *testing.T) {
+	e := &Endpoint{Name: "a", Concurrency: 2}
+	r := timelyRouter(e)
+	e.SetOthers(Others{Running: 1})
+	_, err := r.Pick(&Request{Unit: "m", Now: testNow})
+	require.NoError(t, err)
+	_, err = r.Pick(&Request{Unit: "m", Now: testNow})
+	require.ErrorIs(t, err, ErrNoRoom)
+}
--- a/settings/merge_test.go
+++ b/settings/merge_test.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 )
 
 // TestMergeGolden runs the sessions in testdata/merge: the texts base, mine and
