Large fleets tell a hub; changes of endpoints gather longer there

Cause: at 90 instances everybody told everybody (0.095 cores an instance, 0.053 for bytes between domains) and each followed every change of 145 endpoints.

Change: beyond 16 instances summaries go to the instance that places units, which tells all the sums; placements go out once a tick and only when news; strong instances place units; campaigns rank listed instances and fall back when nobody is heard; the retry slack is divided by the number of listed instances; changes gather for as long as the bound on leaving endpoints allows.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -66,14 +66,13 @@
 	link    *storeLink
 	log     logr.Logger
 	now     func() time.Time
+	// gather is how long changes gather before they are asked for.
+	gather func() time.Duration
 }
 
 const (
 	// entryInputs bounds the changes that wait for the duty.
 	entryInputs = 256
-	// gatherTime is how long changes of endpoints gather before they are asked
-	// for; the bounds on leaving endpoints leave room for it.
-	gatherTime = 500 * time.Millisecond
 	// entriesTick is the time between two looks at entries that are missing.
 	entriesTick = 250 * time.Millisecond
 )
@@ -93,7 +92,7 @@
 			case store.EventBookmark:
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				wait.For(ctx, gatherTime)
+				wait.For(ctx, d.gather())
 			case store.EventDeleted:
 				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
 			default:
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -32,6 +32,8 @@
 	demanded func(rate map[string]float64, waiting map[string]int)
 	// suspected gets endpoints at which requests of some instance have failed.
 	suspected func(endpoints []string)
+	// counted gets the number of instances that are listed.
+	counted func(n int)
 	// leaving tells whether this instance makes a planned stop.
 	leaving func() bool
 	inputs  *ring.Ring[peer.Packet]
@@ -43,12 +45,19 @@
 	sealer    *peer.Sealer
 	datagrams peer.Datagrams
 	// listed holds where each instance is by its entry in the store.
-	listed map[string]string
-	live   []string
+	listed map[string]presence
 	told   map[string]string
+	// unsent holds the placements that wait for the next tick.
+	unsent map[string]peer.Placement
+	seq    uint64
 
-	board *peer.Board
-	seq   uint64
+	// self is this instance's own entry.
+	self presence
+	// holds tells whether this instance places units, and so is the hub.
+	holds  func() bool
+	hubAt  time.Time
+	board  *peer.Board
+	totals totals
 }
 
 const (
@@ -64,8 +73,13 @@
 	// maxSuspects bounds what one packet tells of them.
 	suspectTime = 250 * time.Millisecond
 	maxSuspects = 8
-	// maxPlacements bounds the placements of one packet.
+	// maxPlacements bounds the placements of one packet, maxTotals its sums.
 	maxPlacements = 4
+	maxTotals     = 32
+	// smallFleet is up to how many instances everybody tells everybody.
+	smallFleet = 16
+	// hubTick is the time between two words of the hub.
+	hubTick = 250 * time.Millisecond
 )
 
 // open begins to listen, once the key is known.
@@ -107,15 +121,17 @@
 	_ = m.inputs.Put(context.Background(), p)
 }
 
-// find records where an instance is by its entry in the store.
-func (m *mesh) find(instance, address string) {
+// find records an instance's entry in the store; nil says that it is gone.
+func (m *mesh) find(instance string, p *presence) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if address == "" {
+	if p == nil {
 		delete(m.listed, instance)
-		return
+	} else {
+		m.listed[instance] = *p
 	}
-	m.listed[instance] = address
+	n := len(m.listed)
+	m.mu.Unlock()
+	m.counted(n)
 }
 
 // run takes packets and tells the board's news.
@@ -142,6 +158,9 @@
 	if len(p.Placements) > 0 {
 		m.placed(p.Placements)
 	}
+	if p.Instances > 0 && p.From != m.instance {
+		m.totals.take(m.now(), p)
+	}
 	if len(p.Suspects) > 0 {
 		m.suspected(p.Suspects)
 	}
@@ -161,6 +180,9 @@
 // publish makes the board's state known to routing and to others that ask.
 func (m *mesh) publish() {
 	others := m.board.Loads(m.instance)
+	if m.totals.fresh(m.now()) {
+		others = m.totals.others()
+	}
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
 			l := others[e.Name]
@@ -169,17 +191,25 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.live = m.board.Live()
 	m.told = m.board.Addresses()
 }
 
-// alive returns the instances that were heard lately, this one included.
-func (m *mesh) alive() []string {
+// known returns the instances that are listed in the store or were heard, this
+// one included, and how strong each is.
+func (m *mesh) known() map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live
+	known := make(map[string]float64, len(m.listed)+1)
+	for name, p := range m.listed {
+		known[name] = p.Cores
+	}
+	known[m.instance] = m.self.Cores
+	return known
 }
 
+// hubSilent is how long ago the instance that places units was heard.
+func (m *mesh) hubSilent() time.Duration { return m.totals.silent(m.now()) }
+
 // hurry tells the others at once.
 func (m *mesh) hurry() {
 	select {
@@ -193,7 +223,7 @@
 
 func (m *mesh) tick(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.tell(ctx, m.summary())
+		m.tell(ctx)
 		timer := time.NewTimer(meshTick)
 		select {
 		case <-ctx.Done():
@@ -205,16 +235,76 @@
 	}
 }
 
-// place tells all instances, this one too, what endpoints hold.
+// tell sends a summary and takes it in as the others do. In a small fleet
+// everybody tells everybody. In a large one everybody tells the hub, which is the
+// instance that places units, and the hub tells everybody the sum: packets grow
+// with the instances, not with their square.
+func (m *mesh) tell(ctx context.Context) {
+	p := m.stamp(m.summary())
+	m.totals.tell(p.Loads)
+	if m.small() {
+		m.send(p, m.addresses())
+	} else {
+		m.send(p, m.hubAddress())
+	}
+	_ = m.inputs.Put(ctx, p)
+	if m.holds() && m.now().Sub(m.hubAt) >= hubTick {
+		m.hubAt = m.now()
+		m.tellSum()
+	}
+	m.flushPlacements()
+}
+
+// tellSum tells all instances what all have under way.
+func (m *mesh) tellSum() {
+	sum := slices.Collect(maps.Values(m.board.Loads("")))
+	n := len(m.board.Live())
+	if m.small() {
+		sum = nil
+	}
+	for first := true; first || len(sum) > 0; first = false {
+		k := min(len(sum), maxTotals)
+		m.send(m.stamp(peer.Packet{Totals: sum[:k], Instances: max(n, 1)}), m.addresses())
+		sum = sum[k:]
+	}
+}
+
+// place tells all instances, this one too, what endpoints hold. In a large fleet
+// what comes within a tick goes together.
 func (m *mesh) place(placements []peer.Placement) {
 	m.placed(placements)
-	for len(placements) > 0 {
-		n := min(maxPlacements, len(placements))
-		m.send(peer.Packet{Placements: placements[:n]})
-		placements = placements[n:]
+	m.mu.Lock()
+	for _, p := range placements {
+		m.unsent[p.Endpoint] = p
+	}
+	m.mu.Unlock()
+	if m.small() {
+		m.flushPlacements()
 	}
 }
 
+func (m *mesh) flushPlacements() {
+	m.mu.Lock()
+	unsent := slices.Collect(maps.Values(m.unsent))
+	clear(m.unsent)
+	m.mu.Unlock()
+	for len(unsent) > 0 {
+		k := min(maxPlacements, len(unsent))
+		m.send(m.stamp(peer.Packet{Placements: unsent[:k]}), m.addresses())
+		unsent = unsent[k:]
+	}
+}
+
+// small tells whether the fleet is so small that everybody tells everybody.
+func (m *mesh) small() bool { return m.size() <= smallFleet }
+
+// size is how many instances are listed.
+func (m *mesh) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.listed)
+}
+
 // summary is what this instance has under way and is asked for.
 func (m *mesh) summary() peer.Packet {
 	p := peer.Packet{Leaving: m.leaving()}
@@ -239,37 +329,51 @@
 	return p
 }
 
-// tell sends a summary to the others and takes it in as they do.
-func (m *mesh) tell(ctx context.Context, p peer.Packet) {
-	sent := m.send(p)
-	_ = m.inputs.Put(ctx, sent)
-}
-
-// send stamps a packet and sends it to all instances that are known.
-func (m *mesh) send(p peer.Packet) peer.Packet {
+// stamp completes a packet of this instance.
+func (m *mesh) stamp(p peer.Packet) peer.Packet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
 	p.Version, p.From, p.Process, p.Address, p.Seq = peer.PacketVersion, m.instance, m.process, m.address, m.seq
-	if m.sealer == nil {
-		return p
+	return p
+}
+
+// send sends a packet to other instances.
+func (m *mesh) send(p peer.Packet, addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sealer == nil || len(addresses) == 0 {
+		return
 	}
 	data, err := peer.EncodePacket(p)
 	if err != nil || len(data) > peer.MaxPacketBytes {
 		m.log.Info("packet not sent", "bytes", len(data), "loads", len(p.Loads), "demands", len(p.Demands))
-		return p
+		return
 	}
-	for _, address := range m.addresses() {
-		m.datagrams.Send(address, m.sealer.Seal(data))
+	sealed := m.sealer.Seal(data)
+	for _, address := range addresses {
+		m.datagrams.Send(address, sealed)
 	}
-	return p
 }
 
 // addresses is where the other instances are, by their own word or else by
 // their entry.
-func (m *mesh) addresses() map[string]string {
-	all := maps.Clone(m.listed)
+func (m *mesh) addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make(map[string]string, len(m.listed)+len(m.told))
+	for name, p := range m.listed {
+		all[name] = p.Datagrams
+	}
 	maps.Copy(all, m.told)
 	delete(all, m.instance)
-	return all
+	return slices.Collect(maps.Values(all))
+}
+
+// hubAddress is where the hub is; nowhere while it is not known.
+func (m *mesh) hubAddress() []string {
+	if m.holds() || !m.totals.fresh(m.now()) {
+		return nil
+	}
+	return []string{m.totals.address()}
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"expvar"
+	"maps"
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
@@ -94,7 +96,7 @@
 	n := &Node{
 		cfg: cfg, ports: ports, log: log, now: time.Now, vars: new(expvar.Map).Init(),
 		router:  routing.NewRouter(routing.Policies()[cfg.RoutingPolicy], randv2.Float64),
-		retries: pipeline.NewRetryBudgets(cfg.Retries.limits()),
+		retries: pipeline.NewRetryBudgets(cfg.Retries.limits(0)),
 		events:  ring.New[event](eventsCapacity, ring.Block),
 	}
 	n.work, n.stop = context.WithCancel(context.Background())
@@ -117,9 +119,12 @@
 
 // limits is this instance's share of what all may make. A little stays unused,
 // as an instance that is restarted begins anew.
-func (r NodeRetry) limits() pipeline.RetryLimits {
+func (r NodeRetry) limits(instances int) pipeline.RetryLimits {
 	const used = 0.8
-	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/assumedInstances), Initial: 1}
+	if instances == 0 {
+		instances = assumedInstances
+	}
+	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/float64(instances)), Initial: 1}
 }
 
 func (n *Node) newMesh() *mesh {
@@ -128,15 +133,19 @@
 		// The configuration was checked where it was read.
 		host = ""
 	}
+	address, process := net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPorts[0])), rand.Text()
 	return &mesh{
-		instance: n.cfg.Instance, process: rand.Text(), address: net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPorts[0])),
+		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
 		demanded:  func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
 		suspected: func(endpoints []string) { n.placers.suspected(endpoints) },
 		leaving:   func() bool { return n.stopping.Load() != nil },
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
-		listed: map[string]string{}, board: peer.NewBoard(),
+		listed: map[string]presence{}, unsent: map[string]peer.Placement{}, board: peer.NewBoard(),
+		self:    presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
+		holds:   func() bool { return n.placers.holds() },
+		counted: func(instances int) { n.retries.SetLimits(n.cfg.Retries.limits(instances)) },
 	}
 }
 
@@ -153,12 +162,23 @@
 	if n.stopping.Load() != nil {
 		return false
 	}
-	alive := slices.Clone(n.mesh.alive())
-	rendezvous(pool, alive)
-	at := slices.Index(alive, n.cfg.Instance)
-	return at >= 0 && at < nodeCampaigners
+	known := n.mesh.known()
+	names := slices.Collect(maps.Keys(known))
+	rendezvous(pool, names)
+	// Placing units takes processor time, so the strong go first.
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(known[b], known[a]) })
+	at := slices.Index(names, n.cfg.Instance)
+	return at < nodeCampaigners || n.mesh.hubSilent() >= silentCampaign+time.Duration(at)*silentStep
 }
 
+// Entries of instances that are gone may rank first. So one that has heard
+// nobody who places units for silentCampaign campaigns too, the lower ranks a
+// step later each.
+const (
+	silentCampaign = 3 * time.Second
+	silentStep     = 100 * time.Millisecond
+)
+
 func (n *Node) listen() error {
 	dialect := n.ports.Callers(n.catalog.Load)
 	handler := pipeline.New(pipeline.Config{
@@ -301,7 +321,7 @@
 	n.vars.Set("store_calls", calls)
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Transport: &http.Transport{
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.watchWait(), Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
 	n.placers = &placers{
@@ -310,7 +330,7 @@
 	}
 	n.presence = &presenceDuty{
 		client: objects, writer: store.NewWriter(objects), instance: n.cfg.Instance, link: n.link, log: n.log,
-		self: presence{Datagrams: n.mesh.address, Process: n.mesh.process}, opened: n.mesh.open, found: n.mesh.find,
+		self: n.mesh.self, opened: n.mesh.open, found: n.mesh.find,
 	}
 	view := &viewDuty{
 		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
@@ -325,6 +345,7 @@
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
+		gather: func() time.Duration { return n.cfg.Fresh.gather(n.mesh.size()) },
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
@@ -359,7 +380,7 @@
 		n.log.Error(err, "configuration refused, the old one stays")
 		return
 	}
-	n.retries.SetLimits(cfg.Retries.limits())
+	n.retries.SetLimits(cfg.Retries.limits(0))
 	n.log.Info("reload", "retry_ratio", cfg.Retries.Ratio, "retry_slack", cfg.Retries.Slack)
 }
 
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/eiderspring/eiderspring/jsonc"
 	"github.com/eiderspring/eiderspring/routing"
@@ -28,6 +29,7 @@
 	LogLevel string     `json:"logLevel"`
 	Retries  NodeRetry  `json:"retries"`
 	Orders   NodeOrders `json:"orders"`
+	Fresh    NodeFresh  `json:"fresh"`
 	Limits   NodeLimits `json:"limits"`
 }
 
@@ -52,6 +54,34 @@
 	RateOver    float64 `json:"rateOver"`
 }
 
+// NodeFresh says how old what a node knows may be, in milliseconds.
+type NodeFresh struct {
+	// LeavingMS is how soon a leaving endpoint must get no more requests.
+	LeavingMS int `json:"leavingMS"`
+	// ContactMS is how long a node may take to find back to a store that was away.
+	ContactMS int `json:"contactMS"`
+}
+
+// gather is how long changes of endpoints gather before they are asked for. Each
+// answer wakes every instance and costs a call, so large fleets let more gather.
+func (f NodeFresh) gather(instances int) time.Duration {
+	const forDelivery = time.Second
+	if instances <= smallFleet {
+		return smallGather
+	}
+	return max(smallGather, milliseconds(f.LeavingMS)-forDelivery)
+}
+
+// smallGather is the time for which changes gather in a small fleet.
+const smallGather = 500 * time.Millisecond
+
+// watchWait is how long the store may hold a watch: a call that it has forgotten
+// must be over, and made again, before the node counts as in contact.
+func (f NodeFresh) watchWait() time.Duration {
+	const forReturn = 200 * time.Millisecond
+	return milliseconds(f.ContactMS) - forReturn
+}
+
 // NodeLimits bound what one instance takes on.
 type NodeLimits struct {
 	HeaderBytes int `json:"headerBytes"`
@@ -60,6 +90,10 @@
 	// QueueRequests and QueueBytes bound the queue of each pool.
 	QueueRequests int `json:"queueRequests"`
 	QueueBytes    int `json:"queueBytes"`
+	// CPUShare is the share of a core that the instance gets, CoreSpeed how fast
+	// that core is; instances with more place units rather than others.
+	CPUShare  float64 `json:"cpuShare"`
+	CoreSpeed float64 `json:"coreSpeed"`
 	// GraceMS is how long the platform waits after SIGTERM before it kills, in
 	// milliseconds.
 	GraceMS int `json:"graceMS"`
@@ -71,8 +105,9 @@
 		RoutingPolicy: routing.PolicyTimely, LogLevel: "info",
 		Retries: NodeRetry{Ratio: 0.1, Slack: 10},
 		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
+		Fresh:   NodeFresh{LeavingMS: 2000, ContactMS: 3000},
 		Limits: NodeLimits{
-			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000,
+			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000, CPUShare: 1, CoreSpeed: 1,
 		},
 	}
 }
@@ -121,7 +156,9 @@
 	}{
 		{"limits/headerBytes", float64(cfg.Limits.HeaderBytes)}, {"limits/readMS", float64(cfg.Limits.ReadMS)},
 		{"limits/queueRequests", float64(cfg.Limits.QueueRequests)}, {"limits/queueBytes", float64(cfg.Limits.QueueBytes)},
-		{"limits/graceMS", float64(cfg.Limits.GraceMS)}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
+		{"limits/graceMS", float64(cfg.Limits.GraceMS)},
+		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
+		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS - 200)},
 		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
 	} {
 		c.positive("/"+bound.path, bound.n)
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -214,6 +214,18 @@
 	}
 }
 
+// holds tells whether this instance places units of some pool.
+func (p *placers) holds() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, placer := range p.running {
+		if _, held := placer.runner.Hold(); held {
+			return true
+		}
+	}
+	return false
+}
+
 // suspected passes endpoints on at which requests have failed.
 func (p *placers) suspected(endpoints []string) {
 	p.mu.Lock()
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -18,6 +18,8 @@
 type presence struct {
 	Datagrams string `json:"datagrams"`
 	Process   string `json:"process"`
+	// Cores is the processor time that the instance has.
+	Cores float64 `json:"cores"`
 }
 
 // peerKey is the spec of the object that holds the datagrams' key.
@@ -37,12 +39,15 @@
 	self     presence
 	link     *storeLink
 	log      logr.Logger
-	// opened gets the key of the datagrams, found gets where an instance
-	// receives them; an empty address says that it is gone.
+	// opened gets the key of the datagrams, found gets the entry of an instance;
+	// nil says that it is gone.
 	opened func(key []byte) error
-	found  func(instance, address string)
+	found  func(instance string, p *presence)
 }
 
+// presenceGather is how long entries of instances gather.
+const presenceGather = time.Second
+
 // presencePause is the pause before a call that failed is made again.
 const presencePause = 500 * time.Millisecond
 
@@ -131,8 +136,10 @@
 			d.link.heard()
 			switch e.Type {
 			case store.EventBookmark:
+				// Many instances start together; their entries gather meanwhile.
+				wait.For(ctx, presenceGather)
 			case store.EventDeleted:
-				d.found(e.Object.Metadata.Name, "")
+				d.found(e.Object.Metadata.Name, nil)
 			default:
 				d.note(e.Object)
 			}
@@ -147,5 +154,5 @@
 		d.log.Error(err, "presence unreadable", "name", o.Metadata.Name)
 		return
 	}
-	d.found(o.Metadata.Name, p.Datagrams)
+	d.found(o.Metadata.Name, &p)
 }
--- /dev/null
+++ b/daemon/totals.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+// totals is the hub's word on what all instances have under way.
+type totals struct {
+	mu      sync.Mutex
+	hub     string
+	heardAt time.Time
+	loads   map[string]totalLoad
+	// own is what this instance told last; the hub's sums hold it.
+	own map[string]peer.EndpointLoad
+}
+
+// totalLoad is the sum at one endpoint and when it was told.
+type totalLoad struct {
+	peer.EndpointLoad
+	at time.Time
+}
+
+// totalsExpiry is how long the hub's word counts.
+const totalsExpiry = 1500 * time.Millisecond
+
+// take takes a word of the hub; it comes in several packets.
+func (t *totals) take(now time.Time, p peer.Packet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hub, t.heardAt = p.Address, now
+	if t.loads == nil {
+		t.loads = map[string]totalLoad{}
+	}
+	for _, l := range p.Totals {
+		t.loads[l.Endpoint] = totalLoad{EndpointLoad: l, at: now}
+	}
+	for endpoint, l := range t.loads {
+		if now.Sub(l.at) >= totalsExpiry {
+			// The hub leaves out endpoints at which nothing is under way.
+			delete(t.loads, endpoint)
+		}
+	}
+}
+
+// tell records what this instance tells.
+func (t *totals) tell(own []peer.EndpointLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own = make(map[string]peer.EndpointLoad, len(own))
+	for _, l := range own {
+		t.own[l.Endpoint] = l
+	}
+}
+
+// others is the sums less what this instance told.
+func (t *totals) others() map[string]peer.EndpointLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]peer.EndpointLoad, len(t.loads))
+	for endpoint, l := range t.loads {
+		own := t.own[endpoint]
+		out[endpoint] = peer.EndpointLoad{
+			Endpoint: endpoint, Running: max(l.Running-own.Running, 0), Prompt: max(l.Prompt-own.Prompt, 0),
+		}
+	}
+	return out
+}
+
+// fresh tells whether sums have been told lately.
+func (t *totals) fresh(now time.Time) bool { return t.silent(now) < totalsExpiry }
+
+// silent is how long ago the hub was heard.
+func (t *totals) silent(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.heardAt)
+}
+
+// address is where the hub receives packets.
+func (t *totals) address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hub
+}
--- a/peer/board.go
+++ b/peer/board.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	e.seq, e.heardAt, e.address, e.leaving = p.Seq, now, p.Address, p.Leaving
-	if len(p.Placements) > 0 {
+	if len(p.Placements) > 0 || p.Instances > 0 {
 		// Such a packet tells nothing of the sender's own.
 		return true
 	}
@@ -143,6 +143,7 @@
 		}
 		for endpoint, l := range e.loads {
 			s := sum[endpoint]
+			s.Endpoint = endpoint
 			s.Running += l.Running
 			s.Prompt += l.Prompt
 			sum[endpoint] = s
--- a/peer/board_test.go
+++ b/peer/board_test.go
@@ -19,10 +19,10 @@
 			Loads: []EndpointLoad{{Endpoint: "e", Running: int64(i + 1), Prompt: 10}},
 		}))
 	}
-	require.Equal(t, EndpointLoad{Running: 5, Prompt: 20}, b.Loads("a")["e"])
+	require.Equal(t, EndpointLoad{Endpoint: "e", Running: 5, Prompt: 20}, b.Loads("a")["e"])
 	require.False(t, b.Receive(boardAt(1), Packet{From: "b", Process: "p", Seq: 1}), "the same packet twice")
 	require.True(t, b.Receive(boardAt(2), Packet{From: "b", Process: "later", Seq: 1}), "a new process counts anew")
-	require.Equal(t, EndpointLoad{Running: 3, Prompt: 10}, b.Loads("a")["e"])
+	require.Equal(t, EndpointLoad{Endpoint: "e", Running: 3, Prompt: 10}, b.Loads("a")["e"])
 	b.Forget(boardAt(0).Add(Expiry))
 	require.Equal(t, []string{"b"}, b.Live(), "the others were not heard since")
 }
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -29,11 +29,15 @@
 	Loads []EndpointLoad `cbor:"6,keyasint,omitempty"`
 	// Demands are units that were asked for lately.
 	Demands []UnitDemand `cbor:"7,keyasint,omitempty"`
-	// Placements come from the instance that places units; a packet with some
-	// tells nothing else.
+	// Placements come from the instance that places units. A packet with some, or
+	// with Totals, tells nothing of the sender's own.
 	Placements []Placement `cbor:"8,keyasint,omitempty"`
 	// Suspects are endpoints at which requests of the sender have failed lately.
 	Suspects []string `cbor:"10,keyasint,omitempty"`
+	// Totals is what all instances together have under way, from the instance that
+	// gathers it in a large fleet; Instances is how many it has heard lately.
+	Totals    []EndpointLoad `cbor:"11,keyasint,omitempty"`
+	Instances int            `cbor:"12,keyasint,omitempty"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -151,6 +151,7 @@
 		// What the former holder ordered is not known here.
 		ep.known, ep.sending, ep.doubt, ep.askAt, ep.asking, ep.moving = false, nil, nil, now, false, nil
 		clear(ep.going)
+		ep.toldAt = time.Time{}
 	}
 	return []Action{Noted{What: "placement taken over", Detail: "epoch " + strconv.FormatInt(e.Epoch, 10)}}
 }
@@ -187,7 +188,7 @@
 		return nil
 	}
 	e.askAt = now.Add(c.nextAsk(now, e))
-	return []Action{e.tell()}
+	return e.tell(now)
 }
 
 // refusedReport takes a refused connection.
@@ -269,7 +270,7 @@
 	case Taken:
 		e.took(now, o.Order, c.units, c.duration(e, o.Order))
 		e.askAt = now.Add(max(c.duration(e, o.Order), settleTime))
-		return []Action{e.tell()}
+		return e.tell(now)
 	case Superseded:
 		c.holding = false
 		return []Action{Noted{What: "superseded", Endpoint: o.Endpoint}}
@@ -337,7 +338,7 @@
 	if m.Op == OpUnload && c.units[m.Unit].Base == "" {
 		e.going[m.Unit] = now
 		e.reserved, e.reservedAt = m.For, now
-		return []Action{e.tell()}
+		return e.tell(now)
 	}
 	if m.Op == OpLoad && c.units[m.Unit].Base == "" {
 		e.reserved = ""
--- a/placement/counted/endpoint.go
+++ b/placement/counted/endpoint.go
@@ -47,6 +47,9 @@
 	// once they prove that the process is gone.
 	refusals int
 	lost     bool
+	// told is what routing was told last, at toldAt.
+	told   Tell
+	toldAt time.Time
 	// behind counts reports in a row that were older than what is known.
 	behind int
 }
@@ -224,11 +227,19 @@
 	return n
 }
 
-// tell is what routing is to know of the endpoint.
-func (e *endpoint) tell() Tell {
-	return Tell{
-		Endpoint: e.Name, Units: slices.Sorted(maps.Keys(e.resident)), Going: slices.Sorted(maps.Keys(e.going)),
+// tellEvery is how often routing is told what it knows already, as it may have
+// missed it.
+const tellEvery = 4 * time.Second
+
+// tell is what routing is to know of the endpoint; nothing if it was told that
+// lately.
+func (e *endpoint) tell(now time.Time) []Action {
+	t := Tell{Endpoint: e.Name, Units: slices.Sorted(maps.Keys(e.resident)), Going: slices.Sorted(maps.Keys(e.going))}
+	if now.Sub(e.toldAt) < tellEvery && slices.Equal(t.Units, e.told.Units) && slices.Equal(t.Going, e.told.Going) {
+		return nil
 	}
+	e.told, e.toldAt = t, now
+	return []Action{t}
 }
 
 func setOf(names []string) map[string]bool {
--- a/store/caller.go
+++ b/store/caller.go
@@ -31,6 +31,9 @@
 	http    *http.Client
 }
 
+// DefaultWatchWait is the wait of a watch where Config does not tell.
+const DefaultWatchWait = 2500 * time.Millisecond
+
 // DefaultCallTimeout bounds a call where Config does not.
 const DefaultCallTimeout = 2 * time.Second
 
--- a/store/client.go
+++ b/store/client.go
@@ -35,6 +35,9 @@
 	URL string
 	// CallTimeout bounds each call but watches.
 	CallTimeout time.Duration
+	// WatchWait is how long the store may hold a watch that has nothing to tell,
+	// where watches are calls that end; 0 means DefaultWatchWait.
+	WatchWait time.Duration
 	// Calls counts calls by "VERB KIND"; nil counts nothing.
 	Calls *expvar.Map
 	// Transport carries the calls; nil means a transport of the client's own.
