The hub tells which endpoints leave, and everybody the revision in force

Cause: in a large fleet an instance that misses its own watch kept old settings and sent to leaving endpoints until its next look; gathering for longer needs somebody who tells.

Change: packets carry the revision in force, and a lower one reads the settings again; the hub repeats which endpoints began to leave.

--- a/daemon/events.go
+++ b/daemon/events.go
@@ -29,8 +29,12 @@
 // placementsTold is the word of the instance that places units.
 type placementsTold struct{ placements []peer.Placement }
 
-func (placementsTold) isEvent()   {}
-func (instanceLeaving) isEvent()  {}
-func (settingsAccepted) isEvent() {}
-func (membersListed) isEvent()    {}
-func (loadReported) isEvent()     {}
+// endpointsWithdrawn is an instance's word that endpoints take no more work.
+type endpointsWithdrawn struct{ names []string }
+
+func (endpointsWithdrawn) isEvent() {}
+func (placementsTold) isEvent()     {}
+func (instanceLeaving) isEvent()    {}
+func (settingsAccepted) isEvent()   {}
+func (membersListed) isEvent()      {}
+func (loadReported) isEvent()       {}
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -20,11 +20,35 @@
 	kind   store.Kind
 	name   string
 	decode func(store.Object) (*revision.Accepted, error)
+	// newer is told when another instance has newer settings in force.
+	newer  <-chan struct{}
 	events *ring.Ring[event]
 	link   *storeLink
 	log    logr.Logger
 }
 
+// confirm reads the settings when another instance is known to have newer ones:
+// a watch may have broken unnoticed.
+func (d *configDuty) confirm(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.newer:
+		}
+		o, err := d.client.Get(ctx, d.kind, d.name)
+		if err != nil {
+			d.log.Info("newer settings not read", "error", err.Error())
+			wait.For(ctx, jitter(confirmPause))
+			continue
+		}
+		d.found(ctx, o)
+	}
+}
+
+// confirmPause is the pause after a read of newer settings has failed.
+const confirmPause = 300 * time.Millisecond
+
 func (d *configDuty) run(ctx context.Context) {
 	r := store.NewReflector(d.client, d.kind,
 		func(l store.List) {
@@ -66,8 +90,10 @@
 	link    *storeLink
 	log     logr.Logger
 	now     func() time.Time
-	// gather is how long changes gather before they are asked for.
-	gather func() time.Duration
+	// gather is how long changes gather before they are asked for, at least and
+	// at most; told tells whether another instance tells of leaving endpoints.
+	gather func() (least, most time.Duration)
+	told   func() bool
 }
 
 const (
@@ -92,7 +118,7 @@
 			case store.EventBookmark:
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				wait.For(ctx, d.gather())
+				d.pause(ctx)
 			case store.EventDeleted:
 				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
 			default:
@@ -110,6 +136,20 @@
 	r.Run(ctx)
 }
 
+// pause lets changes gather. It ends early, behind least, when nobody tells any
+// more which endpoints leave.
+func (d *entriesDuty) pause(ctx context.Context) {
+	least, most := d.gather()
+	began := d.now()
+	wait.For(ctx, least)
+	for d.now().Sub(began) < most && d.told() && ctx.Err() == nil {
+		wait.For(ctx, pauseStep)
+	}
+}
+
+// pauseStep is the time between two looks at whether a pause is to end.
+const pauseStep = 250 * time.Millisecond
+
 func (d *entriesDuty) members(objects []store.Object) []membership.Member {
 	members := make([]membership.Member, 0, len(objects))
 	for _, o := range objects {
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -51,6 +51,15 @@
 	unsent map[string]peer.Placement
 	seq    uint64
 
+	// revision is that of the settings in force here; newer is told when another
+	// instance has newer ones.
+	revision func() int64
+	newer    chan struct{}
+	// endpointsLeave gets endpoints that another instance says take no more work.
+	endpointsLeave func(names []string)
+	// withdrawn holds when endpoints began to leave, by this instance's list.
+	withdrawn map[string]time.Time
+
 	// self is this instance's own entry.
 	self presence
 	// holds tells whether this instance places units, and so is the hub.
@@ -75,9 +84,13 @@
 	maxSuspects = 8
 	// maxPlacements bounds the placements of one packet, maxTotals its sums.
 	maxPlacements = 4
-	maxTotals     = 32
+	maxTotals     = 24
 	// smallFleet is up to how many instances everybody tells everybody.
 	smallFleet = 16
+	// maxWithdrawn bounds the endpoints that one packet tells of.
+	maxWithdrawn = 16
+	// hubLost is for how long the hub may be silent before others look themselves.
+	hubLost = 600 * time.Millisecond
 	// hubTick is the time between two words of the hub.
 	hubTick = 250 * time.Millisecond
 )
@@ -161,6 +174,15 @@
 	if p.Instances > 0 && p.From != m.instance {
 		m.totals.take(m.now(), p)
 	}
+	if p.Revision > m.revision() {
+		select {
+		case m.newer <- struct{}{}:
+		default:
+		}
+	}
+	if len(p.Withdrawn) > 0 && p.From != m.instance {
+		m.endpointsLeave(p.Withdrawn)
+	}
 	if len(p.Suspects) > 0 {
 		m.suspected(p.Suspects)
 	}
@@ -262,13 +284,43 @@
 	if m.small() {
 		sum = nil
 	}
+	withdrawn := m.withdrawnLately()
 	for first := true; first || len(sum) > 0; first = false {
 		k := min(len(sum), maxTotals)
-		m.send(m.stamp(peer.Packet{Totals: sum[:k], Instances: max(n, 1)}), m.addresses())
+		m.send(m.stamp(peer.Packet{
+			Totals: sum[:k], Instances: max(n, 1), Revision: m.revision(), Withdrawn: withdrawn,
+		}), m.addresses())
 		sum = sum[k:]
 	}
 }
 
+// withdraw records that an endpoint has begun to leave.
+func (m *mesh) withdraw(endpoint string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.withdrawn[endpoint] = m.now()
+}
+
+// withdrawnLately returns the endpoints of which the others may not know yet.
+func (m *mesh) withdrawnLately() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, at := range m.withdrawn {
+		if m.now().Sub(at) >= 2*largeGather {
+			delete(m.withdrawn, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names[:min(len(names), maxWithdrawn)]
+}
+
+// hubTells tells whether another instance tells which endpoints leave. The hub
+// itself must look.
+func (m *mesh) hubTells() bool { return !m.holds() && m.hubSilent() < hubLost }
+
 // place tells all instances, this one too, what endpoints hold. In a large fleet
 // what comes within a tick goes together.
 func (m *mesh) place(placements []peer.Placement) {
@@ -307,7 +359,7 @@
 
 // summary is what this instance has under way and is asked for.
 func (m *mesh) summary() peer.Packet {
-	p := peer.Packet{Leaving: m.leaving()}
+	p := peer.Packet{Leaving: m.leaving(), Revision: m.revision()}
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
 			if e.FailedSince(m.now().Add(-suspectTime)) && len(p.Suspects) < maxSuspects {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -143,9 +143,11 @@
 		leaving:   func() bool { return n.stopping.Load() != nil },
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
 		listed: map[string]presence{}, unsent: map[string]peer.Placement{}, board: peer.NewBoard(),
-		self:    presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
-		holds:   func() bool { return n.placers.holds() },
-		counted: func(instances int) { n.retries.SetLimits(n.cfg.Retries.limits(instances)) },
+		self:     presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
+		revision: n.revision, newer: make(chan struct{}, 1), withdrawn: map[string]time.Time{},
+		endpointsLeave: func(names []string) { _ = n.events.Put(n.work, endpointsWithdrawn{names}) },
+		holds:          func() bool { return n.placers.holds() },
+		counted:        func(instances int) { n.retries.SetLimits(n.cfg.Retries.limits(instances)) },
 	}
 }
 
@@ -335,20 +337,21 @@
 	view := &viewDuty{
 		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
 		cells: n.placers.update, peers: func(*membership.List) {},
-		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(),
-		catalog: n.adopt,
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]time.Time{},
+		catalog: n.adopt, leaving: n.mesh.withdraw,
 	}
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
-		events: n.events, link: n.link, log: n.log,
+		newer: n.mesh.newer, events: n.events, link: n.link, log: n.log,
 	}
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		gather: func() time.Duration { return n.cfg.Fresh.gather(n.mesh.size()) },
+		gather: func() (least, most time.Duration) { return n.cfg.Fresh.gather(n.mesh.size()) },
+		told:   n.mesh.hubTells,
 	}
 	for _, run := range []func(context.Context){
-		view.run, config.run, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
+		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
@@ -369,6 +372,7 @@
 	c := settings.NewCatalog(a.Tree)
 	c.Revision = a.Entry.Revision
 	n.catalog.Store(c)
+	n.log.V(1).Info("settings", "routes", len(a.Tree.Edge.Routes), "pools", len(a.Tree.Pools))
 	return c
 }
 
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -64,14 +64,20 @@
 
 // gather is how long changes of endpoints gather before they are asked for. Each
 // answer wakes every instance and costs a call, so large fleets let more gather.
-func (f NodeFresh) gather(instances int) time.Duration {
+// There the hub tells everybody which endpoints leave, and changes gather up to
+// the second figure while it is heard.
+func (f NodeFresh) gather(instances int) (least, most time.Duration) {
 	const forDelivery = time.Second
 	if instances <= smallFleet {
-		return smallGather
+		return smallGather, smallGather
 	}
-	return max(smallGather, milliseconds(f.LeavingMS)-forDelivery)
+	return max(smallGather, milliseconds(f.LeavingMS)-forDelivery), largeGather
 }
 
+// largeGather is the time for which they gather in a large one at most: that is
+// how late an instance knows of a new endpoint.
+const largeGather = 2 * time.Second
+
 // smallGather is the time for which changes gather in a small fleet.
 const smallGather = 500 * time.Millisecond
 
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -105,14 +105,16 @@
 	if err != nil {
 		return err
 	}
+	_, err = d.writer.Create(ctx, o)
+	if !store.IsConflict(err) {
+		return err
+	}
 	old, err := d.client.Get(ctx, store.KindInstance, d.instance)
-	switch {
-	case store.IsNotFound(err):
-		_, err = d.writer.Create(ctx, o)
-	case err == nil:
-		o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
-		_, err = d.writer.Update(ctx, o)
+	if err != nil {
+		return err
 	}
+	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+	_, err = d.writer.Update(ctx, o)
 	return err
 }
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -28,11 +28,15 @@
 	// peers gives the list to the link between instances.
 	peers func(*membership.List)
 	kick  func()
+	// leaving is told of each endpoint that begins to leave; nil tells nobody.
+	leaving func(endpoint string)
 
 	accepted  *revision.Accepted
 	resolved  *settings.Catalog
 	list      *membership.List
 	endpoints map[string]*routing.Endpoint
+	// withdrawnUntil holds endpoints that another instance says take no more work.
+	withdrawnUntil map[string]time.Time
 	// residency is what each endpoint holds.
 	residency residency
 }
@@ -58,6 +62,7 @@
 	case membersListed:
 		changes := d.list.Step(d.now(), membership.Listed{Listing: e.listing})
 		for _, c := range changes {
+			d.noteLeaving(c)
 			d.log.V(1).Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
 		}
 		return len(changes) > 0 && d.inform()
@@ -67,6 +72,8 @@
 		return known && len(d.list.Step(d.now(), observed)) > 0 && d.inform()
 	case loadReported:
 		return d.report(e)
+	case endpointsWithdrawn:
+		return d.withdrawn(e.names)
 	case placementsTold:
 		return d.placed(e)
 	default:
@@ -109,6 +116,30 @@
 	return d.residency.reported(e.endpoint, ready)
 }
 
+// withdrawal is for how long another instance's word that an endpoint leaves
+// counts. By then the own list tells; an endpoint whose entry only lapsed is back.
+const withdrawal = 2 * largeGather
+
+// withdrawn takes another instance's word on endpoints.
+func (d *viewDuty) withdrawn(names []string) bool {
+	changed := false
+	for _, name := range names {
+		if _, known := d.endpoints[name]; !known {
+			continue
+		}
+		changed = changed || !d.now().Before(d.withdrawnUntil[name])
+		d.withdrawnUntil[name] = d.now().Add(withdrawal)
+	}
+	return changed
+}
+
+// noteLeaving tells that an endpoint has begun to leave or has gone.
+func (d *viewDuty) noteLeaving(c membership.Change) {
+	if d.leaving != nil && c.Member.State != membership.Live && c.Member.Pool != membership.InstancePool {
+		d.leaving(c.Member.Name)
+	}
+}
+
 // placed takes the word of the instance that places units.
 func (d *viewDuty) placed(e placementsTold) bool {
 	changed := false
@@ -148,6 +179,7 @@
 	for name := range d.endpoints {
 		if !present[name] {
 			delete(d.endpoints, name)
+			delete(d.withdrawnUntil, name)
 			d.residency.forget(name)
 		}
 	}
@@ -166,6 +198,6 @@
 		d.endpoints[m.Name] = e
 		d.residency.forget(m.Name)
 	}
-	e.SetLeaving(m.State != membership.Live)
+	e.SetLeaving(m.State != membership.Live || d.now().Before(d.withdrawnUntil[m.Name]))
 	return e
 }
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -38,6 +38,10 @@
 	// gathers it in a large fleet; Instances is how many it has heard lately.
 	Totals    []EndpointLoad `cbor:"11,keyasint,omitempty"`
 	Instances int            `cbor:"12,keyasint,omitempty"`
+	// Revision is that of the settings in force at the sender.
+	Revision int64 `cbor:"13,keyasint,omitempty"`
+	// Withdrawn are endpoints that have begun to leave, or have gone, lately.
+	Withdrawn []string `cbor:"14,keyasint,omitempty"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
