--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -57,6 +57,9 @@
 	newer    chan struct{}
 	// endpointsLeave gets endpoints that another instance says take no more work.
 	endpointsLeave func(names []string)
+	refusals       *pipeline.Refusals
+	// passed are refusals of others for the hub's next word.
+	passed []uint32
 	// withdrawn holds when endpoints began to leave, by this instance's list.
 	withdrawn map[string]time.Time
 
@@ -87,6 +90,8 @@
 	maxTotals     = 24
 	// smallFleet is up to how many instances everybody tells everybody.
 	smallFleet = 16
+	// maxPassedOn bounds the refusals in one word of the hub.
+	maxPassedOn = 40
 	// maxWithdrawn bounds the endpoints that one packet tells of.
 	maxWithdrawn = 16
 	// hubLost is for how long the hub may be silent before others look themselves.
@@ -174,6 +179,10 @@
 	if p.Instances > 0 && p.From != m.instance {
 		m.totals.take(m.now(), p)
 	}
+	if len(p.Refused) > 0 && p.From != m.instance {
+		m.refusals.Hear(m.now(), p.Refused)
+		m.passOn(p.Refused)
+	}
 	if p.Revision > m.revision() {
 		select {
 		case m.newer <- struct{}{}:
@@ -199,6 +208,27 @@
 	}
 }
 
+// passOn keeps refusals for the hub's next word, as in a large fleet the others
+// have not heard them.
+func (m *mesh) passOn(refused []uint32) {
+	if !m.holds() || m.small() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	room := max(maxPassedOn-len(m.passed), 0)
+	m.passed = append(m.passed, refused[:min(len(refused), room)]...)
+}
+
+// takePassed returns what passOn has kept.
+func (m *mesh) takePassed() []uint32 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	passed := m.passed
+	m.passed = nil
+	return passed
+}
+
 // publish makes the board's state known to routing and to others that ask.
 func (m *mesh) publish() {
 	others := m.board.Loads(m.instance)
@@ -284,12 +314,13 @@
 	if m.small() {
 		sum = nil
 	}
-	withdrawn := m.withdrawnLately()
+	withdrawn, passed := m.withdrawnLately(), m.takePassed()
 	for first := true; first || len(sum) > 0; first = false {
 		k := min(len(sum), maxTotals)
 		m.send(m.stamp(peer.Packet{
-			Totals: sum[:k], Instances: max(n, 1), Revision: m.revision(), Withdrawn: withdrawn,
+			Totals: sum[:k], Instances: max(n, 1), Revision: m.revision(), Withdrawn: withdrawn, Refused: passed,
 		}), m.addresses())
+		passed = nil
 		sum = sum[k:]
 	}
 }
@@ -359,7 +390,7 @@
 
 // summary is what this instance has under way and is asked for.
 func (m *mesh) summary() peer.Packet {
-	p := peer.Packet{Leaving: m.leaving(), Revision: m.revision()}
+	p := peer.Packet{Leaving: m.leaving(), Revision: m.revision(), Refused: m.refusals.Take()}
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
 			if e.FailedSince(m.now().Add(-suspectTime)) && len(p.Suspects) < maxSuspects {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -136,7 +136,7 @@
 	address, process := net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPorts[0])), rand.Text()
 	return &mesh{
 		instance: n.cfg.Instance, process: process, address: address,
-		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, log: n.log, now: n.now,
+		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
 		demanded:  func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
 		suspected: func(endpoints []string) { n.placers.suspected(endpoints) },
@@ -185,7 +185,7 @@
 	dialect := n.ports.Callers(n.catalog.Load)
 	handler := pipeline.New(pipeline.Config{
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
-		Demand: n.mesh.demand, Unreachable: n.mesh.hurry,
+		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
 	})
 	for _, s := range []struct {
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -42,6 +42,9 @@
 	Revision int64 `cbor:"13,keyasint,omitempty"`
 	// Withdrawn are endpoints that have begun to leave, or have gone, lately.
 	Withdrawn []string `cbor:"14,keyasint,omitempty"`
+	// Refused are marks of requests that the sender, or in a large fleet anybody,
+	// has refused since its last packet.
+	Refused []uint32 `cbor:"15,keyasint,omitempty"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -64,6 +65,7 @@
 	router        *routing.Router
 	failureDomain string
 	unreachable   func()
+	refusals      *Refusals
 	now           func() time.Time
 }
 
@@ -73,7 +75,7 @@
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
-		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(),
+		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(), Again: f.refusals.again(now, x.Call.Mark),
 	}
 	var decision routing.Decision
 	var pickErr error
@@ -92,7 +94,12 @@
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.Target.Policy.Priority,
 		Arrived: now, StartBy: startBy(x), Bytes: len(x.Call.Body),
 	}
+	x.again = req.Again
+	if req.Again {
+		w.Priority += againPriority
+	}
 	if err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take); err != nil {
+		f.refusals.note(f.now(), x.Call.Mark)
 		return f.admitError(err, pickErr)
 	}
 	if pickErr != nil {
@@ -102,6 +109,10 @@
 	return nil
 }
 
+// againPriority is by how much a request that comes back after a refusal goes
+// before others in the queue.
+const againPriority = 1
+
 // startBy is when starting the request has become pointless.
 func startBy(x *Exchange) time.Time {
 	p := x.Target.Policy
@@ -123,6 +134,12 @@
 	roomRetryAfter = 600 * time.Millisecond
 )
 
+// spread keeps those who were refused together from coming back together.
+func spread(d time.Duration) time.Duration {
+	const most = 0.3
+	return d + time.Duration(float64(d)*most*rand.Float64())
+}
+
 // admitError is the refusal of a request that got no place; pickErr is why.
 func (f admit) admitError(err, pickErr error) error {
 	refusal := &AdmitError{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Err: err}
@@ -138,9 +155,9 @@
 	case refused.Reason == admission.ReasonQueueFull:
 		refusal.Status = http.StatusTooManyRequests
 	case refused.Reason == admission.ReasonExpired && errors.Is(pickErr, routing.ErrNoReplica):
-		refusal.RetryAfter = loadRetryAfter
+		refusal.RetryAfter = spread(loadRetryAfter)
 	case refused.Reason == admission.ReasonExpired && errors.Is(pickErr, routing.ErrNoRoom):
-		refusal.RetryAfter = roomRetryAfter
+		refusal.RetryAfter = spread(roomRetryAfter)
 	}
 	return refusal
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -26,6 +26,9 @@
 	// AttemptID is the id that endpoints know the request by; empty means that
 	// each attempt gets an id of its own.
 	AttemptID string
+	// Mark is the request's identity across its attempts, as Mark makes it; 0 if
+	// the caller does not tell.
+	Mark uint32
 	// PromptTokens and OutputTokens are the length of the prompt and the most
 	// that may be generated; 0 where the caller does not say.
 	PromptTokens, OutputTokens int64
@@ -64,6 +67,8 @@
 
 	// reached is set once any byte of an answer may have reached the caller.
 	reached bool
+	// again is set if the caller was refused before and has come back.
+	again bool
 	// offset is that of the last event that was relayed; -1 for none.
 	offset int64
 	// record keeps the answer of a claimed request, nil for others.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -38,6 +38,8 @@
 	Dialect Dialect
 	// Demand is told what is asked for; nil tells nobody.
 	Demand *Demand
+	// Refusals remembers who was refused; nil remembers nobody.
+	Refusals *Refusals
 	// Unreachable is told when a request finds no replica of its unit.
 	Unreachable func()
 	// Retries bounds second attempts; nil means DefaultRetryLimits.
@@ -68,7 +70,7 @@
 		cfg:     cfg,
 		prepare: cfg.Dialect.Prepare(),
 		attempt: []Filter{
-			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, now: cfg.Now},
+			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, refusals: cfg.Refusals, now: cfg.Now},
 			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -87,7 +87,7 @@
 	f.metrics.count(x, took)
 	values := []any{
 		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "name", x.Call.Name, "unit", x.Target.Unit,
-		"revision", x.Revision, "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
+		"revision", x.Revision, "again", x.again, "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
 	if err != nil {
 		values = append(values, "error", err.Error())
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -21,9 +21,9 @@
 // kept: nowhere else would be sooner.
 type timelyFilter struct {
 	// firstShare is the share of the time left that the first token may be
-	// expected to take, gapShare the share of the longest pause that pauses may
-	// take on the mean.
-	firstShare, gapShare float64
+	// expected to take, againShare that for a caller who was refused before;
+	// gapShare is the share of the longest pause that pauses may take on the mean.
+	firstShare, againShare, gapShare float64
 }
 
 func (timelyFilter) Name() string { return "timely" }
@@ -37,7 +37,11 @@
 	if r.FirstBy.IsZero() {
 		return true
 	}
-	return float64(e.Expect(r.Work)) <= f.firstShare*float64(r.FirstBy.Sub(r.Now))
+	share := f.firstShare
+	if r.Again {
+		share = f.againShare
+	}
+	return float64(e.Expect(r.Work)) <= share*float64(r.FirstBy.Sub(r.Now))
 }
 
 // slotFilter keeps endpoints with a free place, by what all instances tell.
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -32,7 +32,8 @@
 const (
 	soonestWeight    = 1.0
 	nearWeight       = 0.01
-	timelyFirstShare = 0.8
+	timelyFirstShare = 0.7
+	timelyAgainShare = 0.95
 	timelyGapShare   = 0.5
 )
 
@@ -52,7 +53,7 @@
 		},
 		PolicyTimely: {
 			Name:    PolicyTimely,
-			Filters: append(base[:2:2], slotFilter{}, timelyFilter{firstShare: timelyFirstShare, gapShare: timelyGapShare}),
+			Filters: append(base[:2:2], slotFilter{}, timelyFilter{firstShare: timelyFirstShare, againShare: timelyAgainShare, gapShare: timelyGapShare}),
 			Scorers: []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
 			Picker:  bestPicker{},
 		},
