A holder keeps its lease until it stops

Change: a holder goes on campaigning until its planned stop. A node keeps eight idle connections an endpoint, within the endpoints' bound over all instances.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -85,6 +85,11 @@
 	done                    sync.WaitGroup
 }
 
+// idlePerEndpoint is how many idle connections a node keeps to each endpoint.
+// Endpoints bound the connections from all instances together (96 to 860 seen):
+// those in use are bounded by the endpoint's slots, the idle ones by this.
+const idlePerEndpoint = 8
+
 // nodeServer is one listener and what serves it.
 type nodeServer struct {
 	listener net.Listener
@@ -103,7 +108,7 @@
 	n.link = &storeLink{log: log, now: n.now}
 	n.idle = newIdleConns(n.now, n.idleLimit)
 	n.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, n.now)
-	n.engine = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints})
+	n.engine = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, IdlePerEndpoint: idlePerEndpoint, Dialect: ports.Endpoints})
 	n.control = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints, IdlePerEndpoint: 1})
 	n.mesh = n.newMesh()
 	if err := n.listen(); err != nil {
@@ -160,10 +165,16 @@
 
 // campaigns tells whether this instance should hold the lease of a pool: it is
 // among the first by rendezvous hashing over those that are alive.
-func (n *Node) campaigns(pool string) bool {
+//
+// A holder stays one until it stops: each change of holder leaves the pool
+// without orders for seconds, and who ranks first changes with each restart.
+func (n *Node) campaigns(pool string, held bool) bool {
 	if n.stopping.Load() != nil {
 		return false
 	}
+	if held {
+		return true
+	}
 	known := n.mesh.known()
 	names := slices.Collect(maps.Keys(known))
 	rendezvous(pool, names)
--- /dev/null
+++ b/daemon/node_test.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+// TestHolderStaysWhenStrongerOnesCome lists stronger instances after this one has
+// taken the lease: it keeps it, but does not campaign for one that it lacks.
+func TestHolderStaysWhenStrongerOnesCome(t *testing.T) {
+	n := &Node{now: time.Now}
+	n.cfg.Instance = "weak"
+	n.mesh = &mesh{
+		instance: "weak", now: time.Now, self: presence{Cores: 0.2}, listed: map[string]presence{},
+		counted: func(int) {}, board: peer.NewBoard(),
+	}
+	n.mesh.totals.take(time.Now(), peer.Packet{Address: "hub", Instances: 1})
+	require.True(t, n.campaigns("pool", false), "it knows nobody else")
+	n.mesh.find("strong", &presence{Cores: 0.8})
+	n.mesh.find("stronger", &presence{Cores: 0.9})
+	require.False(t, n.campaigns("pool", false))
+	require.True(t, n.campaigns("pool", true))
+	now := time.Now()
+	n.stopping.Store(&now)
+	require.False(t, n.campaigns("pool", true), "a stop hands the lease over")
+}
+
+// TestSilentHubIsReplaced lets entries of instances that are gone rank first.
+func TestSilentHubIsReplaced(t *testing.T) {
+	now := time.Now()
+	n := &Node{}
+	n.cfg.Instance = "weak"
+	n.mesh = &mesh{
+		instance: "weak", now: func() time.Time { return now }, self: presence{Cores: 0.2}, counted: func(int) {},
+		listed: map[string]presence{"gone1": {Cores: 1}, "gone2": {Cores: 1}, "gone3": {Cores: 1}},
+	}
+	n.mesh.totals.take(now, peer.Packet{Address: "hub", Instances: 1})
+	require.False(t, n.campaigns("pool", false))
+	now = now.Add(silentCampaign + 4*silentStep)
+	require.True(t, n.campaigns("pool", false))
+}
+
+func TestRetrySharesKeepToTheSlackOfAll(t *testing.T) {
+	r := NodeRetry{Ratio: 0.2, Slack: 52}
+	for _, instances := range []int{1, 6, 9, 20} {
+		require.LessOrEqual(t, r.limits(instances).Burst*float64(instances), 52.0, "%d instances", instances)
+	}
+	require.LessOrEqual(t, r.limits(0).Ratio, 0.2)
+}
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -188,8 +188,9 @@
 	log      logr.Logger
 	now      func() time.Time
 	done     *sync.WaitGroup
-	// campaigns tells whether this instance should hold the lease of a pool.
-	campaigns func(pool string) bool
+	// campaigns tells whether this instance should hold the lease of a pool, which
+	// it may hold already.
+	campaigns func(pool string, held bool) bool
 	place     func([]peer.Placement)
 
 	mu      sync.Mutex
@@ -255,7 +256,10 @@
 	}
 	d.runner = lease.NewRunner(lease.RunnerConfig{
 		Name: "cell-" + pool, Client: p.client, Now: p.now, Changed: d.leaseChanged, Tick: leaseLook,
-		Campaign: func() bool { return p.campaigns(pool) },
+		Campaign: func() bool {
+			_, held := d.runner.Hold()
+			return p.campaigns(pool, held)
+		},
 		Lease:    lease.Config{Holder: p.holder, Duration: leaseDuration, RenewEvery: leaseRenewal, Drift: leaseDrift},
 	})
 	p.done.Go(func() { d.run(p.ctx) })
