--- a/daemon/node.go
+++ b/daemon/node.go
@@ -188,7 +188,7 @@
 // nobody who places units for silentCampaign campaigns too, the lower ranks a
 // step later each.
 const (
-	silentCampaign = 3 * time.Second
+	silentCampaign = 1200 * time.Millisecond
 	silentStep     = 100 * time.Millisecond
 )
 
