--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -20,6 +20,10 @@
 
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
+	// last is the limit at the last sweep. Before it was lowered it was earlier,
+	// which callers may go by until earlierUntil.
+	last, earlier time.Duration
+	earlierUntil  time.Time
 }
 
 func newIdleConns(now func() time.Time, limit func() time.Duration) *idleConns {
@@ -37,23 +41,45 @@
 	delete(c.idle, conn)
 }
 
+// idleSlack is how much longer than the limit a connection may rest: a request
+// that is being read has not made it active yet, and closing it then would cut it.
+const idleSlack = time.Second
+
+// promised is the limit that callers may go by: a lowered one holds only for
+// connections that began to rest behind it, as callers do not know at once.
+func (c *idleConns) promised(limit time.Duration) time.Duration {
+	now := c.now()
+	if limit < c.last {
+		c.earlier, c.earlierUntil = max(c.last, c.earlier), now.Add(max(c.last, c.earlier))
+	}
+	c.last = limit
+	if now.Before(c.earlierUntil) {
+		return max(limit, c.earlier)
+	}
+	c.earlier = 0
+	return limit
+}
+
 // idleSweep is the time between two looks at the resting connections.
 const idleSweep = time.Second
 
 func (c *idleConns) run(ctx context.Context) {
 	for wait.For(ctx, idleSweep) {
-		if limit := c.limit(); limit > 0 {
-			c.close(limit)
-		}
+		c.sweep()
 	}
 }
 
-// close ends the connections that have rested for at least limit.
-func (c *idleConns) close(limit time.Duration) {
+// sweep ends the connections that have rested for longer than the limit.
+func (c *idleConns) sweep() {
+	limit := c.limit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limit = c.promised(limit)
+	if limit == 0 {
+		return
+	}
 	for conn, since := range c.idle {
-		if c.now().Sub(since) >= limit {
+		if c.now().Sub(since) >= limit+idleSlack {
 			conn.Close()
 			delete(c.idle, conn)
 		}
--- /dev/null
+++ b/daemon/idleconns_test.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// idleHarness is a connection that rests, and a clock.
+type idleHarness struct {
+	*idleConns
+	clock time.Time
+	bound time.Duration
+	conn  net.Conn
+	peer  net.Conn
+}
+
+func newIdleHarness(t *testing.T, bound time.Duration) *idleHarness {
+	h := &idleHarness{clock: time.Unix(1000, 0), bound: bound}
+	h.conn, h.peer = net.Pipe()
+	t.Cleanup(func() { h.conn.Close(); h.peer.Close() })
+	h.idleConns = newIdleConns(func() time.Time { return h.clock }, func() time.Duration { return h.bound })
+	h.sweep()
+	h.note(h.conn, http.StateIdle)
+	return h
+}
+
+// after lets time pass, sweeping each second, and tells whether the connection
+// is still open.
+func (h *idleHarness) after(d time.Duration) bool {
+	for range int(d / time.Second) {
+		h.clock = h.clock.Add(time.Second)
+		h.sweep()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, open := h.idle[h.conn]
+	return open
+}
+
+// TestLoweredLimitSparesConnections lowers the limit while a connection rests: its
+// caller may not know yet and may use it for as long as the old limit said.
+func TestLoweredLimitSparesConnections(t *testing.T) {
+	h := newIdleHarness(t, 15*time.Second)
+	require.True(t, h.after(5*time.Second))
+	h.bound = 3 * time.Second
+	require.True(t, h.after(8*time.Second), "13 s of the 15 that it was promised")
+	require.False(t, h.after(20*time.Second))
+}
+
+func TestRestedConnectionsAreClosed(t *testing.T) {
+	h := newIdleHarness(t, 3*time.Second)
+	require.True(t, h.after(3*time.Second), "a request may just be on its way")
+	require.False(t, h.after(3*time.Second))
+}
+
+func TestConnectionsInUseStay(t *testing.T) {
+	h := newIdleHarness(t, 3*time.Second)
+	h.note(h.conn, http.StateActive)
+	h.after(time.Minute)
+	h.note(h.conn, http.StateIdle)
+	require.True(t, h.after(time.Second))
+}
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -260,7 +260,7 @@
 			_, held := d.runner.Hold()
 			return p.campaigns(pool, held)
 		},
-		Lease:    lease.Config{Holder: p.holder, Duration: leaseDuration, RenewEvery: leaseRenewal, Drift: leaseDrift},
+		Lease: lease.Config{Holder: p.holder, Duration: leaseDuration, RenewEvery: leaseRenewal, Drift: leaseDrift},
 	})
 	p.done.Go(func() { d.run(p.ctx) })
 	p.done.Go(func() { d.runner.Run(p.ctx) })
