--- a/daemon/config.go
+++ b/daemon/config.go
@@ -83,17 +83,25 @@
 }
 
 // LoadConfig reads a configuration file. Faults come in one *jsonc.Error.
-func LoadConfig(path string) (Config, error) {
+func LoadConfig(path string) (Config, error) { return loadFile(path, ParseConfig) }
+
+// ParseConfig reads and checks a configuration text.
+func ParseConfig(file string, src []byte) (Config, error) {
+	return parseChecked(file, src, DefaultConfig(), (*configChecker).check)
+}
+
+// loadFile reads a file and parses it.
+func loadFile[T any](path string, parse func(file string, src []byte) (T, error)) (T, error) {
 	src, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, err
+		var none T
+		return none, err
 	}
-	return ParseConfig(path, src)
+	return parse(path, src)
 }
 
-// ParseConfig reads and checks a configuration text.
-func ParseConfig(file string, src []byte) (Config, error) {
-	cfg := DefaultConfig()
+// parseChecked reads a text on top of the defaults in cfg and checks the result.
+func parseChecked[T any](file string, src []byte, cfg T, check func(*configChecker, T)) (T, error) {
 	doc, err := jsonc.Parse(file, src)
 	if err != nil {
 		return cfg, err
@@ -102,7 +110,7 @@
 		return cfg, err
 	}
 	c := configChecker{doc: doc}
-	c.check(cfg)
+	check(&c, cfg)
 	if len(c.faults) > 0 {
 		return cfg, &jsonc.Error{Faults: c.faults}
 	}
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -50,19 +50,8 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	r := store.NewReflector(d.client, d.kind,
-		func(l store.List) {
-			d.link.heard()
-			for _, o := range l.Items {
-				d.found(ctx, o)
-			}
-		},
-		func(e store.Event) {
-			d.link.heard()
-			if e.Type != store.EventBookmark && e.Type != store.EventDeleted {
-				d.found(ctx, e.Object)
-			}
-		},
+	r := watched(d.client, d.kind, d.link.heard,
+		func(o store.Object) { d.found(ctx, o) },
 		func(err error) { d.link.failed(string(d.kind), err) })
 	r.Run(ctx)
 }
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -208,27 +208,6 @@
 	}
 }
 
-// passOn keeps refusals for the hub's next word, as in a large fleet the others
-// have not heard them.
-func (m *mesh) passOn(refused []uint32) {
-	if !m.holds() || m.small() {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	room := max(maxPassedOn-len(m.passed), 0)
-	m.passed = append(m.passed, refused[:min(len(refused), room)]...)
-}
-
-// takePassed returns what passOn has kept.
-func (m *mesh) takePassed() []uint32 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	passed := m.passed
-	m.passed = nil
-	return passed
-}
-
 // publish makes the board's state known to routing and to others that ask.
 func (m *mesh) publish() {
 	others := m.board.Loads(m.instance)
@@ -307,51 +286,6 @@
 	m.flushPlacements()
 }
 
-// tellSum tells all instances what all have under way.
-func (m *mesh) tellSum() {
-	sum := slices.Collect(maps.Values(m.board.Loads("")))
-	n := len(m.board.Live())
-	if m.small() {
-		sum = nil
-	}
-	withdrawn, passed := m.withdrawnLately(), m.takePassed()
-	for first := true; first || len(sum) > 0; first = false {
-		k := min(len(sum), maxTotals)
-		m.send(m.stamp(peer.Packet{
-			Totals: sum[:k], Instances: max(n, 1), Revision: m.revision(), Withdrawn: withdrawn, Refused: passed,
-		}), m.addresses())
-		passed = nil
-		sum = sum[k:]
-	}
-}
-
-// withdraw records that an endpoint has begun to leave.
-func (m *mesh) withdraw(endpoint string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.withdrawn[endpoint] = m.now()
-}
-
-// withdrawnLately returns the endpoints of which the others may not know yet.
-func (m *mesh) withdrawnLately() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var names []string
-	for name, at := range m.withdrawn {
-		if m.now().Sub(at) >= 2*largeGather {
-			delete(m.withdrawn, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names[:min(len(names), maxWithdrawn)]
-}
-
-// hubTells tells whether another instance tells which endpoints leave. The hub
-// itself must look.
-func (m *mesh) hubTells() bool { return !m.holds() && m.hubSilent() < hubLost }
-
 // place tells all instances, this one too, what endpoints hold. In a large fleet
 // what comes within a tick goes together.
 func (m *mesh) place(placements []peer.Placement) {
@@ -452,11 +386,3 @@
 	delete(all, m.instance)
 	return slices.Collect(maps.Values(all))
 }
-
-// hubAddress is where the hub is; nowhere while it is not known.
-func (m *mesh) hubAddress() []string {
-	if m.holds() || !m.totals.fresh(m.now()) {
-		return nil
-	}
-	return []string{m.totals.address()}
-}
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -1,10 +1,8 @@
 package daemon
 
 import (
-	"os"
 	"time"
 
-	"github.com/eiderspring/eiderspring/jsonc"
 	"github.com/eiderspring/eiderspring/routing"
 )
 
@@ -119,30 +117,11 @@
 }
 
 // LoadNodeConfig reads a node's file. Faults come in one *jsonc.Error.
-func LoadNodeConfig(path string) (NodeConfig, error) {
-	src, err := os.ReadFile(path)
-	if err != nil {
-		return NodeConfig{}, err
-	}
-	return ParseNodeConfig(path, src)
-}
+func LoadNodeConfig(path string) (NodeConfig, error) { return loadFile(path, ParseNodeConfig) }
 
 // ParseNodeConfig reads and checks a node's configuration text.
 func ParseNodeConfig(file string, src []byte) (NodeConfig, error) {
-	cfg := DefaultNodeConfig()
-	doc, err := jsonc.Parse(file, src)
-	if err != nil {
-		return cfg, err
-	}
-	if err := doc.Decode(&cfg); err != nil {
-		return cfg, err
-	}
-	c := configChecker{doc: doc}
-	c.node(cfg)
-	if len(c.faults) > 0 {
-		return cfg, &jsonc.Error{Faults: c.faults}
-	}
-	return cfg, nil
+	return parseChecked(file, src, DefaultNodeConfig(), (*configChecker).node)
 }
 
 func (c *configChecker) node(cfg NodeConfig) {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -95,19 +95,8 @@
 
 // watch keeps the one watch of this instance on the settings' root.
 func (d *settingsDuty) watch(ctx context.Context) {
-	r := store.NewReflector(d.client, store.KindSettings,
-		func(l store.List) {
-			d.heard.store()
-			for _, o := range l.Items {
-				d.found(ctx, o)
-			}
-		},
-		func(e store.Event) {
-			d.heard.store()
-			if e.Type != store.EventDeleted && e.Type != store.EventBookmark {
-				d.found(ctx, e.Object)
-			}
-		},
+	r := watched(d.client, store.KindSettings, d.heard.store,
+		func(o store.Object) { d.found(ctx, o) },
 		func(err error) { d.log.Info("settings watch interrupted", "error", err.Error()) })
 	r.Run(ctx)
 }
--- /dev/null
+++ b/placement/counted/room.go
@@ -0,0 +1,136 @@
+package counted
+
+import (
+	"slices"
+	"time"
+)
+
+// makeRoom begins to make room for one more replica of a model.
+func (p *planner) makeRoom(u Unit, why Reason) bool {
+	if p.storeLoads <= 0 && !p.atHandSomewhere(u) {
+		return false
+	}
+	if why == ReasonUnreachable && p.reservedLately(u.Name) {
+		return true
+	}
+	if why != ReasonUnreachable && !p.c.demand.warm(p.now) {
+		return false
+	}
+	e, victim := p.victim(u, why)
+	if e == nil {
+		return false
+	}
+	p.used[e] = true
+	p.record(Move{Op: OpUnload, Endpoint: e.Name, Unit: victim, Reason: ReasonRoom, For: u.Name})
+	p.holders[victim] = slices.DeleteFunc(p.holders[victim], func(h *endpoint) bool { return h == e })
+	p.reserved[u.Name]++
+	return true
+}
+
+// victim returns the replica that is needed least, and its endpoint, to make
+// room for u; nil if none is needed less than u.
+func (p *planner) victim(u Unit, why Reason) (*endpoint, string) {
+	var best *endpoint
+	var unit string
+	var least float64
+	for _, name := range sortedNames(p.c.endpoints) {
+		e := p.c.endpoints[name]
+		if !e.movable() || len(e.going) > 0 || p.used[e] || p.holds(e, u.Name) || e.reservedFor(p.now) != "" {
+			continue
+		}
+		if p.storeLoads <= 0 && e.fromStore(u.Name) {
+			continue
+		}
+		for _, v := range sortedNames(e.resident) {
+			cost, spare := p.cost(e, v, u, why)
+			if !spare {
+				continue
+			}
+			cost += p.load[e]*loadWeight + p.delay(e, v, u).Seconds()*p.share[u.Name]*delayWeight
+			if best == nil || cost < least {
+				best, unit, least = e, v, cost
+			}
+		}
+	}
+	return best, unit
+}
+
+// loadWeight is how much the load of an endpoint counts against making room
+// there, in shares of demand.
+const loadWeight = 0.25
+
+// delayWeight is how much a second until u is there counts against it, for each
+// share of demand that u has.
+const delayWeight = 0.15
+
+// delay is how long it takes, about, to unload v and load u in its place.
+func (p *planner) delay(e *endpoint, v string, u Unit) time.Duration {
+	unload := unloadTime
+	if p.idle(v) < recent {
+		// The unload waits for requests that are running.
+		unload = busyUnloadTime
+	}
+	return unload + p.c.duration(e, Order{Op: OpLoad, Unit: u.Name})
+}
+
+// cost is the pressure that is left on the other replicas of v without the one
+// at e; false if v must stay for u's sake.
+func (p *planner) cost(e *endpoint, v string, u Unit, why Reason) (float64, bool) {
+	unit := p.c.units[v]
+	if unit.Base != "" || p.now.Sub(e.since[v]) < minStay {
+		return 0, false
+	}
+	if p.certain(v, e) == 0 {
+		return p.swapCost(v), p.swappable(e, v) && (why == ReasonUnreachable || p.overloaded(u))
+	}
+	cost := p.share[v] / float64(max(p.replicaCount(v)-1, 1))
+	return cost, why == ReasonUnreachable || p.pressure(u.Name) > cost*worthMoving
+}
+
+// swappable tells whether the only replica of a model may go: nobody asks for it
+// now, little is asked of it, and the endpoint keeps a copy from which it is
+// back soon when somebody does.
+func (p *planner) swappable(e *endpoint, model string) bool {
+	return !p.asked(model) && p.share[model] < swapShare && !e.fromStore(model)
+}
+
+// swapCost is what it costs to take the only replica of a model.
+func (p *planner) swapCost(model string) float64 {
+	cost := swapCost + p.share[model]
+	if ahead := p.c.units[model].Rank - p.lastBusy; p.lastBusy >= 0 && ahead > 0 && ahead <= nearModels {
+		cost += nearCost
+	}
+	return cost
+}
+
+// overloaded tells whether the replicas of a model bear more than an endpoint's
+// even part of all demand.
+func (p *planner) overloaded(u Unit) bool {
+	live := 0
+	for _, e := range p.c.endpoints {
+		if !e.out() {
+			live++
+		}
+	}
+	return p.pressure(u.Name) > swapGain/float64(max(live, 1))
+}
+
+// idle is how long ago a model or one of its adapters was asked for.
+func (p *planner) idle(model string) time.Duration {
+	least := p.c.demand.idle(p.now, model)
+	for _, adapter := range p.c.adapters[model] {
+		least = min(least, p.c.demand.idle(p.now, adapter))
+	}
+	return least
+}
+
+// certain is how many endpoints other than e serve the unit now.
+func (p *planner) certain(unit string, e *endpoint) int {
+	n := 0
+	for _, h := range p.holders[unit] {
+		if h != e && h.serves(unit) {
+			n++
+		}
+	}
+	return n
+}
