--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -44,8 +44,6 @@
 	// LeaseMS is how long an engine must have had no order from one holder
 	// before another may send it one, in milliseconds.
 	LeaseMS int `json:"leaseMS"`
-	// ChecksFencing tells whether engines refuse orders of earlier holders.
-	ChecksFencing bool `json:"checksFencing"`
 	// RateWindowS and RateOver bound the loads from the weight store: RateOver
 	// times its rate in any window of so many seconds.
 	RateWindowS float64 `json:"rateWindowS"`
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/store"
 )
 
 // storeLink logs when the object store is lost and when it is back, once each,
@@ -28,6 +30,11 @@
 }
 
 func (l *storeLink) failed(kind string, err error) {
+	if store.IsExpired(err) {
+		// The store answers; only the changes meanwhile are gone.
+		l.log.V(1).Info("history gone", "kind", kind)
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.lostAt.IsZero() {
