Let one goroutine alone read the board

In a real run that can end the process.

Change: the goroutine that takes packets leaves the sums and the count for the tick.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -47,6 +47,9 @@
 	// listed holds where each instance is by its entry in the store.
 	listed map[string]presence
 	told   map[string]string
+	// heard is how many instances were heard lately, sum what they have under way.
+	heard int
+	sum   []peer.EndpointLoad
 	// unsent holds the placements that wait for the next tick.
 	unsent map[string]peer.Placement
 	seq    uint64
@@ -66,8 +69,9 @@
 	// self is this instance's own entry.
 	self presence
 	// holds tells whether this instance places units, and so is the hub.
-	holds  func() bool
-	hubAt  time.Time
+	holds func() bool
+	hubAt time.Time
+	// board belongs to run's goroutine alone.
 	board  *peer.Board
 	totals totals
 }
@@ -220,9 +224,21 @@
 			e.SetOthers(routing.Others{Running: l.Running, Prompt: time.Duration(l.Prompt) * time.Microsecond, At: m.now()})
 		}
 	}
+	var sum []peer.EndpointLoad
+	if m.holds() && !m.small() {
+		sum = slices.Collect(maps.Values(m.board.Loads("")))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told, m.heard, m.sum = m.board.Addresses(), len(m.board.Live()), sum
+}
+
+// sums returns what all instances have under way, in a large fleet, and how many
+// instances were heard lately, as publish found them.
+func (m *mesh) sums() ([]peer.EndpointLoad, int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.told = m.board.Addresses()
+	return m.sum, m.heard
 }
 
 // known returns the instances that are listed in the store or were heard, this
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/eiderspring/eiderspring/peer"
@@ -30,11 +29,7 @@
 
 // tellSum tells all instances what all have under way.
 func (m *mesh) tellSum() {
-	sum := slices.Collect(maps.Values(m.board.Loads("")))
-	n := len(m.board.Live())
-	if m.small() {
-		sum = nil
-	}
+	sum, n := m.sums()
 	withdrawn, passed := m.withdrawnLately(), m.takePassed()
 	for first := true; first || len(sum) > 0; first = false {
 		k := min(len(sum), maxTotals)
