Keep full packets within a datagram, and say what guards what in the mesh

Cause: read as a newcomer: a packet over the bound is not sent at all, and nothing showed that full ones stay below it (by count about 1250 of 1200 bytes); the mesh's fields did not tell which of them the lock guards.

Change: 14 demands and 32 refusals in a summary; a test fills each kind of packet; the fields are grouped.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -21,30 +21,50 @@
 // and takes what they tell.
 type mesh struct {
 	instance, process, address string
-	router                     *routing.Router
-	gates                      *pipeline.Gates
-	demand                     *pipeline.Demand
-	log                        logr.Logger
-	now                        func() time.Time
+	// self is this instance's own entry.
+	self     presence
+	router   *routing.Router
+	gates    *pipeline.Gates
+	demand   *pipeline.Demand
+	refusals *pipeline.Refusals
+	log      logr.Logger
+	now      func() time.Time
+
+	// What others of this instance know: whether it makes a planned stop, the
+	// revision of the settings in force, and whether it places units, and so is
+	// the hub.
+	leaving  func() bool
+	revision func() int64
+	holds    func() bool
+
 	// placed gets the word of the instance that places units.
 	placed func([]peer.Placement)
 	// demanded gets the demand of all instances together.
 	demanded func(rate map[string]float64, waiting map[string]int)
 	// suspected gets endpoints at which requests of some instance have failed.
 	suspected func(endpoints []string)
+	// endpointsLeave gets endpoints that another instance says take no more work.
+	endpointsLeave func(names []string)
 	// counted gets the number of instances that are listed.
 	counted func(n int)
-	// leaving tells whether this instance makes a planned stop.
-	leaving func() bool
-	inputs  *ring.Ring[peer.Packet]
+	// newer is told when another instance has newer settings in force.
+	newer chan struct{}
+
+	inputs *ring.Ring[peer.Packet]
 	// urgent holds at most one wish to tell at once.
 	urgent chan struct{}
+	totals totals
+	// board belongs to the goroutine of run, hubAt to that of tick.
+	board *peer.Board
+	hubAt time.Time
 
+	// mu guards the rest.
 	mu sync.Mutex
 	// sealer and datagrams are nil until the key is known.
 	sealer    *peer.Sealer
 	datagrams peer.Datagrams
-	// listed holds where each instance is by its entry in the store.
+	// listed holds the entries of instances in the store, told where each that
+	// was heard lately says that it receives packets.
 	listed map[string]presence
 	told   map[string]string
 	// heard is how many instances were heard lately, sum what they have under way.
@@ -52,28 +72,11 @@
 	sum   []peer.EndpointLoad
 	// unsent holds the placements that wait for the next tick.
 	unsent map[string]peer.Placement
-	seq    uint64
-
-	// revision is that of the settings in force here; newer is told when another
-	// instance has newer ones.
-	revision func() int64
-	newer    chan struct{}
-	// endpointsLeave gets endpoints that another instance says take no more work.
-	endpointsLeave func(names []string)
-	refusals       *pipeline.Refusals
 	// passed are refusals of others for the hub's next word.
 	passed []uint32
 	// withdrawn holds when endpoints began to leave, by this instance's list.
 	withdrawn map[string]time.Time
-
-	// self is this instance's own entry.
-	self presence
-	// holds tells whether this instance places units, and so is the hub.
-	holds func() bool
-	hubAt time.Time
-	// board belongs to run's goroutine alone.
-	board  *peer.Board
-	totals totals
+	seq       uint64
 }
 
 const (
@@ -84,7 +87,7 @@
 	// maxLoads and maxDemands bound what one packet carries, so that it fits a
 	// datagram: entries take about 30 bytes each.
 	maxLoads   = 16
-	maxDemands = 16
+	maxDemands = 14
 	// suspectTime is for how long a failed request makes its endpoint suspect,
 	// maxSuspects bounds what one packet tells of them.
 	suspectTime = 250 * time.Millisecond
--- /dev/null
+++ b/daemon/mesh_test.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+// TestFullPacketsFitADatagram fills each kind of packet up to its bounds, with
+// names as long as the platform's.
+func TestFullPacketsFitADatagram(t *testing.T) {
+	// maxFreshRefusals is the bound of pipeline.Refusals.
+	const maxFreshRefusals = 32
+	endpoint := func(i int) string { return fmt.Sprintf("i-%010x", i) }
+	unit := func(i int) string { return fmt.Sprintf("abcd%06x/a%02d", i, i) }
+	head := peer.Packet{
+		Version: peer.PacketVersion, From: "edge-hall-outremeuse-12", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Address: "10.200.100.100:17380",
+		Seq: 1 << 40, Revision: 1 << 30,
+	}
+	summary, word, placed := head, head, head
+	for i := range maxLoads {
+		summary.Loads = append(summary.Loads, peer.EndpointLoad{Endpoint: endpoint(i), Running: 60, Prompt: 900_000})
+	}
+	for i := range maxDemands {
+		summary.Demands = append(summary.Demands, peer.UnitDemand{Unit: unit(i), Work: 1234567.25, Waiting: 30})
+	}
+	for i := range maxSuspects {
+		summary.Suspects = append(summary.Suspects, endpoint(i))
+	}
+	for i := range maxFreshRefusals {
+		summary.Refused = append(summary.Refused, 1<<31+uint32(i))
+	}
+	word.Instances = 390
+	for i := range maxTotals {
+		word.Totals = append(word.Totals, peer.EndpointLoad{Endpoint: endpoint(i), Running: 600, Prompt: 90_000_000})
+	}
+	for i := range maxWithdrawn {
+		word.Withdrawn = append(word.Withdrawn, endpoint(i))
+	}
+	for i := range maxPassedOn {
+		word.Refused = append(word.Refused, 1<<31+uint32(i))
+	}
+	for i := range maxPlacements {
+		p := peer.Placement{Epoch: 1 << 20, Endpoint: endpoint(i), Going: []string{unit(1)}}
+		for k := range 3 + 8 {
+			p.Units = append(p.Units, unit(k))
+		}
+		placed.Placements = append(placed.Placements, p)
+	}
+	for name, p := range map[string]peer.Packet{"summary": summary, "hub's word": word, "placements": placed} {
+		data, err := peer.EncodePacket(p)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), peer.MaxPacketBytes, name)
+	}
+}
--- a/pipeline/refusals.go
+++ b/pipeline/refusals.go
@@ -26,7 +26,7 @@
 // maxRefusals bounds what is remembered, and maxFresh what Take returns.
 const (
 	maxRefusals = 20_000
-	maxFresh    = 48
+	maxFresh    = 32
 )
 
 // Mark is the short form of a request's identity across attempts; 0 for none.
