Let watches be behind while the holder of the lease vouches that it is not

Change: the holder of the lease tells, four times a second, that the store answers it; while that is heard, watches of the others may be behind, at a tenth of the price. What must not be late it tells itself: the revision of the settings and all endpoints that begin to leave (only 16 of them before). In small fleets the sums of a large one are not used any more: they are empty there, and hid from all but the holder what the others had under way.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -21,7 +21,10 @@
 	name   string
 	decode func(store.Object) (*revision.Accepted, error)
 	// newer is told when another instance has newer settings in force.
-	newer  <-chan struct{}
+	newer <-chan struct{}
+	// behind tells whether another instance tells of newer settings in time, so
+	// that this one need not look so closely.
+	behind func() bool
 	events *ring.Ring[event]
 	link   *storeLink
 	log    logr.Logger
@@ -50,7 +53,7 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	r := watched(d.client, d.kind, d.link.heard,
+	r := watched(d.client, d.kind, store.WatchOptions{Behind: d.behind}, d.link.heard,
 		func(o store.Object) { d.found(ctx, o) },
 		func(err error) { d.link.failed(string(d.kind), err) })
 	r.Run(ctx)
@@ -79,22 +82,25 @@
 	link    *storeLink
 	log     logr.Logger
 	now     func() time.Time
-	// gather is how long changes gather before they are asked for, at least and
-	// at most; told tells whether another instance tells of leaving endpoints.
-	gather func() (least, most time.Duration)
-	told   func() bool
+	// gather is how long changes gather before they are asked for.
+	gather time.Duration
+	// behind tells whether another instance tells in time which endpoints leave.
+	behind func() bool
 }
 
 const (
 	// entryInputs bounds the changes that wait for the duty.
 	entryInputs = 256
+	// entriesGather is how long changes of endpoints gather before they are asked
+	// for: each answer of the store costs a call.
+	entriesGather = 500 * time.Millisecond
 	// entriesTick is the time between two looks at entries that are missing.
 	entriesTick = 250 * time.Millisecond
 )
 
 func (d *entriesDuty) watch(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
-	r := store.NewReflector(d.client, d.kind,
+	r := store.NewReflector(d.client, d.kind, store.WatchOptions{Behind: d.behind},
 		func(l store.List) {
 			d.link.heard()
 			put(membership.StoreHeard{})
@@ -107,7 +113,7 @@
 			case store.EventBookmark:
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				d.pause(ctx)
+				wait.For(ctx, d.gather)
 			case store.EventDeleted:
 				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
 			default:
@@ -125,20 +131,6 @@
 	r.Run(ctx)
 }
 
-// pause lets changes gather. It ends early, behind least, when nobody tells any
-// more which endpoints leave.
-func (d *entriesDuty) pause(ctx context.Context) {
-	least, most := d.gather()
-	began := d.now()
-	wait.For(ctx, least)
-	for d.now().Sub(began) < most && d.told() && ctx.Err() == nil {
-		wait.For(ctx, pauseStep)
-	}
-}
-
-// pauseStep is the time between two looks at whether a pause is to end.
-const pauseStep = 250 * time.Millisecond
-
 func (d *entriesDuty) members(objects []store.Object) []membership.Member {
 	members := make([]membership.Member, 0, len(objects))
 	for _, o := range objects {
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -36,6 +36,8 @@
 	leaving  func() bool
 	revision func() int64
 	holds    func() bool
+	// current tells whether the store has answered this instance lately.
+	current func() bool
 
 	// placed gets the word of the instance that places units.
 	placed func([]peer.Placement)
@@ -101,8 +103,10 @@
 	maxPassedOn = 40
 	// maxWithdrawn bounds the endpoints that one packet tells of.
 	maxWithdrawn = 16
-	// hubLost is for how long the hub may be silent before others look themselves.
-	hubLost = 600 * time.Millisecond
+	// holderLost is for how long the holder of the lease may fail to vouch for what
+	// it knows before the others look closely themselves: one of its words may be
+	// lost.
+	holderLost = 550 * time.Millisecond
 	// hubTick is the time between two words of the hub.
 	hubTick = 250 * time.Millisecond
 )
@@ -218,7 +222,7 @@
 // publish makes the board's state known to routing and to others that ask.
 func (m *mesh) publish() {
 	others := m.board.Loads(m.instance)
-	if m.totals.fresh(m.now()) {
+	if !m.small() && m.totals.fresh(m.now()) {
 		others = m.totals.others()
 	}
 	for _, pool := range m.router.View().Pools {
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -27,20 +27,26 @@
 	return passed
 }
 
-// tellSum tells all instances what all have under way.
+// tellSum tells all instances what all have under way, in as many packets as
+// that takes.
 func (m *mesh) tellSum() {
 	sum, n := m.sums()
 	withdrawn, passed := m.withdrawnLately(), m.takePassed()
-	for first := true; first || len(sum) > 0; first = false {
-		k := min(len(sum), maxTotals)
-		m.send(m.stamp(peer.Packet{
-			Totals: sum[:k], Instances: max(n, 1), Revision: m.revision(), Withdrawn: withdrawn, Refused: passed,
-		}), m.addresses())
+	for first := true; first || len(sum)+len(withdrawn) > 0; first = false {
+		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed}
+		p.Totals, sum = cut(sum, maxTotals)
+		p.Withdrawn, withdrawn = cut(withdrawn, maxWithdrawn)
+		m.send(m.stamp(p), m.addresses())
 		passed = nil
-		sum = sum[k:]
 	}
 }
 
+// cut takes up to n off the front of a list.
+func cut[T any](list []T, n int) (front, rest []T) {
+	n = min(n, len(list))
+	return list[:n], list[n:]
+}
+
 // withdraw records that an endpoint has begun to leave.
 func (m *mesh) withdraw(endpoint string) {
 	m.mu.Lock()
@@ -54,19 +60,20 @@
 	defer m.mu.Unlock()
 	var names []string
 	for name, at := range m.withdrawn {
-		if m.now().Sub(at) >= 2*largeGather {
+		if m.now().Sub(at) >= withdrawnTime {
 			delete(m.withdrawn, name)
 			continue
 		}
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	return names[:min(len(names), maxWithdrawn)]
+	return names
 }
 
-// hubTells tells whether another instance tells which endpoints leave. The hub
+// holderTells tells whether another instance, the holder of the lease, follows
+// the store closely and tells of newer settings and leaving endpoints. The holder
 // itself must look.
-func (m *mesh) hubTells() bool { return !m.holds() && m.hubSilent() < hubLost }
+func (m *mesh) holderTells() bool { return !m.holds() && m.totals.vouched(m.now()) }
 
 // hubAddress is where the hub is; nowhere while it is not known.
 func (m *mesh) hubAddress() []string {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -145,6 +145,7 @@
 		demanded:  func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
 		suspected: func(endpoints []string) { n.placers.suspected(endpoints) },
 		leaving:   func() bool { return n.stopping.Load() != nil },
+		current:   func() bool { return n.link.current() },
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
 		listed: map[string]presence{}, unsent: map[string]peer.Placement{}, board: peer.NewBoard(),
 		self:     presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
@@ -272,7 +273,7 @@
 	n.vars.Set("store_calls", calls)
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.watchWait(), Transport: &http.Transport{
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.watchWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
 	n.placers = &placers{
@@ -291,13 +292,12 @@
 	}
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
-		newer: n.mesh.newer, events: n.events, link: n.link, log: n.log,
+		newer: n.mesh.newer, behind: n.mesh.holderTells, events: n.events, link: n.link, log: n.log,
 	}
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		gather: func() (least, most time.Duration) { return n.cfg.Fresh.gather(n.mesh.size()) },
-		told:   n.mesh.hubTells,
+		gather: entriesGather, behind: n.mesh.holderTells,
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -54,29 +54,12 @@
 type NodeFresh struct {
 	// LeavingMS is how soon a leaving endpoint must get no more requests.
 	LeavingMS int `json:"leavingMS"`
+	// SettingsMS is how soon accepted settings must be in force.
+	SettingsMS int `json:"settingsMS"`
 	// ContactMS is how long a node may take to find back to a store that was away.
 	ContactMS int `json:"contactMS"`
 }
 
-// gather is how long changes of endpoints gather before they are asked for. Each
-// answer wakes every instance and costs a call, so large fleets let more gather.
-// There the hub tells everybody which endpoints leave, and changes gather up to
-// the second figure while it is heard.
-func (f NodeFresh) gather(instances int) (least, most time.Duration) {
-	const forDelivery = time.Second
-	if instances <= smallFleet {
-		return smallGather, smallGather
-	}
-	return max(smallGather, milliseconds(f.LeavingMS)-forDelivery), largeGather
-}
-
-// largeGather is the time for which they gather in a large one at most: that is
-// how late an instance knows of a new endpoint.
-const largeGather = 2 * time.Second
-
-// smallGather is the time for which changes gather in a small fleet.
-const smallGather = 500 * time.Millisecond
-
 // watchWait is how long the store may hold a watch: a call that it has forgotten
 // must be over, and made again, before the node counts as in contact.
 func (f NodeFresh) watchWait() time.Duration {
@@ -84,6 +67,17 @@
 	return milliseconds(f.ContactMS) - forReturn
 }
 
+// behindWait is how long the store may hold a watch that may be behind. The
+// holder of the lease vouches that its own knowledge is current until vouchAge
+// after the store's last answer; the others notice its silence holderLost later,
+// and by then such a watch may just have begun. Half of what is left of the time
+// that there is for news remains for the store's answer.
+func (f NodeFresh) behindWait() time.Duration {
+	const least, most = 200 * time.Millisecond, time.Second
+	left := milliseconds(min(f.LeavingMS, f.SettingsMS)) - vouchAge - holderLost
+	return min(max(left/2, least), most)
+}
+
 // NodeLimits bound what one instance takes on.
 type NodeLimits struct {
 	HeaderBytes int `json:"headerBytes"`
@@ -107,7 +101,7 @@
 		RoutingPolicy: routing.PolicyTimely, LogLevel: "info",
 		Retries: NodeRetry{Ratio: 0.1, Slack: 10},
 		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
-		Fresh:   NodeFresh{LeavingMS: 2000, ContactMS: 3000},
+		Fresh:   NodeFresh{LeavingMS: 2000, SettingsMS: 2000, ContactMS: 3000},
 		Limits: NodeLimits{
 			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000, CPUShare: 1, CoreSpeed: 1,
 		},
@@ -141,7 +135,7 @@
 		{"limits/queueRequests", float64(cfg.Limits.QueueRequests)}, {"limits/queueBytes", float64(cfg.Limits.QueueBytes)},
 		{"limits/graceMS", float64(cfg.Limits.GraceMS)},
 		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
-		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS - 200)},
+		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/settingsMS", float64(cfg.Fresh.SettingsMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS - 200)},
 		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
 	} {
 		c.positive("/"+bound.path, bound.n)
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -125,9 +125,13 @@
 	}
 }
 
+// whoIsThereMayBeOld: instances that nobody hears count for nothing, and those
+// that are heard tell where they are themselves.
+func whoIsThereMayBeOld() bool { return true }
+
 // watch follows the other instances.
 func (d *presenceDuty) watch(ctx context.Context) {
-	r := store.NewReflector(d.client, store.KindInstance,
+	r := store.NewReflector(d.client, store.KindInstance, store.WatchOptions{Behind: whoIsThereMayBeOld},
 		func(l store.List) {
 			d.link.heard()
 			for _, o := range l.Items {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -95,7 +95,7 @@
 
 // watch keeps the one watch of this instance on the settings' root.
 func (d *settingsDuty) watch(ctx context.Context) {
-	r := watched(d.client, store.KindSettings, d.heard.store,
+	r := watched(d.client, store.KindSettings, store.WatchOptions{}, d.heard.store,
 		func(o store.Object) { d.found(ctx, o) },
 		func(err error) { d.log.Info("settings watch interrupted", "error", err.Error()) })
 	r.Run(ctx)
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -17,6 +17,27 @@
 
 	mu     sync.Mutex
 	lostAt time.Time
+	// answeredAt is when the store last answered any call.
+	answeredAt time.Time
+}
+
+// vouchAge is how old the store's last answer may be for what this instance
+// knows to count as current: the holder of the lease, which vouches for that,
+// renews it about every leaseRenewal.
+const vouchAge = 700 * time.Millisecond
+
+// answered notes that the store has answered a call.
+func (l *storeLink) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answeredAt = l.now()
+}
+
+// current tells whether the store has answered lately.
+func (l *storeLink) current() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Sub(l.answeredAt) < vouchAge
 }
 
 func (l *storeLink) heard() {
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -12,7 +12,9 @@
 	mu      sync.Mutex
 	hub     string
 	heardAt time.Time
-	loads   map[string]totalLoad
+	// currentAt is when the hub last said that what it knows is current.
+	currentAt time.Time
+	loads     map[string]totalLoad
 	// own is what this instance told last; the hub's sums hold it.
 	own map[string]peer.EndpointLoad
 }
@@ -31,6 +33,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hub, t.heardAt = p.Address, now
+	if p.Current {
+		t.currentAt = now
+	}
 	if t.loads == nil {
 		t.loads = map[string]totalLoad{}
 	}
@@ -72,6 +77,13 @@
 // fresh tells whether sums have been told lately.
 func (t *totals) fresh(now time.Time) bool { return t.silent(now) < totalsExpiry }
 
+// vouched tells whether the hub has said lately that what it knows is current.
+func (t *totals) vouched(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.currentAt) < holderLost
+}
+
 // silent is how long ago the hub was heard.
 func (t *totals) silent(now time.Time) time.Duration {
 	t.mu.Lock()
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -116,9 +116,10 @@
 	return d.residency.reported(e.endpoint, ready)
 }
 
-// withdrawal is for how long another instance's word that an endpoint leaves
-// counts. By then the own list tells; an endpoint whose entry only lapsed is back.
-const withdrawal = 2 * largeGather
+// withdrawnTime is for how long another instance's word that an endpoint leaves
+// counts. By then the own list tells, also where it is seconds behind; an endpoint
+// whose entry only lapsed is back.
+const withdrawnTime = 4 * time.Second
 
 // withdrawn takes another instance's word on endpoints.
 func (d *viewDuty) withdrawn(names []string) bool {
@@ -128,7 +129,7 @@
 			continue
 		}
 		changed = changed || !d.now().Before(d.withdrawnUntil[name])
-		d.withdrawnUntil[name] = d.now().Add(withdrawal)
+		d.withdrawnUntil[name] = d.now().Add(withdrawnTime)
 	}
 	return changed
 }
--- /dev/null
+++ b/daemon/vouch_test.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+// wordOfHolder is what the holder of the lease tells.
+func wordOfHolder(current bool) peer.Packet {
+	return peer.Packet{From: "holder", Address: "10.0.0.1:1", Instances: 6, Current: current}
+}
+
+// TestInstancesLookThemselvesUnlessTheHolderVouches goes through the ways in
+// which the holder's word ends: silence, a holder that the store does not answer,
+// and the lease coming here.
+func TestInstancesLookThemselvesUnlessTheHolderVouches(t *testing.T) {
+	now := time.Now()
+	holds := false
+	m := &mesh{now: func() time.Time { return now }, holds: func() bool { return holds }}
+	require.False(t, m.holderTells(), "nobody was heard")
+
+	m.totals.take(now, wordOfHolder(true))
+	require.True(t, m.holderTells())
+	now = now.Add(holderLost)
+	require.False(t, m.holderTells(), "silence")
+
+	m.totals.take(now, wordOfHolder(true))
+	for range 3 {
+		now = now.Add(holderLost / 2)
+		m.totals.take(now, wordOfHolder(false))
+	}
+	require.False(t, m.holderTells(), "the holder speaks but has lost the store")
+
+	m.totals.take(now, wordOfHolder(true))
+	holds = true
+	require.False(t, m.holderTells(), "the holder itself must look")
+}
+
+func TestHolderVouchesOnlyWhileTheStoreAnswers(t *testing.T) {
+	now := time.Now()
+	l := &storeLink{log: logr.Discard(), now: func() time.Time { return now }}
+	require.False(t, l.current())
+	l.answered()
+	require.True(t, l.current())
+	now = now.Add(vouchAge)
+	require.False(t, l.current())
+}
+
+// TestNewsIsInTimeWhenTheHolderIsLost adds up what may pass until an instance
+// whose watch is behind looks closely, the holder being cut off right after it
+// has vouched.
+func TestNewsIsInTimeWhenTheHolderIsLost(t *testing.T) {
+	for _, ms := range []int{1700, 2000, 3000, 5000, 10_000} {
+		f := NodeFresh{LeavingMS: ms, SettingsMS: 10_000, ContactMS: 4000}
+		require.Less(t, vouchAge+holderLost+f.behindWait(), milliseconds(ms)-200*time.Millisecond, "%d ms", ms)
+		f.LeavingMS, f.SettingsMS = f.SettingsMS, f.LeavingMS
+		require.Less(t, vouchAge+holderLost+f.behindWait(), milliseconds(ms)-200*time.Millisecond, "%d ms", ms)
+	}
+}
+
+// recordedDatagrams keeps what is sent.
+type recordedDatagrams struct{ sent [][]byte }
+
+func (r *recordedDatagrams) Send(_ string, data []byte) { r.sent = append(r.sent, data) }
+func (r *recordedDatagrams) Close()                     {}
+
+// TestHolderTellsOfAllThatLeave lets more endpoints leave at once than one packet
+// holds.
+func TestHolderTellsOfAllThatLeave(t *testing.T) {
+	now := time.Now()
+	sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
+	require.NoError(t, err)
+	datagrams := &recordedDatagrams{}
+	m := &mesh{
+		instance: "n1", now: func() time.Time { return now }, log: logr.Discard(), sealer: sealer, datagrams: datagrams,
+		listed: map[string]presence{"n2": {Datagrams: "127.0.0.1:1"}}, withdrawn: map[string]time.Time{},
+		revision: func() int64 { return 1 }, current: func() bool { return true },
+	}
+	const leave = 2*maxWithdrawn + 3
+	for i := range leave {
+		m.withdraw(fmt.Sprintf("i-%03d", i))
+	}
+	m.tellSum()
+	told := map[string]bool{}
+	for _, sealed := range datagrams.sent {
+		plain, err := sealer.Open(sealed)
+		require.NoError(t, err)
+		p, err := peer.DecodePacket(plain)
+		require.NoError(t, err)
+		require.True(t, p.Current)
+		for _, name := range p.Withdrawn {
+			told[name] = true
+		}
+	}
+	require.Len(t, told, leave)
+}
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -45,6 +45,9 @@
 	// Refused are marks of requests that the sender, or in a large fleet anybody,
 	// has refused since its last packet.
 	Refused []uint32 `cbor:"15,keyasint,omitempty"`
+	// Current tells, with Instances, that the store has answered the sender
+	// lately, so that it knows of newer settings and leaving endpoints.
+	Current bool `cbor:"16,keyasint,omitempty"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
--- a/store/caller.go
+++ b/store/caller.go
@@ -26,9 +26,10 @@
 
 // Caller makes calls and tells by the error what a failure proves.
 type Caller struct {
-	timeout time.Duration
-	calls   *expvar.Map
-	http    *http.Client
+	timeout  time.Duration
+	calls    *expvar.Map
+	answered func()
+	http     *http.Client
 }
 
 // DefaultWatchWait is the wait of a watch where Config does not tell.
@@ -46,7 +47,10 @@
 	if cfg.Transport == nil {
 		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	}
-	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, http: &http.Client{Transport: cfg.Transport}}
+	if cfg.Answered == nil {
+		cfg.Answered = func() {}
+	}
+	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
 }
 
 // Call makes a call within the caller's timeout and decodes the answer into
@@ -93,6 +97,9 @@
 	if err != nil {
 		return nil, &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
 	}
+	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests {
+		c.answered()
+	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		return resp, nil
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -26,9 +26,20 @@
 	Delete(ctx context.Context, kind Kind, name string) error
 	// Watch reports changes of a kind after a resource version until the
 	// stream or ctx ends. It always returns an error.
-	Watch(ctx context.Context, kind Kind, resourceVersion string, handle func(Event)) error
+	Watch(ctx context.Context, kind Kind, resourceVersion string, o WatchOptions, handle func(Event)) error
 }
 
+// WatchOptions say how a watch may be served.
+type WatchOptions struct {
+	// Behind tells, before each call that the watch makes, whether changes may
+	// come seconds late, which costs some stores less; nil means that they may
+	// not.
+	Behind func() bool
+}
+
+// MayBeBehind tells whether changes may come late now.
+func (o WatchOptions) MayBeBehind() bool { return o.Behind != nil && o.Behind() }
+
 // Config sets up an HTTP client.
 type Config struct {
 	// URL is the base of the object API.
@@ -38,8 +49,15 @@
 	// WatchWait is how long the store may hold a watch that has nothing to tell,
 	// where watches are calls that end; 0 means DefaultWatchWait.
 	WatchWait time.Duration
+	// BehindWait is the same for a watch that may be behind; 0 means WatchWait.
+	// Such a call goes on as it began, so this is also how long a watch stays
+	// behind when it no longer may.
+	BehindWait time.Duration
 	// Calls counts calls by "VERB KIND"; nil counts nothing.
 	Calls *expvar.Map
+	// Answered is told of each answer by which the store shows that it serves
+	// this instance; nil tells nobody.
+	Answered func()
 	// Transport carries the calls; nil means a transport of the client's own.
 	Transport http.RoundTripper
 }
@@ -100,8 +118,8 @@
 	return List{ResourceVersion: page.Metadata.ResourceVersion, Items: page.Items}, err
 }
 
-// Watch implements Client.
-func (c *HTTPClient) Watch(ctx context.Context, kind Kind, resourceVersion string, handle func(Event)) error {
+// Watch implements Client. Its one call is a stream, which is never behind.
+func (c *HTTPClient) Watch(ctx context.Context, kind Kind, resourceVersion string, _ WatchOptions, handle func(Event)) error {
 	target := c.base + string(kind) + "?watch=1&resourceVersion=" + url.QueryEscape(resourceVersion)
 	resp, err := c.caller.open(ctx, Call{Verb: verbWatch, Kind: kind, URL: target})
 	if err != nil {
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -22,6 +22,8 @@
 	// jitter returns a number in [0,1); it spreads the reconnections of many
 	// instances over the retry interval.
 	jitter func() float64
+	// options are those of its watches.
+	options WatchOptions
 	// version is where the watch goes on; empty means that a list is needed.
 	version string
 }
@@ -35,8 +37,8 @@
 )
 
 // NewReflector returns a reflector; Run starts it.
-func NewReflector(c Client, kind Kind, replace func(List), apply func(Event), fail func(error)) *Reflector {
-	return &Reflector{client: c, kind: kind, replace: replace, apply: apply, fail: fail, jitter: rand.Float64}
+func NewReflector(c Client, kind Kind, o WatchOptions, replace func(List), apply func(Event), fail func(error)) *Reflector {
+	return &Reflector{client: c, kind: kind, options: o, replace: replace, apply: apply, fail: fail, jitter: rand.Float64}
 }
 
 // Run lists and watches until ctx ends.
@@ -72,7 +74,7 @@
 		r.replace(list)
 		progress = true
 	}
-	err = r.client.Watch(ctx, r.kind, r.version, func(e Event) {
+	err = r.client.Watch(ctx, r.kind, r.version, r.options, func(e Event) {
 		progress = true
 		r.version = e.Object.Metadata.ResourceVersion
 		r.apply(e)
--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -31,7 +31,7 @@
 	return store.List{ResourceVersion: "100"}, nil
 }
 
-func (c *scriptedClient) Watch(ctx context.Context, _ store.Kind, version string, handle func(store.Event)) error {
+func (c *scriptedClient) Watch(ctx context.Context, _ store.Kind, version string, _ store.WatchOptions, handle func(store.Event)) error {
 	c.mu.Lock()
 	c.watches++
 	n := c.watches
@@ -62,7 +62,7 @@
 				return nil
 			}
 		}}
-		r := store.NewReflector(c, store.KindLease, func(store.List) {}, func(store.Event) {}, func(error) {})
+		r := store.NewReflector(c, store.KindLease, store.WatchOptions{}, func(store.List) {}, func(store.Event) {}, func(error) {})
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); r.Run(ctx) }()
@@ -87,7 +87,7 @@
 			}
 			return nil
 		}}
-		r := store.NewReflector(c, store.KindLease, func(store.List) {}, func(store.Event) {}, func(error) {})
+		r := store.NewReflector(c, store.KindLease, store.WatchOptions{}, func(store.List) {}, func(store.Event) {}, func(error) {})
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); r.Run(ctx) }()
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -89,7 +89,7 @@
 			return seen[name]
 		}
 	}
-	r := store.NewReflector(c, store.KindLease, func(l store.List) {
+	r := store.NewReflector(c, store.KindLease, store.WatchOptions{}, func(l store.List) {
 		for _, o := range l.Items {
 			note(o)
 		}
