Stand-in: flush what precedes a broken stream

The engine stand-in dropped the last event before a break, as an abort drops what is buffered. On a slow machine the next resumption broke at the same event again, three times in a row, behind which the pipeline rightly gives up. Change: flush before the break, as the comment of BreakStreams says. Conclusion: a fault of the stand-in, not of the product; the test is as strict.

--- a/standin/sequence.go
+++ b/standin/sequence.go
@@ -293,11 +293,13 @@
 			fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
 				sent, s.id, s.unit, Token(s.unit, s.prompt, sent))
 		}
+		// Flushed before a break too: an abort drops what is buffered, and the same
+		// event would be lost each time that the stream is resumed at it.
+		flusher.Flush()
 		if sent > from && e.breakStream(s, sent) {
 			e.abandon(s, reader)
 			panic(http.ErrAbortHandler)
 		}
-		flusher.Flush()
 		if ended && sent == n {
 			e.endStream(w, s, sent)
 			return
