Keep an instance's share of retries over a reload

Cause: a reload divided the slack of retries among 16 instances, whatever their number: at 90 instances each got 11 retries in place of 2, 990 in all where 220 are allowed, until the next instance came or went. It also took the old ratio and slack for every later change of the number of instances. Change: the settings of retries in force are kept, and a reload divides by the number of instances that is known. Figures: TestReloadKeepsTheShareOfRetries fails without it (does not build: the settings were not kept).

--- a/daemon/instance_test.go
+++ b/daemon/instance_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/revision"
@@ -74,7 +74,7 @@
 		a(&cfg)
 	}
 	var err error
-	f.instance, err = New(cfg, Deps{Log: logr.Discard()})
+	f.instance, err = New(cfg, Deps{Log: funcr.New(func(p, a string) { fmt.Println(time.Now().Format("05.000000"), p, a) }, funcr.Options{Verbosity: 1})})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -76,7 +76,9 @@
 	link     *storeLink
 	idle     *idleConns
 	catalog  atomic.Pointer[settings.Catalog]
-	stopping atomic.Pointer[time.Time]
+	// retrySettings are those in force, which a reload replaces.
+	retrySettings atomic.Pointer[NodeRetry]
+	stopping      atomic.Pointer[time.Time]
 
 	front, ready, operators *nodeServer
 	work                    context.Context
@@ -103,6 +105,7 @@
 		retries: pipeline.NewRetryBudgets(cfg.Retries.limits(0)),
 		events:  ring.New[event](eventsCapacity, ring.Block),
 	}
+	n.retrySettings.Store(&cfg.Retries)
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.link = &storeLink{log: log, now: n.now}
 	n.idle = newIdleConns(n.now, n.idleLimit)
@@ -131,6 +134,11 @@
 	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/float64(instances)), Initial: 1}
 }
 
+// shareRetries divides the retries that all may make among so many instances.
+func (n *Node) shareRetries(instances int) {
+	n.retries.SetLimits(n.retrySettings.Load().limits(instances))
+}
+
 func (n *Node) newMesh() *mesh {
 	host, _, err := net.SplitHostPort(n.cfg.Callers)
 	if err != nil {
@@ -152,7 +160,7 @@
 		revision: n.revision, newer: make(chan struct{}, 1), withdrawn: map[string]time.Time{},
 		endpointsLeave: func(names []string) { _ = n.events.Put(n.work, endpointsWithdrawn{names}) },
 		holds:          func() bool { return n.placers.holds() },
-		counted:        func(instances int) { n.retries.SetLimits(n.cfg.Retries.limits(instances)) },
+		counted:        n.shareRetries,
 	}
 }
 
@@ -333,7 +341,8 @@
 		n.log.Error(err, "configuration refused, the old one stays")
 		return
 	}
-	n.retries.SetLimits(cfg.Retries.limits(0))
+	n.retrySettings.Store(&cfg.Retries)
+	n.shareRetries(n.mesh.size())
 	n.log.Info("reload", "retry_ratio", cfg.Retries.Ratio, "retry_slack", cfg.Retries.Slack)
 }
 
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/pipeline"
 )
 
 // TestHolderStaysWhenStrongerOnesCome lists stronger instances after this one has
@@ -44,6 +47,24 @@
 	require.True(t, n.campaigns("pool", false))
 }
 
+// TestReloadKeepsTheShareOfRetries reloads while many instances are known: the
+// slack is still divided among them all.
+func TestReloadKeepsTheShareOfRetries(t *testing.T) {
+	const instances = 90
+	n := &Node{log: logr.Discard(), retries: pipeline.NewRetryBudgets(pipeline.RetryLimits{})}
+	n.retrySettings.Store(&NodeRetry{})
+	n.mesh = &mesh{listed: map[string]presence{}, counted: n.shareRetries}
+	for i := range instances {
+		n.mesh.find(fmt.Sprint(i), &presence{})
+	}
+	cfg := NodeConfig{Retries: NodeRetry{Ratio: 0.2, Slack: 220}}
+	n.Reload(cfg, nil)
+	require.LessOrEqual(t, n.retries.Limits().Burst*instances, 220.0)
+	n.mesh.find("one more", &presence{})
+	require.LessOrEqual(t, n.retries.Limits().Burst*(instances+1), 220.0, "what was reloaded stays in force")
+	require.Positive(t, n.retries.Limits().Burst)
+}
+
 func TestRetrySharesKeepToTheSlackOfAll(t *testing.T) {
 	r := NodeRetry{Ratio: 0.2, Slack: 52}
 	for _, instances := range []int{1, 6, 9, 20} {
--- a/pipeline/budget.go
+++ b/pipeline/budget.go
@@ -39,6 +39,9 @@
 // SetLimits replaces the limits; what was saved beyond the new burst is lost.
 func (b *RetryBudgets) SetLimits(l RetryLimits) { b.limits.Store(&l) }
 
+// Limits returns the limits in force.
+func (b *RetryBudgets) Limits() RetryLimits { return *b.limits.Load() }
+
 // credits are counted in thousandths of a retry.
 const creditCost = 1000
 
