--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -73,7 +73,7 @@
 func (f admit) Process(ctx context.Context, x *Exchange) error {
 	now := f.now()
 	req := routing.Request{
-		ID: x.ID, Unit: x.Target.Unit, Pool: x.Target.Pool,
+		ID: x.ID, Unit: x.Target.Unit, Model: x.Target.Model, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
 		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(), Again: f.refusals.again(now, x.Call.Mark),
 	}
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -33,7 +33,7 @@
 		return &DispatchError{TimedOut: errors.Is(err, context.DeadlineExceeded), Err: err}
 	}
 	if x.Target.Unit != "" && resp.StatusCode == http.StatusOK {
-		f.router.Learn(&a.Decision, x.Target.Unit, f.now())
+		f.router.Learn(&a.Decision, f.now())
 	}
 	a.Decision.Answered()
 	f.noteLoad(x, resp)
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -3,13 +3,12 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // Prompts are read one after another, so how soon an attempt gets its first
 // token follows from the prompts ahead of it. How long a token of a prompt
-// takes differs by unit and is learned from own attempts.
+// takes differs by model and is learned from own attempts.
 
 const (
 	// assumedTokenTime is how long a token of a prompt takes to read where
@@ -28,37 +27,61 @@
 	plainWork = time.Millisecond
 )
 
-// paces holds the time that a token of a prompt takes, by unit.
+// paces holds the time that a token of a prompt takes, by model: the adapters of a
+// model run at its pace.
 type paces struct {
-	units sync.Map
+	mu     sync.Mutex
+	models map[string]*pace
 }
 
-func (p *paces) of(unit string) *atomic.Int64 {
-	if known, ok := p.units.Load(unit); ok {
-		return known.(*atomic.Int64)
+// pace is what is known of one model.
+type pace struct {
+	token time.Duration
+	// observed counts the observations, as the first ones weigh more.
+	observed int
+}
+
+// of returns the pace of a model; mu must be held.
+func (p *paces) of(model string) *pace {
+	known := p.models[model]
+	if known == nil {
+		if p.models == nil {
+			p.models = map[string]*pace{}
+		}
+		known = &pace{token: assumedTokenTime}
+		p.models[model] = known
 	}
-	fresh := &atomic.Int64{}
-	fresh.Store(int64(assumedTokenTime))
-	known, _ := p.units.LoadOrStore(unit, fresh)
-	return known.(*atomic.Int64)
+	return known
+}
+
+// token is how long a token of a prompt takes.
+func (p *paces) token(model string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(model).token
 }
 
 // work is the time to read a prompt of so many tokens.
-func (p *paces) work(unit string, tokens int64) time.Duration {
+func (p *paces) work(model string, tokens int64) time.Duration {
 	if tokens == 0 {
 		return plainWork
 	}
-	return time.Duration(tokens * p.of(unit).Load())
+	return time.Duration(tokens) * p.token(model)
 }
 
 // learn takes the time to the first token of an attempt that was expected to
-// take some other time.
-func (p *paces) learn(unit string, expected, took time.Duration) {
+// take some other time. The first observations are averaged, as the assumed pace
+// may be far off.
+func (p *paces) learn(model string, expected, took time.Duration) {
 	ratio := float64(max(took-firstStep, 0)) / float64(max(expected-firstStep, 1))
 	ratio = min(max(ratio, 1/maxSurprise), maxSurprise)
-	pace := p.of(unit)
-	next := float64(pace.Load()) * math.Pow(ratio, learnShare)
-	pace.Store(int64(min(max(next, float64(leastToken)), float64(mostToken))))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.of(model)
+	known.observed++
+	share := max(learnShare, 1/float64(known.observed))
+	next := time.Duration(float64(known.token) * math.Pow(ratio, share))
+	known.token = min(max(next, leastToken), mostToken)
 }
 
 // Expect is how long an attempt at the endpoint waits for its first token, with
--- a/routing/pace_test.go
+++ b/routing/pace_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -70,7 +72,7 @@
 	for range 60 {
 		d, err := r.Pick(&Request{Unit: "m", PromptTokens: 1000, Now: testNow})
 		require.NoError(t, err)
-		r.Learn(&d, "m", testNow.Add(firstStep+20*time.Millisecond))
+		r.Learn(&d, testNow.Add(firstStep+20*time.Millisecond))
 		r.Release(&d)
 	}
 	require.InDelta(t, float64(20*time.Millisecond), float64(r.paces.work("m", 1000)), float64(time.Millisecond))
@@ -87,3 +89,43 @@
 	_, err = r.Pick(&Request{Unit: "m", Now: testNow})
 	require.ErrorIs(t, err, ErrNoRoom)
 }
+
+// TestFirstObservationsWeighMore gives few observations of an engine that takes a
+// fifth of the assumed time, by an adapter of the model.
+func TestFirstObservationsWeighMore(t *testing.T) {
+	e := &Endpoint{Name: "a", Concurrency: 8}
+	r := timelyRouter(e)
+	r.SetView(&View{Replicas: map[string][]*Endpoint{"m": {e}, "m/a1": {e}}})
+	for range 4 {
+		d, err := r.Pick(&Request{Unit: "m/a1", Model: "m", PromptTokens: 1000, Now: testNow})
+		require.NoError(t, err)
+		r.Learn(&d, testNow.Add(firstStep+10*time.Millisecond))
+		r.Release(&d)
+	}
+	require.InDelta(t, 0.2, r.RelativeCost("m"), 0.05)
+	require.InDelta(t, 1, r.RelativeCost("other"), 0)
+}
+
+// TestInstancesDoNotOverrunOneEndpoint lets many instances that know the same of
+// eight endpoints send a request each before any hears of the others'.
+func TestInstancesDoNotOverrunOneEndpoint(t *testing.T) {
+	const instances, endpoints = 90, 8
+	random := rand.New(rand.NewPCG(1, 2)).Float64
+	taken := map[string]int{}
+	for range instances {
+		var known []*Endpoint
+		for i := range endpoints {
+			e := &Endpoint{Name: fmt.Sprint(i), Concurrency: 64}
+			e.SetOthers(Others{Running: 1, Prompt: time.Duration(50+i) * time.Millisecond})
+			known = append(known, e)
+		}
+		r := NewRouter(Policies()[PolicyTimely], random)
+		r.SetView(&View{Replicas: map[string][]*Endpoint{"m": known}})
+		d, err := r.Pick(&Request{Unit: "m", PromptTokens: 2000, Now: testNow, FirstBy: testNow.Add(time.Second)})
+		require.NoError(t, err)
+		taken[d.Endpoint.Name]++
+	}
+	for name, n := range taken {
+		require.Less(t, n, instances/3, "endpoint %s", name)
+	}
+}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -1,12 +1,17 @@
 package routing
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Request is what routing knows of an attempt.
 type Request struct {
 	ID   string
 	Unit string
-	Pool string
+	// Model is the unit whose weights run the request; empty means Unit.
+	Model string
+	Pool  string
 	// PromptTokens is the length of the prompt, 0 where it is not known.
 	PromptTokens int64
 	// Work is the time that reading the prompt takes; Pick sets it.
@@ -26,6 +31,8 @@
 	Now       time.Time
 }
 
+func (r *Request) model() string { return cmp.Or(r.Model, r.Unit) }
+
 // Filter drops endpoints that must not be chosen.
 type Filter interface {
 	Name() string
--- a/routing/router.go
+++ b/routing/router.go
@@ -31,6 +31,8 @@
 	At             time.Time
 	// Estimate is the load that the endpoint was taken to have.
 	Estimate int64
+	// model is whose pace the attempt teaches.
+	model string
 }
 
 // Router chooses endpoints and counts what is under way at each.
@@ -59,7 +61,7 @@
 func (r *Router) Pick(req *Request) (Decision, error) {
 	view := r.view.Load()
 	req.Instances = view.Instances
-	req.Work = r.paces.work(req.Unit, req.PromptTokens)
+	req.Work = r.paces.work(req.model(), req.PromptTokens)
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
 		return Decision{}, ErrNoReplica
@@ -73,7 +75,7 @@
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
 		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
 	}
-	d.Expected, d.Work, d.At = chosen.Endpoint.Expect(req.Work), req.Work, req.Now
+	d.Expected, d.Work, d.At, d.model = chosen.Endpoint.Expect(req.Work), req.Work, req.Now, req.model()
 	chosen.Endpoint.own.Add(1)
 	chosen.Endpoint.ownPrompt.Add(int64(req.Work))
 	return d, nil
@@ -86,9 +88,15 @@
 	d.Work = 0
 }
 
-// Learn takes the time of the first token of an attempt for the unit.
-func (r *Router) Learn(d *Decision, unit string, now time.Time) {
-	r.paces.learn(unit, d.Expected, now.Sub(d.At))
+// Learn takes the time at which the first token of an attempt has come.
+func (r *Router) Learn(d *Decision, now time.Time) {
+	r.paces.learn(d.model, d.Expected, now.Sub(d.At))
+}
+
+// RelativeCost is how much a token costs an endpoint with the model, where one of
+// a model that nothing is known of counts as 1.
+func (r *Router) RelativeCost(model string) float64 {
+	return float64(r.paces.token(model)) / float64(assumedTokenTime)
 }
 
 // Release gives back what Pick reserved.
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -27,8 +28,11 @@
 	Name string
 	// Unit is the unit to run, or empty for a plain service.
 	Unit string
-	Pool string
-	Kind Kind
+	// Model is the unit whose weights run the request: Unit itself, or what an
+	// adapter belongs to.
+	Model string
+	Pool  string
+	Kind  Kind
 	// Policy is the treatment of the request.
 	Policy Effective
 }
@@ -84,7 +88,7 @@
 	if m.Current != "" {
 		current = name + VersionSeparator + m.Current
 		target := c.Targets[name]
-		target.Unit = current
+		target.Unit, target.Model = current, current
 		c.Targets[name] = target
 	}
 	for a, adapter := range m.Adapters {
@@ -95,7 +99,7 @@
 
 func (c *Catalog) addUnit(u Unit) {
 	c.Units[u.Name] = u
-	c.Targets[u.Name] = Target{Name: u.Name, Unit: u.Name, Pool: u.Pool, Kind: KindEngine, Policy: u.Policy}
+	c.Targets[u.Name] = Target{Name: u.Name, Unit: u.Name, Model: cmp.Or(u.Base, u.Name), Pool: u.Pool, Kind: KindEngine, Policy: u.Policy}
 }
 
 func (c *Catalog) addService(name string, s *Service, root Node) {
@@ -103,7 +107,7 @@
 	target := Target{Name: name, Pool: s.Pool, Kind: KindPlain, Policy: policy}
 	if s.Model != "" {
 		model := c.Targets[s.Model]
-		target.Unit, target.Pool, target.Kind = model.Unit, model.Pool, KindEngine
+		target.Unit, target.Model, target.Pool, target.Kind = model.Unit, model.Model, model.Pool, KindEngine
 	}
 	c.Targets[name] = target
 }
