Leave endpoints alone that are replaced or lack the unit

An engine that crashed and came back empty under a new incarnation answers at the old address at once with 421, so its old entry, which lapses seconds later, looked idle and drew requests. The placing instance got reports of the new process under the old name and sent it orders, all refused. Change: the answering incarnation tells the two meanings of 421 apart. Another incarnation: the endpoint is gone, for all instances (a field of their packets) and for placement; an order that is misdirected, or a report with fewer orders after refused connections, says the same. The same incarnation: it is not asked for that unit for 0.4 s.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -45,6 +45,8 @@
 	demanded func(rate map[string]float64, waiting map[string]int)
 	// suspected gets endpoints at which requests of some instance have failed.
 	suspected func(endpoints []string)
+	// gone gets endpoints at whose addresses other incarnations have answered.
+	gone func(endpoints []string)
 	// endpointsLeave gets endpoints that another instance says take no more work.
 	endpointsLeave func(names []string)
 	// counted gets the number of instances that are listed.
@@ -94,6 +96,8 @@
 	// maxSuspects bounds what one packet tells of them.
 	suspectTime = 250 * time.Millisecond
 	maxSuspects = 8
+	// maxGone bounds the endpoints of which one packet tells that they are gone.
+	maxGone = 8
 	// maxPlacements bounds the placements of one packet, maxTotals its sums.
 	maxPlacements = 4
 	maxTotals     = 24
@@ -206,6 +210,9 @@
 	if len(p.Suspects) > 0 {
 		m.suspected(p.Suspects)
 	}
+	if len(p.Gone) > 0 {
+		m.gone(p.Gone)
+	}
 	waits := false
 	for _, d := range p.Demands {
 		waits = waits || d.Waiting > 0
@@ -353,6 +360,9 @@
 			if e.FailedSince(m.now().Add(-suspectTime)) && len(p.Suspects) < maxSuspects {
 				p.Suspects = append(p.Suspects, e.Name)
 			}
+			if e.Replaced() && len(p.Gone) < maxGone {
+				p.Gone = append(p.Gone, e.Name)
+			}
 			if n := e.Own(); n > 0 && len(p.Loads) < maxLoads {
 				p.Loads = append(p.Loads, peer.EndpointLoad{Endpoint: e.Name, Running: n, Prompt: e.OwnPrompt().Microseconds()})
 			}
--- a/daemon/mesh_test.go
+++ b/daemon/mesh_test.go
@@ -30,10 +30,14 @@
 	for i := range maxSuspects {
 		summary.Suspects = append(summary.Suspects, endpoint(i))
 	}
+	for i := range maxGone {
+		summary.Gone = append(summary.Gone, endpoint(i))
+		word.Gone = append(word.Gone, endpoint(i))
+	}
 	for i := range maxFreshRefusals {
 		summary.Refused = append(summary.Refused, 1<<31+uint32(i))
 	}
-	word.Instances = 390
+	word.Instances, word.Current = 390, true
 	for i := range maxTotals {
 		word.Totals = append(word.Totals, peer.EndpointLoad{Endpoint: endpoint(i), Running: 600, Prompt: 90_000_000})
 	}
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -31,16 +31,30 @@
 // that takes.
 func (m *mesh) tellSum() {
 	sum, n := m.sums()
-	withdrawn, passed := m.withdrawnLately(), m.takePassed()
-	for first := true; first || len(sum)+len(withdrawn) > 0; first = false {
+	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
+	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
 		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed}
 		p.Totals, sum = cut(sum, maxTotals)
 		p.Withdrawn, withdrawn = cut(withdrawn, maxWithdrawn)
+		p.Gone, gone = cut(gone, maxGone)
 		m.send(m.stamp(p), m.addresses())
 		passed = nil
 	}
 }
 
+// replaced returns the endpoints at whose addresses others have answered.
+func (m *mesh) replaced() []string {
+	var names []string
+	for _, pool := range m.router.View().Pools {
+		for _, e := range pool {
+			if e.Replaced() {
+				names = append(names, e.Name)
+			}
+		}
+	}
+	return names
+}
+
 // cut takes up to n off the front of a list.
 func cut[T any](list []T, n int) (front, rest []T) {
 	n = min(n, len(list))
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -152,6 +152,7 @@
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
 		demanded:  func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
 		suspected: func(endpoints []string) { n.placers.suspected(endpoints) },
+		gone:      n.endpointsGone,
 		leaving:   func() bool { return n.stopping.Load() != nil },
 		current:   func() bool { return n.link.current() },
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
@@ -164,6 +165,24 @@
 	}
 }
 
+// endpointsGone stops to route to endpoints whose addresses others have, and to
+// place units there.
+func (n *Node) endpointsGone(names []string) {
+	gone := make(map[string]bool, len(names))
+	for _, name := range names {
+		gone[name] = true
+	}
+	for _, pool := range n.router.View().Pools {
+		for _, e := range pool {
+			if gone[e.Name] && !e.Replaced() {
+				e.SetReplaced()
+				n.log.Info("endpoint replaced", "endpoint", e.Name, "address", e.Address)
+			}
+		}
+	}
+	n.placers.gone(names)
+}
+
 // holder names this process among all that ever run.
 func (n *Node) holder() string { return n.cfg.Instance + "/" + n.mesh.process }
 
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -236,6 +236,15 @@
 	}
 }
 
+// gone passes endpoints on at whose addresses others have answered.
+func (p *placers) gone(endpoints []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, placer := range p.running {
+		placer.put(counted.Gone{Endpoints: endpoints})
+	}
+}
+
 // demanded passes the demand of all instances on.
 func (p *placers) demanded(rate map[string]float64, waiting map[string]int) {
 	p.mu.Lock()
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/routing"
 )
 
 // wordOfHolder is what the holder of the lease tells.
@@ -80,7 +81,7 @@
 	m := &mesh{
 		instance: "n1", now: func() time.Time { return now }, log: logr.Discard(), sealer: sealer, datagrams: datagrams,
 		listed: map[string]presence{"n2": {Datagrams: "127.0.0.1:1"}}, withdrawn: map[string]time.Time{},
-		revision: func() int64 { return 1 }, current: func() bool { return true },
+		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], nil), revision: func() int64 { return 1 }, current: func() bool { return true },
 	}
 	const leave = 2*maxWithdrawn + 3
 	for i := range leave {
--- a/engine/client.go
+++ b/engine/client.go
@@ -132,7 +132,9 @@
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		drainBody(resp)
-		return &NotStartedError{Endpoint: endpoint, Busy: refused.Busy, NotResident: refused.NotResident, Err: &refused.RefusalError}
+		return &NotStartedError{
+			Endpoint: endpoint, Busy: refused.Busy, NotResident: refused.NotResident, Replaced: refused.Replaced, Err: &refused.RefusalError,
+		}
 	}
 	d.abandon()
 	resp.Body.Close()
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -35,8 +35,8 @@
 type RefusedError struct {
 	RefusalError
 	// Busy is set when it lacked room, NotResident when it does not hold the
-	// unit or is another endpoint than the one meant.
-	Busy, NotResident bool
+	// unit, and Replaced when it is another incarnation than the one meant.
+	Busy, NotResident, Replaced bool
 }
 
 // OpenAI is the product's own dialect.
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -12,7 +12,10 @@
 	Busy bool
 	// NotResident is set when the endpoint does not hold the unit.
 	NotResident bool
-	Err         error
+	// Replaced is set when another incarnation answers at the endpoint's address:
+	// the one that was meant is gone.
+	Replaced bool
+	Err      error
 }
 
 // Error names the endpoint and the cause.
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -48,6 +48,8 @@
 	// Current tells, with Instances, that the store has answered the sender
 	// lately, so that it knows of newer settings and leaving endpoints.
 	Current bool `cbor:"16,keyasint,omitempty"`
+	// Gone are endpoints at whose addresses other incarnations have answered.
+	Gone []string `cbor:"17,keyasint,omitempty"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	a := x.attempt()
-	p.rate(ctx, a, err)
+	p.rate(ctx, x.Target.Unit, a, err)
 	p.cfg.Router.Release(&a.Decision)
 	p.cfg.Gates.Pool(x.Target.Pool).Completed()
 	if err != nil && mayRun(err) && x.Target.Kind == settings.KindEngine {
@@ -134,15 +134,21 @@
 }
 
 // rate tells the endpoint's record how the attempt went.
-func (p *Pipeline) rate(ctx context.Context, a *Attempt, err error) {
+func (p *Pipeline) rate(ctx context.Context, unit string, a *Attempt, err error) {
 	var notStarted *engine.NotStartedError
 	switch {
 	case err == nil:
 		a.Decision.Endpoint.Succeeded()
 	case ctx.Err() != nil:
 		// The caller's leaving or deadline says nothing of the endpoint.
-	case errors.As(err, &notStarted) && (notStarted.NotResident || notStarted.Busy):
-		// A refusal is no failure of the endpoint.
+	case errors.As(err, &notStarted) && notStarted.Replaced:
+		a.Decision.Endpoint.SetReplaced()
+	case errors.As(err, &notStarted) && notStarted.NotResident:
+		// A refusal is no failure of the endpoint, but what was believed of it is
+		// wrong.
+		a.Decision.Endpoint.Lacks(unit, p.cfg.Now())
+	case errors.As(err, &notStarted) && notStarted.Busy:
+		// Nor is this one.
 	default:
 		a.Decision.Endpoint.Failed(p.cfg.Now())
 	}
--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -90,6 +90,8 @@
 		actions = c.reported(now, e)
 	case Suspected:
 		c.suspect(now, e)
+	case Gone:
+		actions = c.gone(e)
 	case OrderEnded:
 		actions = c.orderEnded(now, e)
 	case Demanded:
@@ -172,7 +174,7 @@
 	var actions []Action
 	for _, name := range sortedNames(c.endpoints) {
 		e := c.endpoints[name]
-		if e.asking || e.sending != nil || now.Before(e.askAt) || now.Sub(e.endedAt) < settleTime {
+		if e.replaced || e.asking || e.sending != nil || now.Before(e.askAt) || now.Sub(e.endedAt) < settleTime {
 			continue
 		}
 		e.asking = true
@@ -224,6 +226,18 @@
 	}
 }
 
+// gone takes endpoints off whose addresses others have.
+func (c *Controller) gone(g Gone) []Action {
+	var actions []Action
+	for _, name := range g.Endpoints {
+		if e := c.endpoints[name]; e != nil && !e.replaced {
+			e.replaced = true
+			actions = append(actions, Noted{What: "endpoint replaced", Endpoint: name})
+		}
+	}
+	return actions
+}
+
 // nextAsk is how long the report just taken will do.
 func (c *Controller) nextAsk(now time.Time, e *endpoint) time.Duration {
 	switch {
@@ -285,6 +299,8 @@
 	case Superseded:
 		c.holding = false
 		return []Action{Noted{What: "superseded", Endpoint: o.Endpoint}}
+	case Replaced:
+		return c.gone(Gone{Endpoints: []string{o.Endpoint}})
 	case Unknown:
 		doubt := o.Order
 		e.doubt = &doubt
--- a/placement/counted/endpoint.go
+++ b/placement/counted/endpoint.go
@@ -47,6 +47,8 @@
 	// once they prove that the process is gone.
 	refusals int
 	lost     bool
+	// replaced is set once another incarnation has answered at its address.
+	replaced bool
 	// told is what routing was told last, at toldAt.
 	told   Tell
 	toldAt time.Time
@@ -75,7 +77,7 @@
 }
 
 // out tells whether the endpoint counts for nothing any more.
-func (e *endpoint) out() bool { return e.Leaving || e.lost }
+func (e *endpoint) out() bool { return e.Leaving || e.lost || e.replaced }
 
 // reserveTime is how long freed memory waits for the model that it was freed
 // for: an unload waits until the model's requests have ended.
@@ -109,6 +111,11 @@
 
 // believe takes a report. It tells whether the report was news.
 func (e *endpoint) believe(now time.Time, r *Report) bool {
+	if e.lost && r.Count < e.count {
+		// Its process was gone, and this one has taken fewer orders: a new one.
+		e.replaced = true
+		return false
+	}
 	if e.known && r.Count < e.count && e.behind < maxBehind {
 		e.behind++
 		return false
--- a/placement/counted/events.go
+++ b/placement/counted/events.go
@@ -72,6 +72,9 @@
 // Suspected says that requests to endpoints have failed.
 type Suspected struct{ Endpoints []string }
 
+// Gone says that other incarnations have answered at the endpoints' addresses.
+type Gone struct{ Endpoints []string }
+
 // Result is what became of an order.
 type Result int
 
@@ -85,6 +88,8 @@
 	Superseded
 	// Unknown: it may take effect while the endpoint's count is the expected.
 	Unknown
+	// Replaced: another incarnation answers at the endpoint's address.
+	Replaced
 )
 
 // OrderEnded is the end of a Send.
@@ -125,6 +130,7 @@
 func (Listed) isEvent()        {}
 func (Reported) isEvent()      {}
 func (Suspected) isEvent()     {}
+func (Gone) isEvent()          {}
 func (OrderEnded) isEvent()    {}
 func (Demanded) isEvent()      {}
 func (LeaseAcquired) isEvent() {}
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -174,3 +174,38 @@
 	s.now = s.now.Add(200 * time.Millisecond)
 	require.Positive(t, sends())
 }
+
+// TestReplacedEndpointIsGivenUp finds in each way that another incarnation has an
+// endpoint's address: nothing is asked of it or placed there any more.
+func TestReplacedEndpointIsGivenUp(t *testing.T) {
+	for name, find := range map[string]func(s *cell){
+		"told by an instance": func(s *cell) { s.step(Gone{Endpoints: []string{"e1"}}) },
+		"an order was misdirected": func(s *cell) {
+			e := s.c.endpoints["e1"]
+			send := s.c.send(e, Order{Op: OpLoad, Unit: "m2"})
+			s.step(OrderEnded{Endpoint: "e1", Order: send.Order, Result: Replaced})
+		},
+		"its process was gone and a new one reports": func(s *cell) {
+			s.c.endpoints["e1"].count = 5
+			for range lostAfter {
+				s.step(Reported{Endpoint: "e1", AskedAt: s.now, Refused: true})
+			}
+			s.step(Reported{Endpoint: "e1", AskedAt: s.now, Report: &Report{}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCell(4, map[string][]string{"e1": {"m0"}, "e2": {"m1"}}, nil)
+			find(s)
+			require.True(t, s.c.endpoints["e1"].out())
+			s.now = s.now.Add(time.Minute)
+			for _, a := range s.step(Demanded{Rate: map[string]float64{"m0": 9000}, Waiting: map[string]int{"m0": 1}}) {
+				switch a := a.(type) {
+				case Ask:
+					require.NotEqual(t, "e1", a.Endpoint)
+				case Send:
+					require.NotEqual(t, "e1", a.Endpoint)
+				}
+			}
+		})
+	}
+}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -42,6 +43,11 @@
 	// failedAt is when it failed last, in the same form.
 	failedAt atomic.Int64
 	leaving  atomic.Bool
+	// replaced is set once another incarnation has answered at the address.
+	replaced atomic.Bool
+	// missing holds until when, in Unix nanoseconds, each unit that the endpoint
+	// said it does not hold is not asked for there.
+	missing sync.Map
 }
 
 // Others is what the other instances have under way at an endpoint.
@@ -99,6 +105,29 @@
 // Leaving tells whether the endpoint takes no new work.
 func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
 
+// SetReplaced records that another incarnation has answered at the endpoint's
+// address; the endpoint itself is gone for good.
+func (e *Endpoint) SetReplaced() { e.replaced.Store(true) }
+
+// Replaced tells whether another incarnation has answered at its address.
+func (e *Endpoint) Replaced() bool { return e.replaced.Load() }
+
+// missingTime is for how long an endpoint that does not hold a unit is not asked
+// for it again: it answers such requests at once, so it would seem the least
+// loaded of all. By then the instance that places units has told what it holds.
+const missingTime = 400 * time.Millisecond
+
+// Lacks records that the endpoint has said that it does not hold the unit.
+func (e *Endpoint) Lacks(unit string, now time.Time) {
+	e.missing.Store(unit, now.Add(missingTime).UnixNano())
+}
+
+// lacked tells whether the endpoint has said so lately.
+func (e *Endpoint) lacked(unit string, now time.Time) bool {
+	until, told := e.missing.Load(unit)
+	return told && now.UnixNano() < until.(int64)
+}
+
 // Estimate is the load that the endpoint has now: what it reported, less what
 // was this instance's then, plus what is this instance's now.
 func (e *Endpoint) Estimate() int64 {
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -6,7 +6,13 @@
 type liveFilter struct{}
 
 func (liveFilter) Name() string                      { return "live" }
-func (liveFilter) Keep(_ *Request, e *Endpoint) bool { return !e.Leaving() }
+func (liveFilter) Keep(_ *Request, e *Endpoint) bool { return !e.Leaving() && !e.Replaced() }
+
+// holdingFilter keeps endpoints that have not just said that they lack the unit.
+type holdingFilter struct{}
+
+func (holdingFilter) Name() string                      { return "holding" }
+func (holdingFilter) Keep(r *Request, e *Endpoint) bool { return !e.lacked(r.Unit, r.Now) }
 
 // untriedFilter keeps endpoints that this request has not tried.
 type untriedFilter struct{}
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -1,5 +1,7 @@
 package routing
 
+import "slices"
+
 // Names of the policies that are kept runnable for comparison.
 const (
 	// PolicyRandom picks any live endpoint.
@@ -40,7 +42,7 @@
 
 // Policies returns the policies by name.
 func Policies() map[string]Policy {
-	base := []Filter{liveFilter{}, untriedFilter{}}
+	base := []Filter{liveFilter{}, holdingFilter{}, untriedFilter{}}
 	reported := []WeightedScorer{{reportedScorer{}, 1}}
 	return map[string]Policy{
 		PolicyRandom:     {Name: PolicyRandom, Filters: base, Picker: randomPicker{}},
@@ -48,13 +50,13 @@
 		PolicyTwoChoices: {Name: PolicyTwoChoices, Filters: base, Scorers: reported, Picker: twoChoicesPicker{}},
 		PolicyEstimate: {
 			Name:    PolicyEstimate,
-			Filters: append(base[:2:2], headroomFilter{fill: headroomFill, slack: headroomSlack}),
+			Filters: append(slices.Clip(base), headroomFilter{fill: headroomFill, slack: headroomSlack}),
 			Scorers: []WeightedScorer{{estimateScorer{}, estimateWeight}, {domainScorer{}, domainWeight}},
 			Picker:  bestPicker{},
 		},
 		PolicyTimely: {
 			Name:    PolicyTimely,
-			Filters: append(base[:2:2], slotFilter{}, timelyFilter{firstShare: timelyFirstShare, againShare: timelyAgainShare, gapShare: timelyGapShare}),
+			Filters: append(slices.Clip(base), slotFilter{}, timelyFilter{firstShare: timelyFirstShare, againShare: timelyAgainShare, gapShare: timelyGapShare}),
 			Scorers: []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
 			Picker:  twoChoicesPicker{},
 		},
--- a/routing/router.go
+++ b/routing/router.go
@@ -140,20 +140,20 @@
 }
 
 // whyNone tells a full unit from one with no endpoint left to try, and from one
-// whose endpoints are all leaving: that one is as good as held by nobody, until
-// it is loaded elsewhere.
+// whose endpoints all leave or turn out not to hold it: that one is as good as
+// held by nobody, until it is loaded elsewhere.
 func whyNone(req *Request, candidates []*Endpoint) error {
-	leaving := true
+	held := false
 	for _, e := range candidates {
-		if !(liveFilter{}).Keep(req, e) {
+		if !(liveFilter{}).Keep(req, e) || !(holdingFilter{}).Keep(req, e) {
 			continue
 		}
-		leaving = false
+		held = true
 		if (untriedFilter{}).Keep(req, e) {
 			return ErrNoRoom
 		}
 	}
-	if leaving && len(req.Excluded) == 0 {
+	if !held && len(req.Excluded) == 0 {
 		return ErrNoReplica
 	}
 	return ErrNoneLeft
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -120,3 +120,34 @@
 		r.Release(&d)
 	}
 }
+
+// TestEndpointThatLacksTheUnitIsLeftAlone lets an endpoint say that it does not
+// hold a unit: it answers at once and so would seem the least loaded.
+func TestEndpointThatLacksTheUnitIsLeftAlone(t *testing.T) {
+	a, b := &Endpoint{Name: "a", Concurrency: 8}, &Endpoint{Name: "b", Concurrency: 8}
+	r := timelyRouter(a, b)
+	r.SetView(&View{Replicas: map[string][]*Endpoint{"m": {a, b}, "n": {a}}})
+	b.SetOthers(Others{Running: 5, Prompt: 300 * time.Millisecond})
+	a.Lacks("m", testNow)
+	pick := func(unit string, now time.Time) (string, error) {
+		d, err := r.Pick(&Request{Unit: unit, PromptTokens: 100, Now: now})
+		if err != nil {
+			return "", err
+		}
+		r.Release(&d)
+		return d.Endpoint.Name, nil
+	}
+	name, err := pick("m", testNow)
+	require.NoError(t, err)
+	require.Equal(t, "b", name)
+	name, err = pick("n", testNow)
+	require.NoError(t, err, "another unit is not concerned")
+	require.Equal(t, "a", name)
+	name, err = pick("m", testNow.Add(missingTime))
+	require.NoError(t, err)
+	require.Equal(t, "a", name)
+	b.SetReplaced()
+	a.Lacks("m", testNow)
+	_, err = pick("m", testNow)
+	require.ErrorIs(t, err, ErrNoReplica, "as good as held by nobody")
+}
