--- /dev/null
+++ b/cmd/eiderspring-soak/main.go
@@ -0,0 +1,160 @@
+// Command eiderspring-soak runs the randomized soak, and the stand-ins that it
+// starts as processes. It is for tests only.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/eiderspring/eiderspring/platform/fake"
+	"github.com/eiderspring/eiderspring/soak"
+)
+
+func main() {
+	app := &cli.Command{
+		Name: "eiderspring-soak", Usage: "run the program as processes under random faults",
+		Commands: []*cli.Command{runCommand(), storeCommand(), workerCommand()},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderspring-soak:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name: "run", Usage: "play schedules of faults and judge them; exit 1 if a promise was broken",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Required: true, Usage: "the `FILE` of eiderspring"},
+			&cli.Uint64Flag{Name: "seed", Value: uint64(time.Now().UnixNano() % 1_000_000), Usage: "the first seed; drawn from the clock if not given"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds to play, one after the other"},
+			&cli.DurationFlag{Name: "faults", Value: 15 * time.Second, Usage: "for how long faults go on"},
+			&cli.IntFlag{Name: "nodes", Value: 4}, &cli.IntFlag{Name: "engines", Value: 3}, &cli.IntFlag{Name: "plain", Value: 3},
+			&cli.IntFlag{Name: "callers", Value: 4, Usage: "callers of each instance"},
+			&cli.StringFlag{Name: "logs", Value: os.TempDir(), Usage: "the `FOLDER` for logs, one folder a seed"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return runSeeds(c) },
+	}
+}
+
+func runSeeds(c *cli.Command) error {
+	stand, err := os.Executable()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	program, err := filepath.Abs(c.String("program"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	failed := 0
+	for i := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(i)
+		dir := filepath.Join(c.String("logs"), fmt.Sprintf("soak-%d", seed))
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return trace.Wrap(err)
+		}
+		report, err := soak.Run(soak.Options{
+			Programs: soak.Programs{Node: program, Stand: stand}, Seed: seed, Callers: c.Int("callers"), Dir: dir,
+			Size: soak.Size{Nodes: c.Int("nodes"), Engines: c.Int("engines"), Plain: c.Int("plain"), Faults: c.Duration("faults")},
+		})
+		if err != nil {
+			return trace.Wrap(err, "seed %d", seed)
+		}
+		fmt.Println(report)
+		for _, b := range report.Broken {
+			fmt.Println("  broken:", b)
+		}
+		if len(report.Broken) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return trace.Errorf("%d of %d seeds broke a promise", failed, c.Int("seeds"))
+	}
+	return nil
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Required: true, Usage: "IP:PORT to listen on"}
+}
+
+func storeCommand() *cli.Command {
+	return &cli.Command{
+		Name: "store", Usage: "the platform's object store", Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			store := fake.NewStoreHandler()
+			mux := http.NewServeMux()
+			mux.Handle("/", store)
+			for path, mode := range map[string]fake.Mode{
+				"up": fake.Up, string(soak.StoreRefusing): fake.Refusing, string(soak.StoreLosing): fake.LosingAnswers,
+			} {
+				mux.HandleFunc("POST /control/mode/"+path, func(http.ResponseWriter, *http.Request) { store.SetMode(mode) })
+			}
+			mux.HandleFunc("POST /control/forget", func(http.ResponseWriter, *http.Request) { store.Forget() })
+			go func() {
+				for range time.Tick(soak.EntryEvery / 3) {
+					store.Lapse(soak.EntryLapse)
+				}
+			}()
+			return trace.Wrap(http.ListenAndServe(c.String("listen"), mux))
+		},
+	}
+}
+
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name: "worker", Usage: "a model worker, or a plain one",
+		Flags: []cli.Flag{
+			listenFlag(), &cli.StringFlag{Name: "advertise", Required: true}, &cli.StringFlag{Name: "store", Required: true},
+			&cli.StringFlag{Name: "id", Required: true}, &cli.StringFlag{Name: "service", Required: true},
+			&cli.FloatFlag{Name: "capacity-mb"}, &cli.FloatFlag{Name: "model-mb"},
+		},
+		Action: runWorker,
+	}
+}
+
+// runWorker serves until SIGTERM, then leaves as planned.
+func runWorker(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+	defer stop()
+	w := fake.NewWorkerHandler(soak.RemoteRegistry{URL: c.String("store")}, c.String("id"), c.String("service"), "z1")
+	w.Address = c.String("advertise")
+	recorder := soak.NewRecorder(os.Stdout)
+	w.Observe(c.Float("capacity-mb"), c.Float("model-mb"), func(h fake.Happening) { recorder.Record(w, h) })
+	w.Answer(soak.Serve(w, soak.LockedRandom(uint64(time.Now().UnixNano()))))
+	listener, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go func() { _ = http.Serve(listener, w) }()
+	renew(ctx, w, "ready")
+	leaving, cancel := context.WithTimeout(context.Background(), soak.DrainTime)
+	defer cancel()
+	renew(leaving, w, "draining")
+	w.Leave()
+	return nil
+}
+
+// renew writes the worker's entry until ctx ends.
+func renew(ctx context.Context, w *fake.Worker, state string) {
+	ticker := time.NewTicker(soak.EntryEvery)
+	defer ticker.Stop()
+	for {
+		w.Enter(state)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eiderspring/eiderspring/platform/fake"
+)
+
+// Kind is a kind of request.
+type Kind struct {
+	// Path is the prefix of the route, Service the one that may run it, by any
+	// configuration that was ever written.
+	Path    string
+	Service string
+	Method  string
+	// Model is what is asked for; empty for a plain request.
+	Model string
+	// Repeatable tells whether it may run more than once.
+	Repeatable bool
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Attempt string
+	Kind    Kind
+	Node    int
+	Sent    time.Time
+	Status  int
+	Seal    string
+	Body    string
+	// Broken is why the answer has no end; empty for a whole one.
+	Broken string
+}
+
+// Record is something that happened at an endpoint.
+type Record struct {
+	At      time.Time
+	Worker  string
+	Service string
+	fake.Happening
+}
+
+// streamEvents is how many events a stream has.
+const streamEvents = 6
+
+// Rules are what the judge must know of the site.
+type Rules struct {
+	// OrderLease is for how long an endpoint must have had no order of one holder
+	// before another orders there.
+	OrderLease time.Duration
+	// Excused tells of an order that was sent right after its sender woke or its
+	// link was mended, which no sender can help; nil excuses none.
+	Excused func(Record) bool
+}
+
+// Judge returns the promises that were broken.
+func Judge(answers []Answer, records []Record, rules Rules) []string {
+	j := judge{rules: rules, asked: map[string]Kind{}, runs: map[string]int{}}
+	for _, a := range answers {
+		j.asked[a.Attempt] = a.Kind
+	}
+	for _, r := range records {
+		j.record(r)
+	}
+	for _, a := range answers {
+		j.answer(a)
+	}
+	j.orders(records)
+	return j.broken
+}
+
+type judge struct {
+	rules  Rules
+	asked  map[string]Kind
+	runs   map[string]int
+	broken []string
+}
+
+func (j *judge) add(format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf(format, args...))
+}
+
+func (j *judge) record(r Record) {
+	switch r.What {
+	case fake.HappenedOverload:
+		j.add("over memory: %s at %s by %s", r.Order, r.Worker, r.Holder)
+	case fake.HappenedRun:
+		j.run(r)
+	}
+}
+
+func (j *judge) run(r Record) {
+	kind, asked := j.asked[r.Attempt]
+	if !asked {
+		j.add("unasked: %s ran %s %s", r.Worker, r.Attempt, r.Path)
+		return
+	}
+	if kind.Service != r.Service {
+		j.add("wrong service: %s of %s ran %s %s", r.Worker, r.Service, r.Attempt, r.Path)
+	}
+	j.runs[r.Attempt]++
+	if j.runs[r.Attempt] == 2 && !kind.Repeatable {
+		j.add("ran twice: %s %s, again at %s", r.Attempt, r.Path, r.Worker)
+	}
+}
+
+// promisesNotRun tells whether a status says that the request has not run.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
+
+func (j *judge) answer(a Answer) {
+	if a.Seal == "" && promisesNotRun(a.Status) && !a.Kind.Repeatable && j.runs[a.Attempt] > 0 {
+		j.add("refused but ran: %s %s with %d from instance %d", a.Attempt, a.Kind.Path, a.Status, a.Node)
+	}
+	if a.Status != http.StatusOK {
+		return
+	}
+	worker, sealed := strings.CutPrefix(a.Seal, "seal-")
+	if !sealed {
+		j.add("no seal: %s", a.Attempt)
+		return
+	}
+	if a.Kind.Model != "" {
+		j.stream(a)
+		return
+	}
+	if want := PlainBody(a.Kind, a.Attempt, worker); a.Broken == "" && a.Body != want {
+		j.add("wrong answer: %s: %q in place of %q", a.Attempt, a.Body, want)
+	}
+}
+
+// stream checks the events: each in its place, of this request, and all if the
+// answer looks whole.
+func (j *judge) stream(a Answer) {
+	whole := 0
+	for event := range strings.SplitSeq(a.Body, "\n\n") {
+		if event == "" {
+			continue
+		}
+		want := StreamEvent(a.Attempt, whole)
+		if event+"\n\n" != want {
+			if a.Broken == "" || !strings.HasPrefix(want, event) {
+				j.add("wrong event %d of %s: %q", whole, a.Attempt, event)
+			}
+			return
+		}
+		whole++
+	}
+	if a.Broken == "" && whole != streamEvents {
+		j.add("cut but looks whole: %s has %d events", a.Attempt, whole)
+	}
+}
+
+// orders checks that one holder at a time orders at an endpoint, and that fencing
+// numbers tell holders apart.
+func (j *judge) orders(records []Record) {
+	last := map[string]Record{}
+	holders := map[string]string{}
+	for _, r := range records {
+		if r.What != fake.HappenedOrder || j.rules.Excused != nil && j.rules.Excused(r) {
+			continue
+		}
+		before, known := last[r.Worker]
+		last[r.Worker] = r
+		key := r.Worker + " " + strconv.FormatInt(r.Fence, 10)
+		if h := holders[key]; h != "" && h != r.Holder {
+			j.add("two holders: %s and %s order at %s with fencing number %d", h, r.Holder, r.Worker, r.Fence)
+		}
+		holders[key] = r.Holder
+		if !known || before.Holder == r.Holder {
+			continue
+		}
+		if r.Fence < before.Fence {
+			j.add("an old holder: %s orders at %s with %d behind %s with %d", r.Holder, r.Worker, r.Fence, before.Holder, before.Fence)
+		}
+		if gap := r.At.Sub(before.At); gap < j.rules.OrderLease {
+			j.add("turns: %s orders at %s %s behind %s", r.Holder, r.Worker, gap, before.Holder)
+		}
+	}
+}
+
+// PlainBody is the answer of a worker to a plain request.
+func PlainBody(k Kind, attempt, worker string) string {
+	return fmt.Sprintf("%s %s%s by %s: body of %s", k.Method, k.Path, attempt, worker, attempt)
+}
+
+// StreamEvent is one event of the answer to a request for a model.
+func StreamEvent(attempt string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, attempt, n)
+}
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Action is what a fault does.
+type Action string
+
+// Actions of faults. Those that last end after Fault.For.
+const (
+	// NodeTerm and NodeKill end an instance by SIGTERM or SIGKILL; it starts again
+	// after For. NodePause stops it by SIGSTOP. NodeHangup is SIGHUP.
+	NodeTerm   Action = "node-term"
+	NodeKill   Action = "node-kill"
+	NodePause  Action = "node-pause"
+	NodeHangup Action = "node-hangup"
+	// AllKill ends all instances at once.
+	AllKill Action = "all-kill"
+	// WorkerTerm, WorkerKill and WorkerPause do the same to an endpoint, which
+	// starts again as a new incarnation.
+	WorkerTerm  Action = "worker-term"
+	WorkerKill  Action = "worker-kill"
+	WorkerPause Action = "worker-pause"
+	// StoreRefusing and StoreLosing change how the store answers; StoreForget drops
+	// its history.
+	StoreRefusing Action = "store-refusing"
+	StoreLosing   Action = "store-losing"
+	StoreForget   Action = "store-forget"
+	// LinkDelay, LinkSilence, LinkOneWay and LinkReset disturb a link's proxy.
+	LinkDelay   Action = "link-delay"
+	LinkSilence Action = "link-silence"
+	LinkOneWay  Action = "link-one-way"
+	LinkReset   Action = "link-reset"
+	// Reconfigure writes a new configuration, in which a route has moved.
+	Reconfigure Action = "reconfigure"
+)
+
+// Link is a connection between processes that goes through a proxy.
+type Link string
+
+// Links of a site.
+const (
+	LinkStore   Link = "store"
+	LinkWorker  Link = "worker"
+	LinkCallers Link = "callers"
+)
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At, For time.Duration
+	Action  Action
+	// Target is the index of the instance or endpoint; Link is which of its links.
+	Target int
+	Link   Link
+}
+
+// String is the fault as a line of the log.
+func (f Fault) String() string {
+	return fmt.Sprintf("at=%s action=%s target=%d link=%s for=%s", f.At, f.Action, f.Target, f.Link, f.For)
+}
+
+// Size is how many processes of each kind a site has, and for how long its faults
+// go on.
+type Size struct {
+	Nodes, Engines, Plain int
+	Faults                time.Duration
+}
+
+// faultEvery is the mean time between two faults; each lasts up to faultMost, so
+// that they overlap.
+const (
+	faultEvery = 700 * time.Millisecond
+	faultLeast = 300 * time.Millisecond
+	faultMost  = 3 * time.Second
+)
+
+// actions are drawn evenly; some stand twice to come more often.
+var actions = []Action{
+	NodeTerm, NodeTerm, NodeKill, NodeKill, NodePause, NodePause, NodeHangup, AllKill, WorkerTerm, WorkerKill, WorkerKill, WorkerPause,
+	StoreRefusing, StoreLosing, StoreForget, LinkDelay, LinkSilence, LinkSilence, LinkOneWay, LinkReset, LinkReset, Reconfigure, Reconfigure,
+}
+
+// Draw makes the schedule of a seed.
+func Draw(seed uint64, size Size) []Fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var plan []Fault
+	for at := faultEvery; at < size.Faults; at += time.Duration(random.ExpFloat64() * float64(faultEvery)) {
+		f := Fault{At: at, Action: actions[random.IntN(len(actions))]}
+		f.For = faultLeast + time.Duration(random.Float64()*float64(faultMost-faultLeast))
+		f.For = min(f.For, size.Faults-at)
+		f.Link = []Link{LinkStore, LinkWorker, LinkCallers}[random.IntN(3)]
+		f.Target = random.IntN(f.targets(size))
+		plan = append(plan, f)
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// targets is among how many processes the fault chooses.
+func (f Fault) targets(size Size) int {
+	onWorker := f.Action == WorkerTerm || f.Action == WorkerKill || f.Action == WorkerPause
+	if onWorker || f.onLink() && f.Link == LinkWorker {
+		return size.Engines + size.Plain
+	}
+	return size.Nodes
+}
+
+func (f Fault) onLink() bool {
+	return f.Action == LinkDelay || f.Action == LinkSilence || f.Action == LinkOneWay || f.Action == LinkReset
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,331 @@
+package soak
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eiderspring/eiderspring/platform/fake"
+)
+
+// Options are those of one run.
+type Options struct {
+	Programs Programs
+	Seed     uint64
+	Size     Size
+	// Callers is how many callers ask each instance.
+	Callers int
+	// Dir gets the logs of all processes.
+	Dir string
+	// Untimed leaves out what only holds on a machine that is not overloaded: the
+	// times between holders' orders, until an endpoint that leaves gets nothing,
+	// and of a planned stop.
+	Untimed bool
+}
+
+// Report is what a run found.
+type Report struct {
+	Seed                     uint64
+	Faults, Requests, Served int
+	// Broken are the promises that were broken.
+	Broken []string
+}
+
+// String is the report as one line.
+func (r Report) String() string {
+	return fmt.Sprintf("seed=%d faults=%d requests=%d served=%d broken=%d", r.Seed, r.Faults, r.Requests, r.Served, len(r.Broken))
+}
+
+const (
+	// calmPatience bounds the wait for what must come back when all faults have
+	// ended.
+	calmPatience = 20 * time.Second
+	// calmTries is how many requests of each kind every instance must then serve in
+	// a row, or nearly.
+	calmTries = 10
+	// settleTime lets what is on its way arrive before the judge looks.
+	settleTime = 500 * time.Millisecond
+)
+
+// Run plays the schedule of a seed and judges it.
+func Run(o Options) (Report, error) {
+	report := Report{Seed: o.Seed}
+	site, err := NewSite(o.Programs, o.Size, o.Dir)
+	defer site.Close()
+	if err != nil {
+		return report, err
+	}
+	r := &run{options: o, site: site}
+	if !r.allReady() {
+		return report, fmt.Errorf("not ready within %s, logs in %s", calmPatience, o.Dir)
+	}
+	r.callers = StartCallers(site, o.Seed, o.Callers)
+	plan := Draw(o.Seed, o.Size)
+	r.play(plan)
+	r.calm()
+	r.callers.Stop()
+	r.stop()
+	time.Sleep(settleTime)
+	site.Close()
+	return r.judge(report, len(plan)), nil
+}
+
+type run struct {
+	options Options
+	site    *Site
+	callers *Callers
+	faults  sync.WaitGroup
+	mu      sync.Mutex
+	broken  []string
+}
+
+func (r *run) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+// play injects the faults at their times and waits until all have ended.
+func (r *run) play(plan []Fault) {
+	began := time.Now()
+	for _, f := range plan {
+		time.Sleep(time.Until(began.Add(f.At)))
+		slog.Info("fault", "fault", f.String())
+		r.faults.Go(func() { r.inject(f) })
+	}
+	r.faults.Wait()
+}
+
+func (r *run) inject(f Fault) {
+	s := r.site
+	switch f.Action {
+	case NodeTerm, NodeKill:
+		r.restartNode(s.nodes[f.Target], f)
+	case AllKill:
+		var all sync.WaitGroup
+		for _, n := range s.nodes {
+			all.Go(func() { r.restartNode(n, Fault{Action: NodeKill, For: f.For}) })
+		}
+		all.Wait()
+	case NodePause:
+		s.nodes[f.Target].signal(syscall.SIGSTOP)
+		time.Sleep(f.For)
+		s.excuse(s.nodes[f.Target])
+		s.nodes[f.Target].signal(syscall.SIGCONT)
+	case NodeHangup:
+		s.nodes[f.Target].signal(syscall.SIGHUP)
+	case WorkerTerm, WorkerKill, WorkerPause:
+		r.disturbWorker(s.workers[f.Target], f)
+	case StoreRefusing, StoreLosing:
+		s.tellStore("mode/" + string(f.Action))
+		time.Sleep(f.For)
+		s.tellStore("mode/up")
+	case StoreForget:
+		s.tellStore("forget")
+	case Reconfigure:
+		r.reconfigure()
+	default:
+		r.disturbLink(f)
+	}
+}
+
+// restartNode ends an instance, and starts it again later.
+func (r *run) restartNode(n *node, f Fault) {
+	signal := syscall.SIGKILL
+	if f.Action == NodeTerm {
+		signal = syscall.SIGTERM
+	}
+	// A process that is paused takes a signal only when it goes on.
+	n.signal(syscall.SIGCONT)
+	if !n.end(signal, graceTime) {
+		r.late(n)
+	}
+	time.Sleep(f.For)
+	if err := n.start(); err != nil {
+		r.add("not started: %s: %v", n.name, err)
+	}
+}
+
+func (r *run) disturbWorker(w *worker, f Fault) {
+	switch f.Action {
+	case WorkerPause:
+		w.signal(syscall.SIGSTOP)
+		time.Sleep(f.For)
+		w.signal(syscall.SIGCONT)
+		return
+	case WorkerTerm:
+		w.signal(syscall.SIGCONT)
+		w.end(syscall.SIGTERM, 2*DrainTime)
+	default:
+		w.end(syscall.SIGKILL, time.Second)
+	}
+	time.Sleep(f.For)
+	if err := r.site.startWorker(r.options.Programs.Stand, w); err != nil {
+		r.add("not started: %s: %v", w.name, err)
+	}
+}
+
+func (r *run) disturbLink(f Fault) {
+	var proxy *Proxy
+	switch f.Link {
+	case LinkStore:
+		proxy = r.site.nodes[f.Target].toStore
+	case LinkCallers:
+		proxy = r.site.nodes[f.Target].fromCallers
+	default:
+		proxy = r.site.workers[f.Target].proxy
+	}
+	proxy.Set(f.Action)
+	time.Sleep(f.For)
+	if f.Link == LinkWorker {
+		// What was held up on the way to an endpoint arrives now.
+		for _, n := range r.site.nodes {
+			r.site.excuse(n)
+		}
+	}
+	proxy.Set("")
+}
+
+// reconfigure moves a route, or moves it back.
+func (r *run) reconfigure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.site.moved = !r.site.moved
+	if err := r.site.configure(); err != nil {
+		r.broken = append(r.broken, "configuration not written: "+err.Error())
+	}
+}
+
+// eventually tells whether a condition comes true within calmPatience.
+func eventually(condition func() bool) bool {
+	for end := time.Now().Add(calmPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+var readyClient = &http.Client{Timeout: time.Second}
+
+func (n *node) isReady() bool {
+	resp, err := readyClient.Get("http://" + n.ready + "/eiderspring/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *run) allReady() bool {
+	for _, n := range r.site.nodes {
+		if !eventually(n.isReady) {
+			return false
+		}
+	}
+	return true
+}
+
+// calm checks, with all faults over, that all instances serve again by the newest
+// configuration, and that they stop to use an endpoint that leaves.
+func (r *run) calm() {
+	if !r.allReady() {
+		r.add("not ready again within %s", calmPatience)
+		return
+	}
+	r.reconfigure()
+	for i := range r.site.nodes {
+		r.servesAgain(i)
+	}
+	if !r.options.Untimed {
+		r.leaves()
+	}
+}
+
+// servesAgain checks that an instance serves each kind, the moved route included.
+func (r *run) servesAgain(i int) {
+	now, then := kindSafe, kindMoved
+	if r.site.moved {
+		now, then = then, now
+	}
+	for _, k := range []Kind{now, kindUnsafe, kindStream, kindResumable} {
+		if !eventually(func() bool { return r.served(i, k) >= calmTries*8/10 }) {
+			r.add("not served again: %s at instance %d", k.Path, i)
+		}
+	}
+	if a := r.callers.Ask(http.DefaultTransport, i, then); a.Status != http.StatusNotFound {
+		r.add("an old route at instance %d: %s gives %d", i, then.Path, a.Status)
+	}
+}
+
+// served is how many of calmTries requests come back whole.
+func (r *run) served(i int, k Kind) int {
+	n := 0
+	for range calmTries {
+		if a := r.callers.Ask(http.DefaultTransport, i, k); a.Status == http.StatusOK && a.Broken == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// leaves lets a plain endpoint leave: once the time for that is over, none of its
+// requests may be new.
+func (r *run) leaves() {
+	w := r.site.workers[r.site.size.Engines]
+	w.signal(syscall.SIGTERM)
+	time.Sleep(settingsTime + settleTime)
+	late := time.Now()
+	w.end(syscall.SIGTERM, 2*DrainTime)
+	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
+	for _, record := range r.site.records {
+		if record.At.After(late) && record.What == fake.HappenedRun && record.Worker == fmt.Sprintf("%s-life-%d", w.name, w.lives) {
+			r.add("an endpoint that leaves: %s ran %s", record.Worker, record.Attempt)
+		}
+	}
+}
+
+// stop ends all instances as planned: each must end in time, by itself.
+func (r *run) stop() {
+	var all sync.WaitGroup
+	for _, n := range r.site.nodes {
+		all.Go(func() {
+			if !n.end(syscall.SIGTERM, graceTime) {
+				r.late(n)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// late notes an instance that had to be killed at the end of its grace.
+func (r *run) late(n *node) {
+	if !r.options.Untimed {
+		r.add("not ended within the grace: %s", n.name)
+	}
+}
+
+func (r *run) judge(report Report, faults int) Report {
+	for _, n := range r.site.nodes {
+		if crashes := n.crashed(); crashes > 0 {
+			r.add("ended by itself %d times: %s", crashes, n.name)
+		}
+	}
+	answers := r.callers.Answers()
+	rules := Rules{OrderLease: orderLease, Excused: r.site.excusedOrder}
+	if r.options.Untimed {
+		rules.OrderLease = 0
+	}
+	report.Broken = append(r.broken, Judge(answers, r.site.records, rules)...)
+	report.Faults, report.Requests = faults, len(answers)
+	for _, a := range answers {
+		if a.Status == http.StatusOK && a.Broken == "" {
+			report.Served++
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eiderspring/eiderspring/daemon"
+	"github.com/eiderspring/eiderspring/platform/fake"
+)
+
+// Programs are the files of the programs that a site runs.
+type Programs struct {
+	// Node is eiderspring, Stand is eiderspring-soak with the stand-ins.
+	Node, Stand string
+}
+
+// Bounds that a site's instances are told.
+const (
+	orderLease   = 1500 * time.Millisecond
+	settingsTime = 2 * time.Second
+	graceTime    = 8 * time.Second
+	// thawTime is for how long orders of an instance that woke do not count.
+	thawTime = 300 * time.Millisecond
+)
+
+// Memory of an engine, in MB, holds two of the models.
+const (
+	engineMB = 160.0
+	modelMB  = 70.0
+)
+
+// Site is a store, endpoints and instances as processes, with proxies between.
+type Site struct {
+	dir   string
+	size  Size
+	store *process
+	// registry is the store without a proxy.
+	registry RemoteRegistry
+	control  string
+	nodes    []*node
+	workers  []*worker
+	version  int64
+	moved    bool
+
+	mu      sync.Mutex
+	records []Record
+	// excused holds when each instance woke or got its links back.
+	excused map[string][]time.Time
+}
+
+type node struct {
+	process
+	// callers is where callers reach the instance, ready where it tells its
+	// readiness.
+	callers, ready string
+	toStore        *Proxy
+	fromCallers    *Proxy
+}
+
+type worker struct {
+	process
+	service string
+	listen  string
+	proxy   *Proxy
+	// lives counts its incarnations.
+	lives int
+}
+
+// freeAddress returns an address on loopback that nothing listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// addresses returns n free addresses.
+func addresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		out[i] = a
+	}
+	return out, nil
+}
+
+// NewSite starts a site whose logs go to dir.
+func NewSite(programs Programs, size Size, dir string) (*Site, error) {
+	s := &Site{dir: dir, size: size, excused: map[string][]time.Time{}}
+	if err := s.startStore(programs); err != nil {
+		return s, err
+	}
+	if err := s.configure(); err != nil {
+		return s, err
+	}
+	for i := range size.Engines + size.Plain {
+		if err := s.addWorker(programs, i); err != nil {
+			return s, err
+		}
+	}
+	for i := range size.Nodes {
+		if err := s.addNode(programs, i); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) startStore(programs Programs) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s.registry = RemoteRegistry{URL: "http://" + address}
+	s.control = s.registry.URL + "/control/"
+	s.store = &process{name: "store", logs: s.dir, command: []string{programs.Stand, "store", "--listen", address}}
+	return s.store.start()
+}
+
+// storePatience bounds the operator's writes.
+const storePatience = 20 * time.Second
+
+// configure writes the next configuration and waits until the store has it.
+func (s *Site) configure() error {
+	s.version++
+	routes := fake.StandardRoutes()
+	for i := range routes {
+		routes[i].TimeoutMS = 6000
+		if s.moved && routes[i].PathPrefix == kindSafe.Path {
+			routes[i].PathPrefix = kindMoved.Path
+		}
+	}
+	write := &configWriter{registry: s.registry, until: time.Now().Add(storePatience)}
+	fake.Configure(write, s.version, routes)
+	return write.err
+}
+
+// configWriter writes until the store has acknowledged.
+type configWriter struct {
+	registry RemoteRegistry
+	until    time.Time
+	err      error
+}
+
+// Put implements fake.Registry.
+func (w *configWriter) Put(kind, name string, spec any) {
+	for {
+		w.err = w.registry.Write(kind, name, spec)
+		if w.err == nil || time.Now().After(w.until) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Remove implements fake.Registry; a configuration is never removed.
+func (w *configWriter) Remove(string, string) {}
+
+func (s *Site) addWorker(programs Programs, i int) error {
+	a, err := addresses(2)
+	if err != nil {
+		return err
+	}
+	proxy, err := NewProxy(a[1], a[0])
+	if err != nil {
+		return err
+	}
+	w := &worker{listen: a[0], proxy: proxy, service: fake.LLM}
+	if i >= s.size.Engines {
+		w.service = fake.Plain
+	}
+	w.process = process{name: "worker-" + strconv.Itoa(i), logs: s.dir, lines: s.note}
+	s.workers = append(s.workers, w)
+	return s.startWorker(programs.Stand, w)
+}
+
+// startWorker starts a new incarnation of a worker.
+func (s *Site) startWorker(program string, w *worker) error {
+	w.lives++
+	w.command = []string{
+		program, "worker", "--listen", w.listen, "--advertise", w.proxy.listener.Addr().String(), "--store", s.registry.URL,
+		"--id", fmt.Sprintf("%s-life-%d", w.name, w.lives), "--service", w.service, "--capacity-mb", fmt.Sprint(engineMB), "--model-mb", fmt.Sprint(modelMB),
+	}
+	return w.start()
+}
+
+// note takes a line of a worker.
+func (s *Site) note(line []byte) {
+	r, err := recordLine(line)
+	if err != nil {
+		slog.Error("record unreadable", "line", string(line), "error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, r)
+}
+
+func (s *Site) addNode(programs Programs, i int) error {
+	// Front, readiness, operators, and the two proxies; peers use the front's port
+	// by UDP.
+	a, err := addresses(5)
+	if err != nil {
+		return err
+	}
+	toStore, err := NewProxy(a[3], s.registry.URL[len("http://"):])
+	if err != nil {
+		return err
+	}
+	fromCallers, err := NewProxy(a[4], a[0])
+	if err != nil {
+		return err
+	}
+	n := &node{callers: a[4], ready: a[1], toStore: toStore, fromCallers: fromCallers}
+	n.name, n.logs = "node-"+strconv.Itoa(i), s.dir
+	file, err := s.nodeConfig(n.name, a, toStore)
+	if err != nil {
+		return err
+	}
+	n.command = []string{programs.Node, "node"}
+	n.env = append(os.Environ(), "EIDERSPRING_SETTINGS="+file)
+	s.nodes = append(s.nodes, n)
+	return n.start()
+}
+
+func (s *Site) nodeConfig(name string, a []string, toStore *Proxy) (string, error) {
+	cfg := daemon.DefaultNodeConfig()
+	cfg.Instance, cfg.FailureDomain = name, "z1"
+	cfg.Callers, cfg.Readiness, cfg.Operators = a[0], a[1], a[2]
+	cfg.ObjectStore = "http://" + toStore.listener.Addr().String()
+	_, port, err := net.SplitHostPort(a[0])
+	if err != nil {
+		return "", err
+	}
+	first, err := strconv.Atoi(port)
+	if err != nil {
+		return "", err
+	}
+	cfg.PeerPorts = []int{first, first}
+	cfg.Retries = daemon.NodeRetry{Ratio: 0.2, Slack: 20}
+	cfg.Orders.LeaseMS = int(orderLease.Milliseconds())
+	cfg.Limits.GraceMS = int(graceTime.Milliseconds())
+	text, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(s.dir, name+".jsonc")
+	return file, os.WriteFile(file, text, 0o644)
+}
+
+// excuse notes that orders of an instance do not count for a moment.
+func (s *Site) excuse(n *node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.excused[n.name] = append(s.excused[n.name], time.Now())
+}
+
+// excusedOrder tells whether an order came right after its sender woke or got a
+// link back.
+func (s *Site) excusedOrder(r Record) bool {
+	return slices.ContainsFunc(s.excused[r.Holder], func(at time.Time) bool {
+		since := r.At.Sub(at)
+		return since >= 0 && since < thawTime
+	})
+}
+
+// tellStore changes how the store behaves.
+func (s *Site) tellStore(path string) {
+	resp, err := http.Post(s.control+path, "", nil)
+	if err != nil {
+		slog.Error("store not told", "path", path, "error", err.Error())
+		return
+	}
+	resp.Body.Close()
+}
+
+// Close ends all processes that the site started.
+func (s *Site) Close() {
+	var wait sync.WaitGroup
+	for _, n := range s.nodes {
+		wait.Go(func() { n.signal(syscall.SIGCONT); n.end(syscall.SIGKILL, time.Second) })
+		n.toStore.Close()
+		n.fromCallers.Close()
+	}
+	for _, w := range s.workers {
+		wait.Go(func() { w.signal(syscall.SIGCONT); w.end(syscall.SIGKILL, time.Second) })
+		w.proxy.Close()
+	}
+	if s.store != nil {
+		wait.Go(func() { s.store.end(syscall.SIGKILL, time.Second) })
+	}
+	wait.Wait()
+}
