--- a/soak/site.go
+++ b/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -11,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,14 +78,46 @@
 	lives int
 }
 
+// Ports that a site uses lie below those that the system gives to connections that
+// go out: one of these would else take the port of an instance that is down.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// nextPort is where this process looks for a free port; processes that run at the
+// same time begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 101) }
+
 // freeAddress returns an address on loopback that nothing listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
+		if unused(address) {
+			return address, nil
+		}
+	}
+	return "", errNoPort
+}
+
+var errNoPort = errors.New("no port is free on loopback")
+
+// unused tells whether nothing listens at an address, by TCP or UDP.
+func unused(address string) bool {
+	tcp, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return false
+	}
+	tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	udp.Close()
+	return true
 }
 
 // addresses returns n free addresses.
