A new process begins with no retries saved

Cause: found while the property test of the bound over all instances was written, by reckoning. Each process began with one retry: 88 instances that spend their slack and are then all killed together make 264 retries in a window without a request, where 220 are allowed. Change: none to begin with; retries are earned by requests, as later.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -131,7 +131,7 @@
 	if instances == 0 {
 		instances = assumedInstances
 	}
-	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/float64(instances)), Initial: 1}
+	return pipeline.RetryLimits{Ratio: r.Ratio * used, Burst: max(1, r.Slack*used/float64(instances))}
 }
 
 // shareRetries divides the retries that all may make among so many instances.
