List later where history is gone and the holder vouches

Change: a reflector that may be behind waits 2 s on the mean before it lists again; the holder, and everybody when it is silent, lists at once as before.

--- a/store/reflector.go
+++ b/store/reflector.go
@@ -34,6 +34,8 @@
 const (
 	reflectorMinPause = 200 * time.Millisecond
 	reflectorMaxPause = 600 * time.Millisecond
+	// reflectorBehindPause is that before a list that may come late.
+	reflectorBehindPause = 2 * time.Second
 )
 
 // NewReflector returns a reflector; Run starts it.
@@ -54,13 +56,22 @@
 			// The store answers, so there is no outage to spare it in.
 			pause = reflectorMinPause
 		}
-		if !wait.For(ctx, time.Duration(float64(pause)*(0.5+r.jitter()))) {
+		if !wait.For(ctx, time.Duration(float64(r.pauseAfter(err, pause))*(0.5+r.jitter()))) {
 			return
 		}
 		pause = min(2*pause, reflectorMaxPause)
 	}
 }
 
+// pauseAfter is the pause before the next try. Where history is gone all instances
+// have to list at once; those that may be behind leave themselves more time.
+func (r *Reflector) pauseAfter(err error, pause time.Duration) time.Duration {
+	if IsExpired(err) && r.options.MayBeBehind() {
+		return reflectorBehindPause
+	}
+	return pause
+}
+
 // listAndWatch lists unless a version to go on from is known, and watches until
 // the watch breaks. It tells whether the store has answered anything. A version
 // that the store no longer keeps is forgotten.
--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +99,27 @@
 		require.Len(t, c.lists, 1)
 	})
 }
+
+// TestReflectorThatMayBeBehindListsLater lets a store forget its history again and
+// again: whoever may be behind lists seldom, and at once when it no longer may.
+func TestReflectorThatMayBeBehindListsLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedClient{watch: func(int, string, func(store.Event)) error { return &store.StatusError{Code: http.StatusGone} }}
+		var behind atomic.Bool
+		behind.Store(true)
+		r := store.NewReflector(c, store.KindLease, store.WatchOptions{Behind: behind.Load}, func(store.List) {}, func(store.Event) {}, func(error) {})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		lists := len(c.lists)
+		require.Less(t, lists, 45)
+		behind.Store(false)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Greater(t, len(c.lists)-lists, 180)
+		stop()
+		<-done
+	})
+}
