Bring adapters before they are asked for

An engine takes no order for an adapter while it loads a model (9 s from the weight store), and most adapters were ordered only when asked for. Change: adapters of all models go into free slots, those of models in most demand first, while nothing else is to be done at their engine. An adapter costs an order and milliseconds.

--- a/placement/counted/adapters.go
+++ b/placement/counted/adapters.go
@@ -1,6 +1,9 @@
 package counted
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // adapters loads the adapters that are asked for: one replica for each, and
 // more by its share of the model's demand.
@@ -15,14 +18,14 @@
 	}
 }
 
-// spareAdapters brings adapters of busy and foreseen models to endpoints with
-// free slots before anybody asks: while a model is loaded, an endpoint takes no
-// order for an adapter, and that may last for seconds.
+// spareAdapters brings adapters to endpoints with free slots before anybody asks,
+// those of the models in most demand first: while a model is loaded, an endpoint
+// takes no order for an adapter, and that may last for seconds. An adapter is
+// small and takes milliseconds, so one too many costs next to nothing.
 func (p *planner) spareAdapters() {
-	for _, model := range p.c.models {
-		if p.share[model.Name] < busyShare/2 {
-			continue
-		}
+	models := slices.Clone(p.c.models)
+	slices.SortStableFunc(models, func(a, b Unit) int { return cmp.Compare(p.share[b.Name], p.share[a.Name]) })
+	for _, model := range models {
 		for _, name := range p.c.adapters[model.Name] {
 			u := p.c.units[name]
 			if len(p.holders[name]) > 0 {
