Know when a unit was last asked for

Cause: a unit counted as asked for while its rate was above 0, and a rate only falls towards 0. Change: the board keeps when each unit was last asked for, and placement goes by that.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -42,7 +42,7 @@
 	// placed gets the word of the instance that places units.
 	placed func([]peer.Placement)
 	// demanded gets the demand of all instances together.
-	demanded func(rate map[string]float64, waiting map[string]int)
+	demanded func(map[string]peer.Demand)
 	// suspected gets endpoints at which requests of some instance have failed.
 	suspected func(endpoints []string)
 	// gone gets endpoints at whose addresses other incarnations have answered.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -150,7 +150,7 @@
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
-		demanded:  func(rate map[string]float64, waiting map[string]int) { n.placers.demanded(rate, waiting) },
+		demanded:  func(d map[string]peer.Demand) { n.placers.demanded(d) },
 		suspected: func(endpoints []string) { n.placers.suspected(endpoints) },
 		gone:      n.endpointsGone,
 		leaving:   func() bool { return n.stopping.Load() != nil },
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -246,11 +246,15 @@
 }
 
 // demanded passes the demand of all instances on.
-func (p *placers) demanded(rate map[string]float64, waiting map[string]int) {
+func (p *placers) demanded(demands map[string]peer.Demand) {
+	told := counted.Demanded{Rate: map[string]float64{}, Waiting: map[string]int{}, AskedAt: map[string]time.Time{}}
+	for unit, d := range demands {
+		told.Rate[unit], told.Waiting[unit], told.AskedAt[unit] = d.Rate, d.Waiting, d.AskedAt
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, placer := range p.running {
-		placer.put(counted.Demanded{Rate: rate, Waiting: waiting})
+		placer.put(told)
 	}
 }
 
--- a/peer/board.go
+++ b/peer/board.go
@@ -39,6 +39,18 @@
 	at      time.Time
 	rate    float64
 	waiting int
+	// askedAt is when the unit was last asked for.
+	askedAt time.Time
+}
+
+// Demand is what is asked of one unit, of all instances together.
+type Demand struct {
+	// Rate is the work a second, Waiting the requests that wait for a replica.
+	Rate    float64
+	Waiting int
+	// AskedAt is when the unit was last asked for: rates fall to nothing only
+	// slowly.
+	AskedAt time.Time
 }
 
 // NewBoard returns an empty board.
@@ -76,7 +88,7 @@
 			r.observe(now, d)
 			continue
 		}
-		r := &demandRate{work: d.Work, at: now, waiting: d.Waiting}
+		r := &demandRate{work: d.Work, at: now, waiting: d.Waiting, askedAt: now}
 		if !e.since.Equal(now) {
 			// The unit was not asked for before the last packet.
 			r.work, r.at = 0, e.toldAt
@@ -95,6 +107,9 @@
 
 func (r *demandRate) observe(now time.Time, d UnitDemand) {
 	r.waiting = d.Waiting
+	if d.Waiting > 0 || d.Work > r.work {
+		r.askedAt = now
+	}
 	elapsed := now.Sub(r.at)
 	if elapsed <= 0 {
 		return
@@ -152,15 +167,19 @@
 	return sum
 }
 
-// Demand returns the work a second that is asked of each unit, and how many
-// requests wait for it, of all instances together.
-func (b *Board) Demand() (rate map[string]float64, waiting map[string]int) {
-	rate, waiting = map[string]float64{}, map[string]int{}
+// Demand returns what is asked of each unit.
+func (b *Board) Demand() map[string]Demand {
+	demands := map[string]Demand{}
 	for _, e := range b.peers {
 		for unit, r := range e.demands {
-			rate[unit] += r.rate
-			waiting[unit] += r.waiting
+			d := demands[unit]
+			d.Rate += r.rate
+			d.Waiting += r.waiting
+			if r.askedAt.After(d.AskedAt) {
+				d.AskedAt = r.askedAt
+			}
+			demands[unit] = d
 		}
 	}
-	return rate, waiting
+	return demands
 }
--- a/placement/counted/demand.go
+++ b/placement/counted/demand.go
@@ -61,14 +61,11 @@
 		d.since = now
 	}
 	for unit, rate := range e.Rate {
-		if rate > 0 {
-			d.askedAt[unit] = now
-		}
 		d.rate[unit] = max(d.rate[unit], rate)
 	}
-	for unit, n := range e.Waiting {
-		if n > 0 {
-			d.askedAt[unit] = now
+	for unit, at := range e.AskedAt {
+		if at.After(d.askedAt[unit]) {
+			d.askedAt[unit] = at
 		}
 	}
 	d.waiting = e.Waiting
--- a/placement/counted/plan_bench_test.go
+++ b/placement/counted/plan_bench_test.go
@@ -48,7 +48,8 @@
 	for i := range models / 3 {
 		d.Rate[fmt.Sprintf("m%03d", i)] = float64(1000 * (i%50 + 1))
 	}
-	c.Step(now, d)
-	c.Step(now.Add(4*time.Second), d)
+	c.Step(now, demandNow(now, d.Rate, nil))
+	later := now.Add(4 * time.Second)
+	c.Step(later, demandNow(later, d.Rate, nil))
 	return c, now.Add(5 * time.Second)
 }
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -46,10 +46,22 @@
 func (s *cell) demand(rate map[string]float64, waiting map[string]int) {
 	for range 30 {
 		s.now = s.now.Add(100 * time.Millisecond)
-		s.c.demand.observe(s.now, Demanded{Rate: rate, Waiting: waiting})
+		s.c.demand.observe(s.now, demandNow(s.now, rate, waiting))
 	}
 }
 
+// demandNow is a demand for units that are all being asked for.
+func demandNow(now time.Time, rate map[string]float64, waiting map[string]int) Demanded {
+	d := Demanded{Rate: rate, Waiting: waiting, AskedAt: map[string]time.Time{}}
+	for unit := range rate {
+		d.AskedAt[unit] = now
+	}
+	for unit := range waiting {
+		d.AskedAt[unit] = now
+	}
+	return d
+}
+
 func (s *cell) plan() []Move { return s.c.plan(s.now) }
 
 func find(moves []Move, op Op, unit string) *Move {
@@ -63,7 +75,7 @@
 func TestFirstRequestsEvictNothing(t *testing.T) {
 	s := newCell(4, map[string][]string{"e1": {"m0", "m1", "m2"}, "e2": {"m0", "m1", "m3"}}, nil)
 	s.now = s.now.Add(100 * time.Millisecond)
-	s.c.demand.observe(s.now, Demanded{Rate: map[string]float64{"m2": 90000}})
+	s.c.demand.observe(s.now, demandNow(s.now, map[string]float64{"m2": 90000}, nil))
 	for _, m := range s.plan() {
 		require.Equal(t, ReasonSpare, m.Reason, "%v", m)
 		require.Equal(t, OpLoad, m.Op, "%v", m)
@@ -184,7 +196,7 @@
 	s.step(Reported{Endpoint: "e1", AskedAt: s.now, Report: &Report{Resident: []string{"m0"}, OnDisk: []string{"m1"}}})
 	sends := func() int {
 		n := 0
-		for _, a := range s.step(Demanded{Rate: map[string]float64{"m1": 9000}, Waiting: map[string]int{"m1": 1}}) {
+		for _, a := range s.step(demandNow(s.now, map[string]float64{"m1": 9000}, map[string]int{"m1": 1})) {
 			if _, sent := a.(Send); sent {
 				n++
 			}
@@ -220,7 +232,7 @@
 			find(s)
 			require.True(t, s.c.endpoints["e1"].out())
 			s.now = s.now.Add(time.Minute)
-			for _, a := range s.step(Demanded{Rate: map[string]float64{"m0": 9000}, Waiting: map[string]int{"m0": 1}}) {
+			for _, a := range s.step(demandNow(s.now, map[string]float64{"m0": 9000}, map[string]int{"m0": 1})) {
 				switch a := a.(type) {
 				case Ask:
 					require.NotEqual(t, "e1", a.Endpoint)
--- a/placement/counted/simulation_test.go
+++ b/placement/counted/simulation_test.go
@@ -316,7 +316,7 @@
 		}
 	}
 	p.step(l)
-	p.step(p.demand)
+	p.step(demandNow(p.w.now, p.demand.Rate, p.demand.Waiting))
 	p.step(Tick{})
 }
 
