Read newer settings once, and let changes of endpoints gather longer

Each packet that tells of newer settings made an instance read them again until they were in force; and instances that may be behind asked for changed endpoints twice a second. Change: after a read, hints are dropped for 0.1 s; changes gather for a second where the holder vouches. TestNewerSettingsAreReadOnce counts 5 reads before, 1 after.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -46,9 +46,18 @@
 			continue
 		}
 		d.found(ctx, o)
+		// Until they are in force, every packet says again that they are newer.
+		wait.For(ctx, confirmSettle)
+		select {
+		case <-d.newer:
+		default:
+		}
 	}
 }
 
+// confirmSettle is how long settings that were read may take to be in force.
+const confirmSettle = 100 * time.Millisecond
+
 // confirmPause is the pause after a read of newer settings has failed.
 const confirmPause = 300 * time.Millisecond
 
@@ -82,8 +91,6 @@
 	link    *storeLink
 	log     logr.Logger
 	now     func() time.Time
-	// gather is how long changes gather before they are asked for.
-	gather time.Duration
 	// behind tells whether another instance tells in time which endpoints leave.
 	behind func() bool
 }
@@ -91,9 +98,10 @@
 const (
 	// entryInputs bounds the changes that wait for the duty.
 	entryInputs = 256
-	// entriesGather is how long changes of endpoints gather before they are asked
-	// for: each answer of the store costs a call.
+	// entriesGather is how long changes of endpoints gather, behindGather that where
+	// another instance tells of those that matter.
 	entriesGather = 500 * time.Millisecond
+	behindGather  = time.Second
 	// entriesTick is the time between two looks at entries that are missing.
 	entriesTick = 250 * time.Millisecond
 )
@@ -113,7 +121,7 @@
 			case store.EventBookmark:
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				wait.For(ctx, d.gather)
+				d.gather(ctx)
 			case store.EventDeleted:
 				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
 			default:
@@ -131,6 +139,16 @@
 	r.Run(ctx)
 }
 
+// gather lets changes gather before they are asked for: each answer of the store
+// costs a call, and wakes the instance.
+func (d *entriesDuty) gather(ctx context.Context) {
+	if d.behind() {
+		wait.For(ctx, behindGather)
+		return
+	}
+	wait.For(ctx, entriesGather)
+}
+
 func (d *entriesDuty) members(objects []store.Object) []membership.Member {
 	members := make([]membership.Member, 0, len(objects))
 	for _, o := range objects {
--- /dev/null
+++ b/daemon/follow_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// countingStore counts reads.
+type countingStore struct {
+	store.Client
+	reads atomic.Int64
+}
+
+func (c *countingStore) Get(context.Context, store.Kind, string) (store.Object, error) {
+	c.reads.Add(1)
+	return store.Object{Metadata: store.Metadata{Name: "main"}}, nil
+}
+
+// TestNewerSettingsAreReadOnce hears of newer settings in every packet until they
+// are in force, a little after they were read.
+func TestNewerSettingsAreReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		client, newer := &countingStore{}, make(chan struct{}, 1)
+		d := &configDuty{
+			client: client, name: "main", newer: newer, log: logr.Discard(), events: ring.New[event](8, ring.Block),
+			decode: func(store.Object) (*revision.Accepted, error) { return &revision.Accepted{}, nil },
+		}
+		go d.confirm(ctx)
+		hint := func() {
+			select {
+			case newer <- struct{}{}:
+			default:
+			}
+		}
+		for range 5 {
+			hint()
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.EqualValues(t, 1, client.reads.Load())
+		hint()
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, client.reads.Load(), "settings newer still")
+	})
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -324,7 +324,7 @@
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		gather: entriesGather, behind: n.mesh.holderTells,
+		behind: n.mesh.holderTells,
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
