Strong instances become the hub, and it leaves its link to callers

Change: a process campaigns only 1.5 s after its start, when it knows who the others are, the strong ones first. The hub's words take at most 15 in 100 of its link, which the template tells, at a pause of 0.1 to 0.4 s.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -49,6 +49,8 @@
 	gone func(endpoints []string)
 	// endpointsLeave gets endpoints that another instance says take no more work.
 	endpointsLeave func(names []string)
+	// linkBytes is what the instance's link carries, in bytes a second.
+	linkBytes float64
 	// counted gets the number of instances that are listed.
 	counted func(n int)
 	// newer is told when another instance has newer settings in force.
@@ -111,9 +113,15 @@
 	// it knows before the others look closely themselves: one of its words may be
 	// lost.
 	holderLost = 550 * time.Millisecond
-	// hubTick is the time between two words of the hub. Requests go by what it told
-	// last: with a longer time, more of them meet at the same endpoints.
+	// hubTick is the time between two words of the hub, and hubSlow that where its
+	// link is too narrow. Requests go by what it told last: with a longer time, more
+	// of them meet at the same endpoints.
 	hubTick = 100 * time.Millisecond
+	hubSlow = 400 * time.Millisecond
+	// hubLinkShare is the share of its link that the hub may fill with its words.
+	hubLinkShare = 0.15
+	// bytesPerMbit converts the bandwidth of links.
+	bytesPerMbit = 1e6 / 8
 )
 
 // open begins to listen, once the key is known.
@@ -318,7 +326,7 @@
 		m.send(p, m.hubAddress())
 	}
 	_ = m.inputs.Put(ctx, p)
-	if m.holds() && m.now().Sub(m.hubAt) >= hubTick {
+	if m.holds() && m.now().Sub(m.hubAt) >= m.hubPause() {
 		m.hubAt = m.now()
 		m.tellSum()
 	}
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/eiderspring/eiderspring/peer"
 )
@@ -27,6 +28,15 @@
 	return passed
 }
 
+// hubPause is the time between two words, so that they leave the link to callers.
+func (m *mesh) hubPause() time.Duration {
+	sum, _ := m.sums()
+	packets := 1 + len(sum)/maxTotals
+	bytes := float64(packets * peer.MaxPacketBytes * m.size())
+	pause := time.Duration(bytes / (m.linkBytes * hubLinkShare) * float64(time.Second))
+	return min(max(pause, hubTick), hubSlow)
+}
+
 // tellSum tells all instances what all have under way, in as many packets as
 // that takes.
 func (m *mesh) tellSum() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -58,15 +58,17 @@
 // endpoints and a whole configuration. It keeps nothing: whatever it knows it
 // has from there, and loses at any moment.
 type Node struct {
-	cfg     NodeConfig
-	ports   NodePorts
-	log     logr.Logger
-	now     func() time.Time
-	vars    *expvar.Map
-	router  *routing.Router
-	gates   *pipeline.Gates
-	retries *pipeline.RetryBudgets
-	engine  *engine.Client
+	cfg   NodeConfig
+	ports NodePorts
+	log   logr.Logger
+	now   func() time.Time
+	// startedAt is when the process began.
+	startedAt time.Time
+	vars      *expvar.Map
+	router    *routing.Router
+	gates     *pipeline.Gates
+	retries   *pipeline.RetryBudgets
+	engine    *engine.Client
 	// control carries reports and orders, apart from callers' requests.
 	control  *engine.Client
 	mesh     *mesh
@@ -107,6 +109,7 @@
 	}
 	n.retrySettings.Store(&cfg.Retries)
 	n.work, n.stop = context.WithCancel(context.Background())
+	n.startedAt = n.now()
 	n.link = &storeLink{log: log, now: n.now}
 	n.idle = newIdleConns(n.now, n.idleLimit)
 	n.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, n.now)
@@ -162,6 +165,7 @@
 		endpointsLeave: func(names []string) { _ = n.events.Put(n.work, endpointsWithdrawn{names}) },
 		holds:          func() bool { return n.placers.holds() },
 		counted:        n.shareRetries,
+		linkBytes:      n.cfg.Limits.LinkMbps * bytesPerMbit,
 	}
 }
 
@@ -190,6 +194,11 @@
 // but the holder reads it now and then.
 const nodeCampaigners = 2
 
+// campaignDelay is how long a process learns who the others are before it
+// campaigns: instances start together, and whoever comes first stays the holder,
+// also a weak one that the work and the packets of a large fleet choke.
+const campaignDelay = 1500 * time.Millisecond
+
 // campaigns tells whether this instance should hold the lease of a pool: it is
 // among the first by rendezvous hashing over those that are alive.
 //
@@ -202,6 +211,9 @@
 	if held {
 		return true
 	}
+	if n.now().Sub(n.startedAt) < campaignDelay {
+		return false
+	}
 	known := n.mesh.known()
 	names := slices.Collect(maps.Keys(known))
 	rendezvous(pool, names)
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -32,13 +32,45 @@
 	require.False(t, n.campaigns("pool", true), "a stop hands the lease over")
 }
 
+// TestNobodyCampaignsBeforeItKnowsTheOthers starts a weak instance that has not
+// read yet who the others are.
+func TestNobodyCampaignsBeforeItKnowsTheOthers(t *testing.T) {
+	now := time.Now()
+	n := &Node{now: func() time.Time { return now }, startedAt: now}
+	n.cfg.Instance = "weak"
+	n.mesh = &mesh{instance: "weak", now: n.now, self: presence{Cores: 0.2}, listed: map[string]presence{}, counted: func(int) {}}
+	n.mesh.totals.take(now, peer.Packet{Address: "hub", Instances: 1})
+	require.False(t, n.campaigns("pool", false))
+	now = now.Add(campaignDelay)
+	n.mesh.totals.take(now, peer.Packet{Address: "hub", Instances: 1})
+	require.True(t, n.campaigns("pool", false), "it knows nobody else")
+	n.mesh.find("strong", &presence{Cores: 0.8})
+	n.mesh.find("stronger", &presence{Cores: 0.9})
+	require.False(t, n.campaigns("pool", false))
+}
+
+// TestHubLeavesItsLinkToCallers compares what the hub's words take with its link.
+func TestHubLeavesItsLinkToCallers(t *testing.T) {
+	m := &mesh{listed: map[string]presence{}, counted: func(int) {}, sum: make([]peer.EndpointLoad, 140)}
+	for i := range 90 {
+		m.find(fmt.Sprint(i), &presence{})
+	}
+	const word = 6 * peer.MaxPacketBytes * 90
+	m.linkBytes = 200 * bytesPerMbit
+	require.LessOrEqual(t, word/m.hubPause().Seconds(), hubLinkShare*m.linkBytes*1.01)
+	require.GreaterOrEqual(t, m.hubPause(), hubTick)
+	m.linkBytes = 10 * bytesPerMbit
+	require.Equal(t, hubSlow, m.hubPause())
+	require.Less(t, m.hubPause()+meshTick, holderLost, "the others still hear it in time")
+}
+
 // TestSilentHubIsReplaced lets entries of instances that are gone rank first.
 func TestSilentHubIsReplaced(t *testing.T) {
 	now := time.Now()
-	n := &Node{}
+	n := &Node{now: func() time.Time { return now }}
 	n.cfg.Instance = "weak"
 	n.mesh = &mesh{
-		instance: "weak", now: func() time.Time { return now }, self: presence{Cores: 0.2}, counted: func(int) {},
+		instance: "weak", now: n.now, self: presence{Cores: 0.2}, counted: func(int) {},
 		listed: map[string]presence{"gone1": {Cores: 1}, "gone2": {Cores: 1}, "gone3": {Cores: 1}},
 	}
 	n.mesh.totals.take(now, peer.Packet{Address: "hub", Instances: 1})
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -90,6 +90,8 @@
 	// that core is; instances with more place units rather than others.
 	CPUShare  float64 `json:"cpuShare"`
 	CoreSpeed float64 `json:"coreSpeed"`
+	// LinkMbps is the bandwidth of the instance's link, in Mbit/s.
+	LinkMbps float64 `json:"linkMbps"`
 	// GraceMS is how long the platform waits after SIGTERM before it kills, in
 	// milliseconds.
 	GraceMS int `json:"graceMS"`
@@ -103,7 +105,7 @@
 		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
 		Fresh:   NodeFresh{LeavingMS: 2000, SettingsMS: 2000, ContactMS: 3000},
 		Limits: NodeLimits{
-			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000, CPUShare: 1, CoreSpeed: 1,
+			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000, CPUShare: 1, CoreSpeed: 1, LinkMbps: 1000,
 		},
 	}
 }
@@ -134,7 +136,7 @@
 		{"limits/headerBytes", float64(cfg.Limits.HeaderBytes)}, {"limits/readMS", float64(cfg.Limits.ReadMS)},
 		{"limits/queueRequests", float64(cfg.Limits.QueueRequests)}, {"limits/queueBytes", float64(cfg.Limits.QueueBytes)},
 		{"limits/graceMS", float64(cfg.Limits.GraceMS)},
-		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
+		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"limits/linkMbps", cfg.Limits.LinkMbps}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
 		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/settingsMS", float64(cfg.Fresh.SettingsMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS - 200)},
 		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
 	} {
--- a/daemon/nodeconfig_test.go
+++ b/daemon/nodeconfig_test.go
@@ -21,7 +21,7 @@
 		"ip": "10.1.0.38", "platform.address": "10.200.1.7:8142", "portRange": "[7380,7395]",
 		"bounds.budgetRatio": "0.2", "bounds.budgetSlack": "52", "bounds.leaseMs": "3000",
 		"bounds.ceilingWindowS": "5", "bounds.ceilingOver": "1.1", "bounds.drainMs": "2000", "bounds.configMs": "3000", "bounds.contactMs": "3000",
-		"bounds.graceS": "8", "limits.cpuShare": "0.4", "limits.cores": "1",
+		"bounds.graceS": "8", "limits.cpuShare": "0.4", "limits.cores": "1", "limits.linkMbps": "200",
 	}
 	text := gap.ReplaceAllStringFunc(string(template), func(g string) string {
 		name := gap.FindStringSubmatch(g)[1]
