--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -129,3 +129,6 @@
 		delete(p.conns, c)
 	}
 }
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
--- a/soak/site.go
+++ b/soak/site.go
@@ -227,7 +227,7 @@
 func (s *Site) startWorker(program string, w *worker) error {
 	w.lives++
 	w.command = []string{
-		program, "worker", "--listen", w.listen, "--advertise", w.proxy.listener.Addr().String(), "--store", s.registry.URL,
+		program, "worker", "--listen", w.listen, "--advertise", w.proxy.Address(), "--store", s.registry.URL,
 		"--id", fmt.Sprintf("%s-life-%d", w.name, w.lives), "--service", w.service, "--capacity-mb", fmt.Sprint(engineMB), "--model-mb", fmt.Sprint(modelMB),
 	}
 	return w.start()
@@ -276,7 +276,7 @@
 	cfg := daemon.DefaultNodeConfig()
 	cfg.Instance, cfg.FailureDomain = name, "z1"
 	cfg.Callers, cfg.Readiness, cfg.Operators = a[0], a[1], a[2]
-	cfg.ObjectStore = "http://" + toStore.listener.Addr().String()
+	cfg.ObjectStore = "http://" + toStore.Address()
 	_, port, err := net.SplitHostPort(a[0])
 	if err != nil {
 		return "", err
