A test reads its counter under its lock

The race detector had not been run on it before. Change: the count is read under the lock. What the test asserts is unchanged. Conclusion: a fault of the test.

--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -25,6 +25,13 @@
 	watches int
 }
 
+// listed is how often the store was asked for a list.
+func (c *scriptedClient) listed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.lists)
+}
+
 func (c *scriptedClient) List(context.Context, store.Kind) (store.List, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,12 +120,12 @@
 		go func() { defer close(done); r.Run(ctx) }()
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		lists := len(c.lists)
+		lists := c.listed()
 		require.Less(t, lists, 45)
 		behind.Store(false)
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		require.Greater(t, len(c.lists)-lists, 180)
+		require.Greater(t, c.listed()-lists, 180)
 		stop()
 		<-done
 	})
