Keep the platform's wire out of the soak

Change: what speaks the wire (callers' requests, workers' answers, entries in a store of another process) moved into platform/fake; a site that does not start closes itself. Conclusion: no change in what the soak does.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -127,11 +127,11 @@
 func runWorker(ctx context.Context, c *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
 	defer stop()
-	w := fake.NewWorkerHandler(soak.RemoteRegistry{URL: c.String("store")}, c.String("id"), c.String("service"), "z1")
+	w := fake.NewWorkerHandler(fake.RemoteRegistry{URL: c.String("store")}, c.String("id"), c.String("service"), "z1")
 	w.Address = c.String("advertise")
 	recorder := soak.NewRecorder(os.Stdout)
 	w.Observe(c.Float("capacity-mb"), c.Float("model-mb"), func(h fake.Happening) { recorder.Record(w, h) })
-	w.Answer(soak.Serve(w, soak.LockedRandom(uint64(time.Now().UnixNano()))))
+	w.Answer(fake.Serve(w, soak.LockedRandom(uint64(time.Now().UnixNano()))))
 	listener, err := net.Listen("tcp", c.String("listen"))
 	if err != nil {
 		return trace.Wrap(err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -73,21 +72,14 @@
 	a := Answer{Attempt: c.nextID(), Kind: kind, Node: node, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
 	defer cancel()
-	// A body that cannot be read again keeps the transport from repeating the
-	// request.
-	body := io.MultiReader(strings.NewReader("body of " + a.Attempt))
-	req, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+c.site.nodes[node].callers+kind.Path+a.Attempt, body)
+	req, err := fake.Request{
+		Address: c.site.nodes[node].callers, Method: kind.Method, Path: kind.Path + a.Attempt, Attempt: a.Attempt,
+		Model: kind.Model, Body: requestBody(a.Attempt), Patience: callerPatience,
+	}.HTTP(ctx)
 	if err != nil {
 		a.Broken = err.Error()
 		return c.record(a)
 	}
-	req.Host = fake.Host
-	req.Header.Set("X-Attempt-Id", a.Attempt)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerPatience.Milliseconds()))
-	if kind.Model != "" {
-		req.Header.Set("X-Model", kind.Model)
-		req.Header.Set("X-Token-Count", "10,20")
-	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		a.Broken = err.Error()
@@ -95,7 +87,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	a.Status, a.Seal, a.Body = resp.StatusCode, resp.Header.Get("X-Server-Seal"), string(text)
+	a.Status, a.Seal, a.Body = resp.StatusCode, fake.Seal(resp.Header), string(text)
 	if err != nil {
 		a.Broken = err.Error()
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -45,9 +45,6 @@
 	fake.Happening
 }
 
-// streamEvents is how many events a stream has.
-const streamEvents = 6
-
 // Rules are what the judge must know of the site.
 type Rules struct {
 	// OrderLease is for how long an endpoint must have had no order of one holder
@@ -121,7 +118,7 @@
 	if a.Status != http.StatusOK {
 		return
 	}
-	worker, sealed := strings.CutPrefix(a.Seal, "seal-")
+	worker, sealed := strings.CutPrefix(a.Seal, fake.Sealed)
 	if !sealed {
 		j.add("no seal: %s", a.Attempt)
 		return
@@ -130,7 +127,7 @@
 		j.stream(a)
 		return
 	}
-	if want := PlainBody(a.Kind, a.Attempt, worker); a.Broken == "" && a.Body != want {
+	if want := plainBody(a.Kind, a.Attempt, worker); a.Broken == "" && a.Body != want {
 		j.add("wrong answer: %s: %q in place of %q", a.Attempt, a.Body, want)
 	}
 }
@@ -143,7 +140,7 @@
 		if event == "" {
 			continue
 		}
-		want := StreamEvent(a.Attempt, whole)
+		want := fake.StreamEvent(a.Attempt, whole)
 		if event+"\n\n" != want {
 			if a.Broken == "" || !strings.HasPrefix(want, event) {
 				j.add("wrong event %d of %s: %q", whole, a.Attempt, event)
@@ -152,7 +149,7 @@
 		}
 		whole++
 	}
-	if a.Broken == "" && whole != streamEvents {
+	if a.Broken == "" && whole != fake.StreamEvents {
 		j.add("cut but looks whole: %s has %d events", a.Attempt, whole)
 	}
 }
@@ -185,12 +182,10 @@
 	}
 }
 
-// PlainBody is the answer of a worker to a plain request.
-func PlainBody(k Kind, attempt, worker string) string {
-	return fmt.Sprintf("%s %s%s by %s: body of %s", k.Method, k.Path, attempt, worker, attempt)
+// plainBody is what a worker answers to the plain request of an attempt.
+func plainBody(k Kind, attempt, worker string) string {
+	return fake.PlainBody(k.Method, k.Path+attempt, worker, requestBody(attempt))
 }
 
-// StreamEvent is one event of the answer to a request for a model.
-func StreamEvent(attempt string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, attempt, n)
-}
+// requestBody is the body of every request of an attempt.
+func requestBody(attempt string) string { return "body of " + attempt }
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -15,15 +15,15 @@
 func session() ([]Answer, []Record) {
 	start := time.Unix(1000, 0)
 	streamed := ""
-	for i := range streamEvents {
-		streamed += StreamEvent("s1", i)
+	for i := range fake.StreamEvents {
+		streamed += fake.StreamEvent("s1", i)
 	}
 	answers := []Answer{
-		{Attempt: "p1", Kind: kindUnsafe, Status: http.StatusOK, Seal: "seal-w1", Body: PlainBody(kindUnsafe, "p1", "w1")},
+		{Attempt: "p1", Kind: kindUnsafe, Status: http.StatusOK, Seal: "seal-w1", Body: plainBody(kindUnsafe, "p1", "w1")},
 		{Attempt: "p2", Kind: kindUnsafe, Status: http.StatusServiceUnavailable},
 		{Attempt: "p3", Kind: kindUnsafe, Status: http.StatusBadGateway},
 		{Attempt: "s1", Kind: kindStream, Status: http.StatusOK, Seal: "seal-w2", Body: streamed},
-		{Attempt: "s2", Kind: kindResumable, Status: http.StatusOK, Seal: "seal-w2", Body: StreamEvent("s2", 0) + "id: 1\nda", Broken: "reset"},
+		{Attempt: "s2", Kind: kindResumable, Status: http.StatusOK, Seal: "seal-w2", Body: fake.StreamEvent("s2", 0) + "id: 1\nda", Broken: "reset"},
 	}
 	ran := func(worker, service, attempt string) Record {
 		return Record{At: start, Worker: worker, Service: service, Happening: fake.Happening{What: fake.HappenedRun, Attempt: attempt}}
@@ -55,14 +55,14 @@
 		},
 		"unasked":       func(_ []Answer, r []Record) []Record { r[0].Attempt = "nobody's"; return r },
 		"wrong service": func(_ []Answer, r []Record) []Record { r[2].Service = fake.Plain; return r },
-		"wrong answer":  func(a []Answer, r []Record) []Record { a[0].Body = PlainBody(kindUnsafe, "p9", "w1"); return r },
+		"wrong answer":  func(a []Answer, r []Record) []Record { a[0].Body = plainBody(kindUnsafe, "p9", "w1"); return r },
 		"no seal":       func(a []Answer, r []Record) []Record { a[0].Seal = ""; return r },
 		"cut but looks whole": func(a []Answer, r []Record) []Record {
-			a[4].Body, a[4].Broken = StreamEvent("s2", 0), ""
+			a[4].Body, a[4].Broken = fake.StreamEvent("s2", 0), ""
 			return r
 		},
 		"wrong event": func(a []Answer, r []Record) []Record {
-			a[3].Body = strings.Replace(a[3].Body, StreamEvent("s1", 2), StreamEvent("s1", 3), 1)
+			a[3].Body = strings.Replace(a[3].Body, fake.StreamEvent("s1", 2), fake.StreamEvent("s1", 3), 1)
 			return r
 		},
 		"over memory": func(_ []Answer, r []Record) []Record {
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,10 +54,10 @@
 func Run(o Options) (Report, error) {
 	report := Report{Seed: o.Seed}
 	site, err := NewSite(o.Programs, o.Size, o.Dir)
-	defer site.Close()
 	if err != nil {
 		return report, err
 	}
+	defer site.Close()
 	r := &run{options: o, site: site}
 	if !r.allReady() {
 		return report, fmt.Errorf("not ready within %s, logs in %s", calmPatience, o.Dir)
@@ -212,7 +212,7 @@
 var readyClient = &http.Client{Timeout: time.Second}
 
 func (n *node) isReady() bool {
-	resp, err := readyClient.Get("http://" + n.ready + "/eiderspring/readyz")
+	resp, err := readyClient.Get("http://" + n.ready + fake.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -47,7 +47,7 @@
 	size  Size
 	store *process
 	// registry is the store without a proxy.
-	registry RemoteRegistry
+	registry fake.RemoteRegistry
 	control  string
 	nodes    []*node
 	workers  []*worker
@@ -136,23 +136,31 @@
 // NewSite starts a site whose logs go to dir.
 func NewSite(programs Programs, size Size, dir string) (*Site, error) {
 	s := &Site{dir: dir, size: size, excused: map[string][]time.Time{}}
+	if err := s.start(programs); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(programs Programs) error {
 	if err := s.startStore(programs); err != nil {
-		return s, err
+		return err
 	}
 	if err := s.configure(); err != nil {
-		return s, err
+		return err
 	}
-	for i := range size.Engines + size.Plain {
+	for i := range s.size.Engines + s.size.Plain {
 		if err := s.addWorker(programs, i); err != nil {
-			return s, err
+			return err
 		}
 	}
-	for i := range size.Nodes {
+	for i := range s.size.Nodes {
 		if err := s.addNode(programs, i); err != nil {
-			return s, err
+			return err
 		}
 	}
-	return s, nil
+	return nil
 }
 
 func (s *Site) startStore(programs Programs) error {
@@ -160,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	s.registry = RemoteRegistry{URL: "http://" + address}
+	s.registry = fake.RemoteRegistry{URL: "http://" + address}
 	s.control = s.registry.URL + "/control/"
 	s.store = &process{name: "store", logs: s.dir, command: []string{programs.Stand, "store", "--listen", address}}
 	return s.store.start()
@@ -186,7 +194,7 @@
 
 // configWriter writes until the store has acknowledged.
 type configWriter struct {
-	registry RemoteRegistry
+	registry fake.RemoteRegistry
 	until    time.Time
 	err      error
 }
