What a caller's head carries to an endpoint is decided in one place

Fields named by Connection went on too, and repeated X-Model lines went on beside the first. Change: engine.Headers of each dialect says which fields ask for something (carried once, with the value the instance read), which steer (never a caller's) and lets the rest pass; the instance's own fields come from the attempt alone. Tests: a property over drawn heads; the whole path with forged heads, which failed before (X-Hold among what the worker got).

--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -35,9 +36,11 @@
 	Method  string
 	Path    string
 	// Host is the host that the caller asked for; empty means Address.
-	Host   string
-	Header http.Header
-	Body   []byte
+	Host string
+	// Caller is the head of the caller's request, of which the dialect says what
+	// goes to the endpoint; Header is what the instance itself adds.
+	Caller, Header http.Header
+	Body           []byte
 	// Priority orders requests at the endpoint; higher goes first.
 	Priority int
 	// Resume asks to continue a stream behind the event ResumeAfter.
@@ -165,10 +168,8 @@
 	if a.Host != "" {
 		req.Host = a.Host
 	}
-	req.Header = a.Header.Clone()
-	if req.Header == nil {
-		req.Header = http.Header{}
-	}
+	req.Header = c.dialect.Headers().forward(a.Caller)
+	maps.Copy(req.Header, a.Header)
 	c.dialect.Encode(req, a)
 	sendOnce(req, bytes.NewReader(a.Body))
 	return req, nil
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -12,6 +12,8 @@
 
 // Dialect is how endpoints are spoken to.
 type Dialect interface {
+	// Headers says which fields of a caller's head go to an endpoint.
+	Headers() Headers
 	// Encode completes a request that carries an attempt. The context's
 	// deadline is that of the request.
 	Encode(req *http.Request, a Attempt)
@@ -42,6 +44,16 @@
 // OpenAI is the product's own dialect.
 type OpenAI struct{}
 
+// openAIHeaders are the fields of the product's own protocol: the id of the attempt
+// and where a stream goes on are the instance's to say.
+var openAIHeaders = Headers{
+	Asking:   map[string]bool{IdempotencyKeyHeader: true, "Content-Type": true},
+	Steering: map[string]bool{RequestIDHeader: true, http.CanonicalHeaderKey(LastEventIDHeader): true},
+}
+
+// Headers implements Dialect.
+func (OpenAI) Headers() Headers { return openAIHeaders }
+
 // Encode implements Dialect.
 func (OpenAI) Encode(req *http.Request, a Attempt) { req.Header.Set(RequestIDHeader, a.ID) }
 
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -77,26 +77,8 @@
 	e := a.Decision.Endpoint
 	out := engine.Attempt{
 		ID: a.ID, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
-		Method: x.Call.Method, Path: x.Call.Path, Host: x.Call.Host, Header: forwardHeader(x.Request.Header), Body: x.Call.Body,
+		Method: x.Call.Method, Path: x.Call.Path, Host: x.Call.Host, Caller: x.Request.Header, Body: x.Call.Body,
 		Priority: x.Target.Policy.Priority, Resume: x.reached, ResumeAfter: x.offset,
 	}
 	return out
 }
-
-// withheld are the request headers that stay between the caller and the
-// instance: those of one hop (RFC 9110, section 7.6.1), and credentials.
-var withheld = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Authorization": true, "Content-Length": true, engine.RequestIDHeader: true,
-}
-
-func forwardHeader(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		if !withheld[name] {
-			out[name] = values
-		}
-	}
-	return out
-}
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -256,7 +256,7 @@
 func (x *Exchange) writeHeader(d Dialect, resp *http.Response) {
 	h := x.Writer.Header()
 	for name, values := range resp.Header {
-		if !withheld[name] {
+		if !engine.OneHop(name) && name != engine.RequestIDHeader {
 			h[name] = values
 		}
 	}
