--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -15,6 +15,8 @@
 	mode  Action
 	calm  *sync.Cond
 	conns map[*net.TCPConn]bool
+	// muted are connections that carry nothing any more, though they stay open.
+	muted map[*net.TCPConn]bool
 }
 
 // proxyDelay is how late each piece comes under LinkDelay.
@@ -26,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: map[*net.TCPConn]bool{}}
+	p := &Proxy{listener: l, target: target, conns: map[*net.TCPConn]bool{}, muted: map[*net.TCPConn]bool{}}
 	p.calm = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -43,6 +45,23 @@
 	p.calm.Broadcast()
 }
 
+// Mute silences the connections that are open now, for good and without a reset; new
+// ones work. Only a timeout of its own tells either side.
+func (p *Proxy) Mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.muted[c] = true
+	}
+}
+
+// drops tells whether what comes from a connection goes nowhere.
+func (p *Proxy) drops(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.muted[c]
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -94,7 +113,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 {
+		if n > 0 && !p.drops(from) {
 			p.hold(forward)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -127,6 +146,7 @@
 	for _, c := range conns {
 		c.Close()
 		delete(p.conns, c)
+		delete(p.muted, c)
 	}
 }
 
