--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -23,8 +23,9 @@
 }
 
 // againPriority is by how much a request that comes back after a refusal goes before
-// others in the queue. Sent behind them, it was refused again: on two earlier
-// deployments the mean worth of ten plays each was 0.010 and 0.027 lower.
+// others in the queue. Sent behind them instead, it is often refused again: in half a
+// minute of overload 1 to 3 in 100 of the worth of all answers is lost by that (means of
+// ten runs before 12 and before 18 engines).
 const againPriority = 1
 
 // priority orders the request among those who wait.
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -37,6 +37,8 @@
 	nearWeight       = 0.01
 	timelyFirstShare = 0.7
 	timelyGapShare   = 0.5
+	// With the pause bound 65 of 100 requests of a load in bursts are in time, without
+	// it 60 (TestPromptsOfABurstPauseNoStreams).
 	timelyPauseShare = 0.7
 	timelyLateShare  = 0.75
 )
