A command that tells from logs which requests were lost, when and why

Cause: what binds was found by scripts of the moment over the logs; whoever asks again needs a command. Nothing of the serving path changed.

--- a/cmd/eiderspring/main.go
+++ b/cmd/eiderspring/main.go
@@ -30,7 +30,7 @@
 		Name:  "eiderspring",
 		Usage: "serve many models from fewer accelerators",
 		Commands: []*cli.Command{
-			serveCommand(), nodeCommand(), checkCommand(), settingsCommand(), demoCommand(), loadCommand(), statusCommand(),
+			serveCommand(), nodeCommand(), checkCommand(), settingsCommand(), demoCommand(), loadCommand(), statusCommand(), lossesCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
