Logs tell when and how an instance learns that an endpoint leaves

Cause: after requests had reached an endpoint that had left, no line told when each instance had learned it, by its own watch or by the holder's word, how old its knowledge was when it routed, who vouched, or why a watch had ended; the hypotheses could not be told apart. Change: "endpoint leaves", "holder vouches" and "watch ended" lines, endpoints_age_ms in each route line and in the metrics. Reflectors tell which answers were close. No logic changes. Conclusion: each hypothesis now has a line that speaks for or against it.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -62,9 +62,9 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	r := watched(d.client, d.kind, store.WatchOptions{Behind: d.behind}, d.link.heard,
+	r := watched(d.client, d.kind, store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}, d.link.heard,
 		func(o store.Object) { d.found(ctx, o) },
-		func(err error) { d.link.failed(string(d.kind), err) })
+		func(err error) { d.link.failed(d.kind, err) })
 	r.Run(ctx)
 }
 
@@ -108,7 +108,8 @@
 
 func (d *entriesDuty) watch(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
-	r := store.NewReflector(d.client, d.kind, store.WatchOptions{Behind: d.behind},
+	options := store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}
+	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
 			put(membership.StoreHeard{})
@@ -131,7 +132,7 @@
 			}
 		},
 		func(err error) {
-			d.link.failed(string(d.kind), err)
+			d.link.failed(d.kind, err)
 			if !store.IsExpired(err) {
 				put(membership.StoreLost{})
 			}
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -67,6 +67,8 @@
 	// othersAt is when another instance was last heard.
 	othersAt time.Time
 	hubAt    time.Time
+	// vouchedLast is whether the holder of the lease vouched at the last look.
+	vouchedLast bool
 
 	// mu guards the rest.
 	mu sync.Mutex
@@ -233,6 +235,7 @@
 		waits = waits || d.Waiting > 0
 	}
 	if p.From == m.instance {
+		m.noteVouch()
 		m.alone(m.hearsNobody())
 		m.board.Forget(m.now())
 		m.publish()
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -99,6 +99,16 @@
 // itself must look.
 func (m *mesh) holderTells() bool { return !m.holds() && m.totals.vouched(m.now()) }
 
+// noteVouch logs when the holder begins or ceases to vouch.
+func (m *mesh) noteVouch() {
+	vouched := m.totals.vouched(m.now())
+	if vouched == m.vouchedLast {
+		return
+	}
+	m.vouchedLast = vouched
+	m.log.Info("holder vouches", "any", vouched, "holder", m.totals.address(), "silent_ms", m.hubSilent().Milliseconds())
+}
+
 // hubAddress is where the hub is; nowhere while it is not known.
 func (m *mesh) hubAddress() []string {
 	if m.holds() || !m.totals.fresh(m.now()) {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -238,6 +238,7 @@
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
+		EndpointsAgeMS: n.endpointsAgeMS,
 	})
 	for _, s := range []struct {
 		into    **nodeServer
@@ -312,6 +313,7 @@
 	calls := new(expvar.Map).Init()
 	n.vars.Set("store_calls", calls)
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
+	n.vars.Set("endpoints_age_ms", expvar.Func(func() any { return n.endpointsAgeMS() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
 	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.watchWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
@@ -346,6 +348,13 @@
 	}
 }
 
+// endpointsAgeMS is how long ago it was certain that this instance knew which
+// endpoints leave, by its own watch or by the word of the holder of the lease,
+// in milliseconds; -1 if it never was.
+func (n *Node) endpointsAgeMS() int64 {
+	return ageMS(min(n.link.age(n.ports.MembersKind), n.mesh.totals.vouchedAge(n.now())))
+}
+
 // kick offers waiting requests to the router now and then.
 func (n *Node) kick(ctx context.Context) { kickLoop(ctx, n.gates) }
 
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -150,7 +150,7 @@
 				d.note(e.Object)
 			}
 		},
-		func(err error) { d.link.failed(string(store.KindInstance), err) })
+		func(err error) { d.link.failed(store.KindInstance, err) })
 	r.Run(ctx)
 }
 
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -10,7 +11,8 @@
 )
 
 // storeLink logs when the object store is lost and when it is back, once each,
-// whatever the number of duties that use it.
+// whatever the number of duties that use it. It also keeps how old what each
+// watch has brought may be.
 type storeLink struct {
 	log logr.Logger
 	now func() time.Time
@@ -19,6 +21,8 @@
 	lostAt time.Time
 	// answeredAt is when the store last answered any call.
 	answeredAt time.Time
+	// confirmedAt is when the watch on a kind was last answered closely.
+	confirmedAt map[store.Kind]time.Time
 }
 
 // vouchAge is how old the store's last answer may be for what this instance
@@ -40,6 +44,30 @@
 	return l.now().Sub(l.answeredAt) < vouchAge
 }
 
+// confirmed notes that the watch on a kind was answered closely.
+func (l *storeLink) confirmed(kind store.Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.confirmedAt == nil {
+		l.confirmedAt = map[store.Kind]time.Time{}
+	}
+	l.confirmedAt[kind] = l.now()
+}
+
+// neverConfirmed is the age of what was not confirmed yet.
+const neverConfirmed = time.Duration(math.MaxInt64)
+
+// age is how long ago the watch on a kind was last answered closely.
+func (l *storeLink) age(kind store.Kind) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, known := l.confirmedAt[kind]
+	if !known {
+		return neverConfirmed
+	}
+	return l.now().Sub(at)
+}
+
 func (l *storeLink) heard() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,10 +78,11 @@
 	l.lostAt = time.Time{}
 }
 
-func (l *storeLink) failed(kind string, err error) {
+// failed logs why a watch has ended, and that the store is lost if it is.
+func (l *storeLink) failed(kind store.Kind, err error) {
+	l.log.Info("watch ended", "kind", kind, "confirmed_ms", ageMS(l.age(kind)), "error", err.Error())
 	if store.IsExpired(err) {
 		// The store answers; only the changes meanwhile are gone.
-		l.log.V(1).Info("history gone", "kind", kind)
 		return
 	}
 	l.mu.Lock()
@@ -64,3 +93,11 @@
 	l.lostAt = l.now()
 	l.log.Info("store lost", "kind", kind, "error", err.Error())
 }
+
+// ageMS is an age for the log, in milliseconds; -1 for what was never confirmed.
+func ageMS(age time.Duration) int64 {
+	if age == neverConfirmed {
+		return -1
+	}
+	return age.Milliseconds()
+}
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -79,9 +79,17 @@
 
 // vouched tells whether the hub has said lately that what it knows is current.
 func (t *totals) vouched(now time.Time) bool {
+	return t.vouchedAge(now) < holderLost
+}
+
+// vouchedAge is how long ago the hub last said that what it knows is current.
+func (t *totals) vouchedAge(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.currentAt) < holderLost
+	if t.currentAt.IsZero() {
+		return neverConfirmed
+	}
+	return now.Sub(t.currentAt)
 }
 
 // silent is how long ago the hub was heard.
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -129,6 +129,9 @@
 			continue
 		}
 		changed = changed || !d.now().Before(d.withdrawnUntil[name])
+		if _, told := d.withdrawnUntil[name]; !told {
+			d.log.Info("endpoint leaves", "endpoint", name, "by", "the holder's word")
+		}
 		d.withdrawnUntil[name] = d.now().Add(withdrawnTime)
 	}
 	return changed
@@ -136,7 +139,11 @@
 
 // noteLeaving tells that an endpoint has begun to leave or has gone.
 func (d *viewDuty) noteLeaving(c membership.Change) {
-	if d.leaving != nil && c.Member.State != membership.Live && c.Member.Pool != membership.InstancePool {
+	if c.Member.State == membership.Live || c.Member.Pool == membership.InstancePool {
+		return
+	}
+	d.log.Info("endpoint leaves", "endpoint", c.Member.Name, "by", "its entry", "state", c.Member.State)
+	if d.leaving != nil {
 		d.leaving(c.Member.Name)
 	}
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -42,6 +42,9 @@
 	Refusals *Refusals
 	// Unreachable is told when a request finds no replica of its unit.
 	Unreachable func()
+	// EndpointsAgeMS is how long ago it was certain which endpoints leave, in
+	// milliseconds and for the log; -1 if it never was. Nil means always certain.
+	EndpointsAgeMS func() int64
 	// Retries bounds second attempts; nil means DefaultRetryLimits.
 	Retries *RetryBudgets
 }
@@ -66,12 +69,15 @@
 	if cfg.Unreachable == nil {
 		cfg.Unreachable = func() {}
 	}
+	if cfg.EndpointsAgeMS == nil {
+		cfg.EndpointsAgeMS = func() int64 { return 0 }
+	}
 	return &Pipeline{
 		cfg:     cfg,
 		prepare: cfg.Dialect.Prepare(),
 		attempt: []Filter{
 			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, refusals: cfg.Refusals, now: cfg.Now},
-			route{log: cfg.Log}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
+			route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
 		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
--- a/pipeline/route.go
+++ b/pipeline/route.go
@@ -11,6 +11,8 @@
 // promised twice.
 type route struct {
 	log logr.Logger
+	// endpointsAgeMS is how long ago it was certain which endpoints leave.
+	endpointsAgeMS func() int64
 }
 
 // Process implements Filter.
@@ -21,6 +23,7 @@
 		"unit", x.Target.Unit, "endpoint", d.Endpoint.Name, "policy", d.Policy, "score", d.Score,
 		"expected_ms", d.Expected.Milliseconds(), "gap_ms", d.Endpoint.Gap(d.At).Milliseconds(), "own", d.Endpoint.Own(),
 		"others", d.Endpoint.Others().Running, "others_age_ms", d.Endpoint.OthersAge(d.At).Milliseconds(),
-		"estimate", d.Estimate, "eligible", d.Eligible, "candidates", d.Candidates, "resumes_after", x.offset)
+		"estimate", d.Estimate, "eligible", d.Eligible, "candidates", d.Candidates, "resumes_after", x.offset,
+		"endpoints_age_ms", f.endpointsAgeMS())
 	return nil
 }
--- a/store/client.go
+++ b/store/client.go
@@ -35,11 +35,21 @@
 	// come seconds late, which costs some stores less; nil means that they may
 	// not.
 	Behind func() bool
+	// Confirmed is told of each answer that is not behind, also of one without
+	// changes: what the handler knows then was current a moment ago. Nil tells
+	// nobody.
+	Confirmed func()
 }
 
 // MayBeBehind tells whether changes may come late now.
 func (o WatchOptions) MayBeBehind() bool { return o.Behind != nil && o.Behind() }
 
+func (o WatchOptions) confirm() {
+	if o.Confirmed != nil {
+		o.Confirmed()
+	}
+}
+
 // Config sets up an HTTP client.
 type Config struct {
 	// URL is the base of the object API.
--- a/store/object.go
+++ b/store/object.go
@@ -95,4 +95,6 @@
 type Event struct {
 	Type   EventType `json:"type"`
 	Object Object    `json:"object"`
+	// Behind tells that the answer which brought the event may be seconds old.
+	Behind bool `json:"-"`
 }
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -83,11 +83,15 @@
 		}
 		r.version = list.ResourceVersion
 		r.replace(list)
+		r.options.confirm()
 		progress = true
 	}
 	err = r.client.Watch(ctx, r.kind, r.version, r.options, func(e Event) {
 		progress = true
 		r.version = e.Object.Metadata.ResourceVersion
+		if !e.Behind {
+			r.options.confirm()
+		}
 		r.apply(e)
 	})
 	if IsExpired(err) {
