Failing test: a holder whose watch hangs vouches all the same

Cause: the holder's word that it knows of leaving endpoints rests on any answer of the store, its lease's too; seen for 2.4 s with knowledge that was 12.6 s old. Conclusion: the others' licence to be behind rests on a word that proves nothing.

--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/store"
 )
 
 // wordOfHolder is what the holder of the lease tells.
@@ -101,3 +102,40 @@
 	}
 	require.Len(t, told, leave)
 }
+
+// For 2.4 s the holder of the lease vouched for endpoints of which it had heard
+// nothing for 12 s, so that the others let their own watches be behind. Its lease
+// was renewed in time, on another connection, and that counted as proof:
+//
+//	35.1344 msg="lease acquired" epoch=3
+//	35.1931 msg="holder vouches" any=true                                  (the others)
+//	37.5351 msg="watch ended" kind=servers confirmed_ms=12640 error="... context deadline exceeded"
+//
+// Only an answer to the watch itself proves that what came by it is current.
+func TestHolderWhoseWatchHangsDoesNotVouch(t *testing.T) {
+	now := time.Now()
+	n := &Node{now: func() time.Time { return now }, ports: NodePorts{MembersKind: "members", SettingsKind: "settings"}}
+	n.cfg.PeerPorts = []int{1, 1}
+	n.link = &storeLink{log: logr.Discard(), now: n.now}
+	m := n.newMesh()
+	kinds := []store.Kind{n.ports.MembersKind, n.ports.SettingsKind}
+	confirm := func(kind store.Kind) {
+		n.link.answered()
+		n.link.confirmed(kind)
+	}
+	for _, hung := range kinds {
+		for _, kind := range kinds {
+			confirm(kind)
+		}
+		require.True(t, m.current())
+		for range 10 {
+			now = now.Add(leaseRenewal)
+			for _, kind := range kinds {
+				if kind != hung {
+					confirm(kind)
+				}
+			}
+		}
+		require.False(t, m.current(), "%s was not heard for 5 s", hung)
+	}
+}
