Entries have their time to come back from the store's return, whoever heard of it

Cause: an instance counted the two seconds that a lapsed entry has to come back from when its own watch of endpoints was answered again. A watch that began while the store was silent hangs for up to 3.8 s behind its return, so an endpoint that left then was kept for two seconds more. Change: the store is back with its first answer to any call; the changes of one answer are applied together, as a late answer brings a lapse and the return of the entry at once; for three seconds behind an outage the watch on endpoints is not behind, as an old answer shows entries as gone that are back.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -108,26 +108,31 @@
 
 func (d *entriesDuty) watch(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
+	// What one answer of the store brings is applied together.
+	var changes []membership.EntryChange
 	options := store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
-			put(membership.StoreHeard{})
+			changes = nil
+			put(membership.StoreHeard{Since: d.link.returned()})
 			put(membership.EntriesListed{Members: d.members(l.Items)})
 		},
 		func(e store.Event) {
-			d.link.heard()
-			put(membership.StoreHeard{})
 			switch e.Type {
 			case store.EventBookmark:
+				d.link.heard()
+				put(membership.StoreHeard{Since: d.link.returned()})
+				put(membership.EntriesChanged{Changes: changes})
+				changes = nil
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
 				d.gather(ctx)
 			case store.EventDeleted:
-				put(membership.EntryRemoved{Name: e.Object.Metadata.Name})
+				changes = append(changes, membership.EntryChange{Name: e.Object.Metadata.Name})
 			default:
 				for _, m := range d.members([]store.Object{e.Object}) {
-					put(membership.EntryChanged{Member: m})
+					changes = append(changes, membership.EntryChange{Name: m.Name, Member: &m})
 				}
 			}
 		},
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -339,7 +339,7 @@
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		behind: n.mesh.holderTells,
+		behind: n.entriesMayBeBehind,
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
@@ -348,6 +348,11 @@
 	}
 }
 
+// entriesMayBeBehind tells whether the watch on endpoints may be seconds behind: the
+// holder of the lease tells which of them leave, and no entry is on its way back
+// behind an outage, which an old answer would show as gone.
+func (n *Node) entriesMayBeBehind() bool { return n.mesh.holderTells() && n.link.settled() }
+
 // endpointsAgeMS is how long ago it was certain that this instance knew which
 // endpoints leave, by its own watch or by the word of the holder of the lease,
 // in milliseconds; -1 if it never was.
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/store"
 )
 
@@ -19,8 +20,9 @@
 
 	mu     sync.Mutex
 	lostAt time.Time
-	// answeredAt is when the store last answered any call.
-	answeredAt time.Time
+	// answeredAt is when the store last answered any call, returnedAt since when it
+	// has answered without a break of awayAfter.
+	answeredAt, returnedAt time.Time
 	// confirmedAt is when the watch on a kind was last answered closely.
 	confirmedAt map[store.Kind]time.Time
 }
@@ -30,11 +32,28 @@
 // renews it about every leaseRenewal.
 const vouchAge = 700 * time.Millisecond
 
+// awayAfter is the time without an answer of the store after which it was away.
+// Watches are answered about every second; entries of endpoints lapse only after
+// several heartbeats of a second or more.
+const awayAfter = 2 * time.Second
+
 // answered notes that the store has answered a call.
 func (l *storeLink) answered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answeredAt = l.now()
+	now := l.now()
+	if now.Sub(l.answeredAt) >= awayAfter {
+		l.returnedAt = now
+	}
+	l.answeredAt = now
+}
+
+// returned is since when the store has answered without a break, whatever the
+// call: a watch that began while it was away may hang long after its return.
+func (l *storeLink) returned() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.returnedAt
 }
 
 // current tells whether the store has answered lately.
@@ -44,6 +63,14 @@
 	return l.now().Sub(l.answeredAt) < vouchAge
 }
 
+// settleTime is for how long behind the store's return entries may be on their way
+// back, and be missing in answers that are a moment old.
+const settleTime = membership.ReturnGrace + time.Second
+
+// settled tells whether the store has answered for so long that each entry which
+// lapsed while it was away is back.
+func (l *storeLink) settled() bool { return l.now().Sub(l.returned()) >= settleTime }
+
 // confirmed notes that the watch on a kind was answered closely.
 func (l *storeLink) confirmed(kind store.Kind) {
 	l.mu.Lock()
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -8,27 +8,33 @@
 // EntriesListed is the whole list of entries.
 type EntriesListed struct{ Members []Member }
 
-// EntryChanged is an entry that is new or has changed.
-type EntryChanged struct{ Member Member }
-
-// EntryRemoved is an entry that has gone from the store.
-type EntryRemoved struct{ Name string }
+// EntriesChanged is the changes that one answer of the store brings, in order.
+// Only what they come to counts: an entry that lapsed and came back before the
+// answer was never missing for those who hear of both at once.
+type EntriesChanged struct{ Changes []EntryChange }
+
+// EntryChange is one change of an entry.
+type EntryChange struct {
+	Name string
+	// Member is what the entry says now; nil if it has gone from the store.
+	Member *Member
+}
 
 // StoreLost says that the store gave no answer.
 type StoreLost struct{}
 
-// StoreHeard says that it gave one.
-type StoreHeard struct{}
+// StoreHeard says that it gave one, and since when it has answered this instance
+// without a break, on whatever connection; zero means since this answer.
+type StoreHeard struct{ Since time.Time }
 
 // EntriesTick lets time pass.
 type EntriesTick struct{}
 
-func (EntriesListed) isEntryEvent() {}
-func (EntryChanged) isEntryEvent()  {}
-func (EntryRemoved) isEntryEvent()  {}
-func (StoreLost) isEntryEvent()     {}
-func (StoreHeard) isEntryEvent()    {}
-func (EntriesTick) isEntryEvent()   {}
+func (EntriesListed) isEntryEvent()  {}
+func (EntriesChanged) isEntryEvent() {}
+func (StoreLost) isEntryEvent()      {}
+func (StoreHeard) isEntryEvent()     {}
+func (EntriesTick) isEntryEvent()    {}
 
 // ReturnGrace is how long after the store's return an entry that lapsed while
 // it was away may take to come back; its members renew entries about that
@@ -49,7 +55,7 @@
 	// missing holds when each kept entry was first seen to be missing.
 	missing map[string]time.Time
 	lost    bool
-	// returnedAt is when the store was last heard after it was lost.
+	// returnedAt is when the store was last back after it was lost.
 	returnedAt time.Time
 }
 
@@ -64,16 +70,12 @@
 	switch e := e.(type) {
 	case EntriesListed:
 		changed = s.listed(now, e.Members)
-	case EntryChanged:
-		changed = s.put(e.Member)
-	case EntryRemoved:
-		changed = s.remove(now, e.Name)
+	case EntriesChanged:
+		changed = s.changedTo(now, e.Changes)
 	case StoreLost:
 		s.lost = true
 	case StoreHeard:
-		if s.lost {
-			s.lost, s.returnedAt = false, now
-		}
+		s.heard(now, e.Since)
 	}
 	changed = s.expire(now) || changed
 	if !changed {
@@ -83,6 +85,18 @@
 	return s.listing(), true
 }
 
+// heard ends an outage. Entries have ReturnGrace from the store's return, not from
+// when the watch on them heard of it: one that goes later than that has left.
+func (s *Entries) heard(now, since time.Time) {
+	if !s.lost {
+		return
+	}
+	s.lost, s.returnedAt = false, now
+	if !since.IsZero() {
+		s.returnedAt = since
+	}
+}
+
 // Waiting tells whether entries are missing that may come back.
 func (s *Entries) Waiting() bool { return len(s.missing) > 0 }
 
@@ -102,6 +116,25 @@
 	return changed
 }
 
+// changedTo applies what the changes come to.
+func (s *Entries) changedTo(now time.Time, changes []EntryChange) bool {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Name] = i
+	}
+	changed := false
+	for i, c := range changes {
+		switch {
+		case last[c.Name] != i:
+		case c.Member == nil:
+			changed = s.remove(now, c.Name) || changed
+		default:
+			changed = s.put(*c.Member) || changed
+		}
+	}
+	return changed
+}
+
 func (s *Entries) put(m Member) bool {
 	delete(s.missing, m.Name)
 	known, listed := s.members[m.Name]
--- a/membership/entries_test.go
+++ b/membership/entries_test.go
@@ -32,20 +32,35 @@
 	case "listed":
 		return EntriesListed{Members: entryMembers(d)}
 	case "changed":
-		return EntryChanged{Member: entryMembers(d)[0]}
+		return EntriesChanged{Changes: entryChanges(entryMembers(d))}
 	case "removed":
 		var name string
 		d.ScanArgs(t, "name", &name)
-		return EntryRemoved{Name: name}
+		changes := append([]EntryChange{{Name: name}}, entryChanges(entryMembers(d))...)
+		return EntriesChanged{Changes: changes}
 	case "lost":
 		return StoreLost{}
 	case "heard":
-		return StoreHeard{}
+		var since int
+		d.MaybeScanArgs(t, "since", &since)
+		if since == 0 {
+			return StoreHeard{}
+		}
+		return StoreHeard{Since: time.UnixMilli(int64(since))}
 	default:
 		return EntriesTick{}
 	}
 }
 
+// entryChanges returns the changes that bring members.
+func entryChanges(members []Member) []EntryChange {
+	var changes []EntryChange
+	for _, m := range members {
+		changes = append(changes, EntryChange{Name: m.Name, Member: &m})
+	}
+	return changes
+}
+
 // entryMembers reads a member a line: NAME STATE [UNIT ...].
 func entryMembers(d *datadriven.TestData) []Member {
 	var members []Member
