Entries have half a second more to come back

Members renew within about two seconds; the news then gathers for half a second here. Change: 2.5 s.

--- a/membership/entries.go
+++ b/membership/entries.go
@@ -37,9 +37,9 @@
 func (EntriesTick) isEntryEvent()    {}
 
 // ReturnGrace is how long after the store's return an entry that lapsed while
-// it was away may take to come back; its members renew entries about that
-// often.
-const ReturnGrace = 2 * time.Second
+// it was away may take to come back here: its member renews it within about two
+// seconds, and changes gather for half a second before they are asked for.
+const ReturnGrace = 2500 * time.Millisecond
 
 // Entries is the members by their entries in a store, where an entry lapses
 // unless its member renews it.
