The holder vouches by its watches alone, and hung watches are given up in time

Cause: the holder of the lease vouched for what it knew of leaving endpoints and settings while any call was answered; its watches may hang meanwhile, and a hung one was given up only 3.8 s after it had begun, with up to 0.9 s of pause behind it. The sum that a test added up left out the slack of calls and the time in which changes gather. Change: what counts is the last close answer to each of the two watches. All waits on the way of news are derived in one place from the time that there is for news, and their sums are tested: a lost holder, a hung watch, a hung watch behind an outage. Pauses that rest on the holder's word end with it. The test of when the holder vouches took any answer for proof, which was the fault; it now asks for an answer to each watch.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -93,6 +93,8 @@
 	now     func() time.Time
 	// behind tells whether another instance tells in time which endpoints leave.
 	behind func() bool
+	// closeWait is how long the store may hold a close watch.
+	closeWait time.Duration
 }
 
 const (
@@ -110,7 +112,7 @@
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
 	// What one answer of the store brings is applied together.
 	var changes []membership.EntryChange
-	options := store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}
+	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }}
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
@@ -149,7 +151,7 @@
 // costs a call, and wakes the instance.
 func (d *entriesDuty) gather(ctx context.Context) {
 	if d.behind() {
-		wait.For(ctx, behindGather)
+		wait.While(ctx, behindGather, d.behind)
 		return
 	}
 	wait.For(ctx, entriesGather)
--- /dev/null
+++ b/daemon/fresh.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// NodeFresh says how old what a node knows may be, in milliseconds.
+type NodeFresh struct {
+	// LeavingMS is how soon a leaving endpoint must get no more requests.
+	LeavingMS int `json:"leavingMS"`
+	// SettingsMS is how soon accepted settings must be in force.
+	SettingsMS int `json:"settingsMS"`
+	// ContactMS is how long a node may take to find back to a store that was away.
+	ContactMS int `json:"contactMS"`
+}
+
+// What passes until news is in force at an instance whose watches are behind, the
+// holder of the lease being lost right after it has vouched, is in this order:
+//
+//	vouchAge      since the holder's last answer, which it vouches for
+//	holderLost    until the others notice its silence
+//	behindWait    until a call that is behind is over, or a pause looks up
+//	newsReserve   for the store's answer to the close call, and for routing
+//
+// All of them fit into the time that there is for news.
+const (
+	// answerTime is how long the store's answer may take; it comes within some
+	// milliseconds.
+	answerTime = 100 * time.Millisecond
+	// newsReserve also covers a request that was routed just before.
+	newsReserve = 150 * time.Millisecond
+	// leastWait and mostWait bound how long the store may hold a watch. A call that
+	// nobody answers is noticed only behind that.
+	leastWait = 150 * time.Millisecond
+	mostWait  = time.Second
+)
+
+// forNews is how soon news must be in force.
+func (f NodeFresh) forNews() time.Duration { return milliseconds(min(f.LeavingMS, f.SettingsMS)) }
+
+// wait is how long the store may hold a watch on endpoints, close or behind: half
+// of what the other parts leave. A call that began while the store was away, and that
+// nobody answers, is also over and made again before the node counts as in contact.
+func (f NodeFresh) wait() time.Duration {
+	left := f.forNews() - newsReserve - holderLost - entriesGather - answerTime
+	inContact := milliseconds(f.ContactMS) - entriesGather - store.WatchSlack - store.LongestPause - answerTime
+	return min(max(min(left/2, inContact), leastWait), mostWait)
+}
+
+// entriesWait is how long the store may hold a close watch on endpoints.
+func (f NodeFresh) entriesWait() time.Duration { return f.wait() }
+
+// behindWait is how long the store may hold a watch that may be behind.
+func (f NodeFresh) behindWait() time.Duration { return f.wait() }
+
+// settingsWait is the same for a close watch on settings. They change seldom, so
+// nothing gathers between two calls.
+func (f NodeFresh) settingsWait() time.Duration { return f.wait() + entriesGather }
+
+// vouchAge is the age up to which an answer to a watch shows that what it brought
+// is current: the next one has come by then, if the store answers.
+func (f NodeFresh) vouchAge() time.Duration { return entriesGather + f.wait() + answerTime }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -158,7 +158,7 @@
 		gone:      n.endpointsGone,
 		alone:     func(alone bool) { n.placers.alone(alone) },
 		leaving:   func() bool { return n.stopping.Load() != nil },
-		current:   func() bool { return n.link.current() },
+		current:   n.current,
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
 		listed: map[string]presence{}, unsent: map[string]peer.Placement{}, board: peer.NewBoard(),
 		self:     presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
@@ -315,7 +315,7 @@
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("endpoints_age_ms", expvar.Func(func() any { return n.endpointsAgeMS() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.watchWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
 	n.placers = &placers{
@@ -339,7 +339,7 @@
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		behind: n.entriesMayBeBehind,
+		behind: n.entriesMayBeBehind, closeWait: n.cfg.Fresh.entriesWait(),
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
@@ -353,6 +353,14 @@
 // behind an outage, which an old answer would show as gone.
 func (n *Node) entriesMayBeBehind() bool { return n.mesh.holderTells() && n.link.settled() }
 
+// current tells whether this instance knows of newer settings and leaving endpoints
+// in time, which it vouches for if it holds the lease. Only answers to its watches on
+// them show that: one may hang while all other calls are answered.
+func (n *Node) current() bool {
+	age := max(n.link.age(n.ports.MembersKind), n.link.age(n.ports.SettingsKind))
+	return age < n.cfg.Fresh.vouchAge()
+}
+
 // endpointsAgeMS is how long ago it was certain that this instance knew which
 // endpoints leave, by its own watch or by the word of the holder of the lease,
 // in milliseconds; -1 if it never was.
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"time"
-
 	"github.com/eiderspring/eiderspring/routing"
 )
 
@@ -50,34 +48,6 @@
 	RateOver    float64 `json:"rateOver"`
 }
 
-// NodeFresh says how old what a node knows may be, in milliseconds.
-type NodeFresh struct {
-	// LeavingMS is how soon a leaving endpoint must get no more requests.
-	LeavingMS int `json:"leavingMS"`
-	// SettingsMS is how soon accepted settings must be in force.
-	SettingsMS int `json:"settingsMS"`
-	// ContactMS is how long a node may take to find back to a store that was away.
-	ContactMS int `json:"contactMS"`
-}
-
-// watchWait is how long the store may hold a watch: a call that it has forgotten
-// must be over, and made again, before the node counts as in contact.
-func (f NodeFresh) watchWait() time.Duration {
-	const forReturn = 200 * time.Millisecond
-	return milliseconds(f.ContactMS) - forReturn
-}
-
-// behindWait is how long the store may hold a watch that may be behind. The
-// holder of the lease vouches that its own knowledge is current until vouchAge
-// after the store's last answer; the others notice its silence holderLost later,
-// and by then such a watch may just have begun. Half of what is left of the time
-// that there is for news remains for the store's answer.
-func (f NodeFresh) behindWait() time.Duration {
-	const least, most = 200 * time.Millisecond, time.Second
-	left := milliseconds(min(f.LeavingMS, f.SettingsMS)) - vouchAge - holderLost
-	return min(max(left/2, least), most)
-}
-
 // NodeLimits bound what one instance takes on.
 type NodeLimits struct {
 	HeaderBytes int `json:"headerBytes"`
@@ -137,7 +107,7 @@
 		{"limits/queueRequests", float64(cfg.Limits.QueueRequests)}, {"limits/queueBytes", float64(cfg.Limits.QueueBytes)},
 		{"limits/graceMS", float64(cfg.Limits.GraceMS)},
 		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"limits/linkMbps", cfg.Limits.LinkMbps}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
-		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/settingsMS", float64(cfg.Fresh.SettingsMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS - 200)},
+		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/settingsMS", float64(cfg.Fresh.SettingsMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS)},
 		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
 	} {
 		c.positive("/"+bound.path, bound.n)
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -27,11 +27,6 @@
 	confirmedAt map[store.Kind]time.Time
 }
 
-// vouchAge is how old the store's last answer may be for what this instance
-// knows to count as current: the holder of the lease, which vouches for that,
-// renews it about every leaseRenewal.
-const vouchAge = 700 * time.Millisecond
-
 // awayAfter is the time without an answer of the store after which it was away.
 // Watches are answered about every second; entries of endpoints lapse only after
 // several heartbeats of a second or more.
@@ -56,13 +51,6 @@
 	return l.returnedAt
 }
 
-// current tells whether the store has answered lately.
-func (l *storeLink) current() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.now().Sub(l.answeredAt) < vouchAge
-}
-
 // settleTime is for how long behind the store's return entries may be on their way
 // back, and be missing in answers that are a moment old.
 const settleTime = membership.ReturnGrace + time.Second
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -11,6 +11,7 @@
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // wordOfHolder is what the holder of the lease tells.
@@ -44,25 +45,60 @@
 	require.False(t, m.holderTells(), "the holder itself must look")
 }
 
+// vouchingNode is a node of which only its link to the store and its word to the
+// others are there.
+func vouchingNode(now *time.Time) *Node {
+	n := &Node{now: func() time.Time { return *now }, ports: NodePorts{MembersKind: "members", SettingsKind: "settings"}}
+	n.cfg = DefaultNodeConfig()
+	n.cfg.PeerPorts = []int{1, 1}
+	n.link = &storeLink{log: logr.Discard(), now: n.now}
+	n.mesh = n.newMesh()
+	return n
+}
+
 func TestHolderVouchesOnlyWhileTheStoreAnswers(t *testing.T) {
 	now := time.Now()
-	l := &storeLink{log: logr.Discard(), now: func() time.Time { return now }}
-	require.False(t, l.current())
-	l.answered()
-	require.True(t, l.current())
-	now = now.Add(vouchAge)
-	require.False(t, l.current())
+	n := vouchingNode(&now)
+	require.False(t, n.mesh.current())
+	n.link.confirmed(n.ports.MembersKind)
+	require.False(t, n.mesh.current(), "no settings were heard yet")
+	n.link.confirmed(n.ports.SettingsKind)
+	require.True(t, n.mesh.current())
+	now = now.Add(n.cfg.Fresh.vouchAge())
+	require.False(t, n.mesh.current())
 }
 
+// boundsForNews are times that there may be for news, in milliseconds.
+var boundsForNews = []int{1700, 2000, 3000, 5000, 10_000}
+
 // TestNewsIsInTimeWhenTheHolderIsLost adds up what may pass until an instance
 // whose watch is behind looks closely, the holder being cut off right after it
-// has vouched.
+// has vouched: its calls are over, and its pauses look up, by then.
 func TestNewsIsInTimeWhenTheHolderIsLost(t *testing.T) {
-	for _, ms := range []int{1700, 2000, 3000, 5000, 10_000} {
+	for _, ms := range boundsForNews {
 		f := NodeFresh{LeavingMS: ms, SettingsMS: 10_000, ContactMS: 4000}
-		require.Less(t, vouchAge+holderLost+f.behindWait(), milliseconds(ms)-200*time.Millisecond, "%d ms", ms)
-		f.LeavingMS, f.SettingsMS = f.SettingsMS, f.LeavingMS
-		require.Less(t, vouchAge+holderLost+f.behindWait(), milliseconds(ms)-200*time.Millisecond, "%d ms", ms)
+		for range 2 {
+			noticed := f.vouchAge() + holderLost + max(f.behindWait(), wait.Look)
+			require.LessOrEqual(t, noticed+newsReserve, milliseconds(ms), "%d ms", ms)
+			f.LeavingMS, f.SettingsMS = f.SettingsMS, f.LeavingMS
+		}
+	}
+}
+
+// TestHungWatchIsReplacedInTime adds up what may pass until a close watch that nobody
+// answers is made again, and until a healthy holder's next answer.
+func TestHungWatchIsReplacedInTime(t *testing.T) {
+	for _, ms := range boundsForNews {
+		f := NodeFresh{LeavingMS: ms, SettingsMS: ms, ContactMS: 4000}
+		again := store.WatchSlack + store.LongestFirstPause + answerTime
+		require.LessOrEqual(t, entriesGather+f.entriesWait()+again, milliseconds(ms), "endpoints, %d ms", ms)
+		require.LessOrEqual(t, f.settingsWait()+again, milliseconds(ms), "settings, %d ms", ms)
+		for _, f.ContactMS = range []int{2500, 3000, 4000} {
+			behindOutage := store.WatchSlack + store.LongestPause + answerTime
+			require.LessOrEqual(t, f.settingsWait()+behindOutage, milliseconds(f.ContactMS))
+		}
+		require.LessOrEqual(t, entriesGather+f.entriesWait()+answerTime, f.vouchAge())
+		require.LessOrEqual(t, f.settingsWait()+answerTime, f.vouchAge())
 	}
 }
 
@@ -114,10 +150,8 @@
 // Only an answer to the watch itself proves that what came by it is current.
 func TestHolderWhoseWatchHangsDoesNotVouch(t *testing.T) {
 	now := time.Now()
-	n := &Node{now: func() time.Time { return now }, ports: NodePorts{MembersKind: "members", SettingsKind: "settings"}}
-	n.cfg.PeerPorts = []int{1, 1}
-	n.link = &storeLink{log: logr.Discard(), now: n.now}
-	m := n.newMesh()
+	n := vouchingNode(&now)
+	m := n.mesh
 	kinds := []store.Kind{n.ports.MembersKind, n.ports.SettingsKind}
 	confirm := func(kind store.Kind) {
 		n.link.answered()
--- a/store/client.go
+++ b/store/client.go
@@ -35,6 +35,9 @@
 	// come seconds late, which costs some stores less; nil means that they may
 	// not.
 	Behind func() bool
+	// Wait is how long the store may hold a call that is not behind and has nothing
+	// to tell; 0 means as long as the client is set up for.
+	Wait time.Duration
 	// Confirmed is told of each answer that is not behind, also of one without
 	// changes: what the handler knows then was current a moment ago. Nil tells
 	// nobody.
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -36,6 +36,15 @@
 	reflectorMaxPause = 600 * time.Millisecond
 	// reflectorBehindPause is that before a list that may come late.
 	reflectorBehindPause = 2 * time.Second
+	// LongestFirstPause is the longest pause before a broken watch goes on while the
+	// store answers.
+	LongestFirstPause = reflectorMinPause * 3 / 2
+	// LongestPause is that while it does not.
+	LongestPause = reflectorMaxPause * 3 / 2
+	// WatchSlack is how much longer than the store was told to hold a watch its
+	// answer may take: a slow store needs 0.2 s. A call that nobody answers, as it
+	// began while the store was silent or its connection is, is given up then.
+	WatchSlack = 600 * time.Millisecond
 )
 
 // NewReflector returns a reflector; Run starts it.
@@ -56,20 +65,22 @@
 			// The store answers, so there is no outage to spare it in.
 			pause = reflectorMinPause
 		}
-		if !wait.For(ctx, time.Duration(float64(r.pauseAfter(err, pause))*(0.5+r.jitter()))) {
+		if !r.pause(ctx, err, pause) {
 			return
 		}
 		pause = min(2*pause, reflectorMaxPause)
 	}
 }
 
-// pauseAfter is the pause before the next try. Where history is gone all instances
-// have to list at once; those that may be behind leave themselves more time.
-func (r *Reflector) pauseAfter(err error, pause time.Duration) time.Duration {
+// pause waits before the next try. Where history is gone all instances have to list
+// at once; those that may be behind leave themselves more time, for as long as they
+// may be. It reports false if ctx ended first.
+func (r *Reflector) pause(ctx context.Context, err error, pause time.Duration) bool {
+	spread := 0.5 + r.jitter()
 	if IsExpired(err) && r.options.MayBeBehind() {
-		return reflectorBehindPause
+		return wait.While(ctx, time.Duration(float64(reflectorBehindPause)*spread), r.options.MayBeBehind)
 	}
-	return pause
+	return wait.For(ctx, time.Duration(float64(pause)*spread))
 }
 
 // listAndWatch lists unless a version to go on from is known, and watches until
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -20,3 +20,19 @@
 		return true
 	}
 }
+
+// Look is the time between two looks of While at its condition.
+const Look = 100 * time.Millisecond
+
+// While waits for d, but no longer than keep holds. It reports false if ctx ended
+// first.
+func While(ctx context.Context, d time.Duration, keep func() bool) bool {
+	for d > 0 && keep() {
+		step := min(d, Look)
+		if !For(ctx, step) {
+			return false
+		}
+		d -= step
+	}
+	return ctx.Err() == nil
+}
