After a call to the store has timed out, no resting connection is used again

Change: a caller that times out closes the transport's resting connections. Conclusion: news comes one timeout late, not one for each connection that rested. Towards endpoints the like would cost a new connection for each request that misses its deadline; not done.

--- a/store/caller.go
+++ b/store/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"io"
 	"net/http"
@@ -63,6 +64,16 @@
 
 // Wait is Call bounded by ctx alone, for a call that waits for changes.
 func (c *Caller) Wait(ctx context.Context, call Call, into any) error {
+	err := c.exchange(ctx, call, into)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// Whatever silenced this connection may have silenced those that rest.
+		c.http.CloseIdleConnections()
+	}
+	return err
+}
+
+// exchange makes a call and decodes the answer.
+func (c *Caller) exchange(ctx context.Context, call Call, into any) error {
 	resp, err := c.open(ctx, call)
 	if err != nil {
 		return err
