Test that a pause ends with the word it rests on

Cause: the pause of 1 to 3 s before a list, where history is gone and the holder vouches, was decided once and not looked at again; it was mended with the vouching, without a test of its own. Change: the test, in virtual time. Conclusion: the path is covered.

--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
 )
 
 // scriptedClient is a store of which only lists and watches are asked.
@@ -130,3 +131,32 @@
 		<-done
 	})
 }
+
+// TestPauseEndsWithTheWordItRestsOn lets a store forget its history while the
+// reflector may be behind. What it may leave to others it does not leave to them any
+// more once they are silent: the pause of seconds before the list ends with that.
+func TestPauseEndsWithTheWordItRestsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedClient{watch: func(n int, _ string, _ func(store.Event)) error {
+			if n == 1 {
+				return &store.StatusError{Code: http.StatusGone}
+			}
+			return nil
+		}}
+		var behind atomic.Bool
+		behind.Store(true)
+		r := store.NewReflector(c, store.KindLease, store.WatchOptions{Behind: behind.Load}, func(store.List) {}, func(store.Event) {}, func(error) {})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, 1, c.listed(), "the others tell")
+		behind.Store(false)
+		time.Sleep(wait.Look)
+		synctest.Wait()
+		require.Equal(t, 2, c.listed(), "nobody tells any more")
+		stop()
+		<-done
+	})
+}
