Failing tests: the holder's word on endpoints that are not listed, or are back

Cause: looking for where else news of a leave comes late or wrong. Conclusion: the word has to count whatever the list says yet, and must end when it is not true any more.

--- /dev/null
+++ b/daemon/view_test.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// viewHarness is a view duty with one pool and a clock.
+type viewHarness struct {
+	*viewDuty
+	clock   time.Time
+	version int64
+	// told are the endpoints that this instance tells the others of, as the holder
+	// of the lease does.
+	told *mesh
+}
+
+func newViewHarness() *viewHarness {
+	h := &viewHarness{clock: time.Unix(1000, 0)}
+	now := func() time.Time { return h.clock }
+	h.told = &mesh{now: now, withdrawn: map[string]time.Time{}}
+	h.viewDuty = &viewDuty{
+		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], nil), log: logr.Discard(), now: now,
+		cells: func(*settings.Catalog, *membership.List) {}, peers: func(*membership.List) {}, kick: func() {},
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]time.Time{},
+		catalog: func(a *revision.Accepted) *settings.Catalog { return settings.NewCatalog(a.Tree) },
+		leaving: h.told.withdraw,
+	}
+	h.told.router = h.router
+	h.step(settingsAccepted{&revision.Accepted{Tree: &settings.Tree{Pools: map[string]*settings.Pool{"plain": {}}}}})
+	return h
+}
+
+func (h *viewHarness) step(e event) {
+	if h.apply(e) {
+		h.rebuild()
+	}
+}
+
+// listing brings a list of live endpoints.
+func (h *viewHarness) listing(names ...string) {
+	h.version++
+	l := membership.Listing{Version: h.version}
+	for _, name := range names {
+		l.Members = append(l.Members, membership.Member{Name: name, Incarnation: name, Pool: "plain", State: membership.Live})
+	}
+	h.step(membersListed{l})
+}
+
+// takes tells whether an endpoint gets requests.
+func (h *viewHarness) takes(name string) bool {
+	for _, e := range h.router.View().Pools["plain"] {
+		if e.Name == name {
+			return !e.Leaving()
+		}
+	}
+	return false
+}
+
+// An instance that does not list an endpoint passed over the holder's word that it
+// leaves. Its own list, which may be seconds behind while the holder vouches, could
+// then bring that endpoint as live, and it drew requests until the word was repeated,
+// or for good if that was over.
+func TestWordOnAnEndpointThatIsNotListedYetCounts(t *testing.T) {
+	h := newViewHarness()
+	h.listing("e1")
+	h.step(endpointsWithdrawn{[]string{"e2"}})
+	h.clock = h.clock.Add(time.Second)
+	h.listing("e1", "e2")
+	require.True(t, h.takes("e1"))
+	require.False(t, h.takes("e2"))
+}
+
+// An entry that lapsed and came back is live again: the others are not told any more
+// that its endpoint leaves.
+func TestEndpointThatIsBackIsNotToldToLeave(t *testing.T) {
+	h := newViewHarness()
+	h.listing("e1", "e2")
+	h.listing("e1")
+	require.Equal(t, []string{"e2"}, h.told.withdrawnLately())
+	h.clock = h.clock.Add(time.Second)
+	h.listing("e1", "e2")
+	require.Empty(t, h.told.withdrawnLately())
+}
