The holder's word counts for endpoints that are not listed yet, and runs out

Besides, a word that had run out was noticed only when something else changed the view. Change: words are kept for any name; the holder does not tell of endpoints that take requests by its own list; a word's end rebuilds the view within a second.

--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -78,22 +79,31 @@
 	m.withdrawn[endpoint] = m.now()
 }
 
-// withdrawnLately returns the endpoints of which the others may not know yet.
+// withdrawnLately returns the endpoints of which the others may not know yet that
+// they leave. One whose entry had only lapsed, and is back, does not leave.
 func (m *mesh) withdrawnLately() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var names []string
-	for name, at := range m.withdrawn {
-		if m.now().Sub(at) >= withdrawnTime {
-			delete(m.withdrawn, name)
-			continue
+	names := m.withdrawnNames()
+	if len(names) == 0 {
+		return nil
+	}
+	for _, pool := range m.router.View().Pools {
+		for _, e := range pool {
+			if !e.Leaving() {
+				names = slices.DeleteFunc(names, func(name string) bool { return name == e.Name })
+			}
 		}
-		names = append(names, name)
 	}
-	slices.Sort(names)
 	return names
 }
 
+// withdrawnNames returns the endpoints that have begun to leave lately.
+func (m *mesh) withdrawnNames() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.withdrawn, func(_ string, at time.Time) bool { return m.now().Sub(at) >= withdrawnTime })
+	return slices.Sorted(maps.Keys(m.withdrawn))
+}
+
 // holderTells tells whether another instance, the holder of the lease, follows
 // the store closely and tells of newer settings and leaving endpoints. The holder
 // itself must look.
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"maps"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -43,17 +45,44 @@
 
 func (d *viewDuty) run(ctx context.Context) {
 	for {
-		e, err := d.events.Take(ctx)
+		e, err := d.next(ctx)
 		if err != nil {
 			return
 		}
-		if d.apply(e) {
+		changed := d.apply(e)
+		if d.forgetWords() || changed {
 			d.rebuild()
 		}
 		d.kick()
 	}
 }
 
+// wordsLook is the time between two looks at whether words on endpoints have run out.
+const wordsLook = time.Second
+
+// next returns the next event, or nil after a while if words may have run out.
+func (d *viewDuty) next(ctx context.Context) (event, error) {
+	if len(d.withdrawnUntil) == 0 {
+		return d.events.Take(ctx)
+	}
+	soon, cancel := context.WithTimeout(ctx, wordsLook)
+	defer cancel()
+	e, err := d.events.Take(soon)
+	if err != nil && ctx.Err() == nil && errors.Is(soon.Err(), context.DeadlineExceeded) {
+		return nil, nil
+	}
+	return e, err
+}
+
+// forgetWords drops the words of other instances that have run out, and tells whether
+// there were any: an endpoint whose entry had only lapsed takes requests again.
+func (d *viewDuty) forgetWords() bool {
+	known := len(d.withdrawnUntil)
+	now := d.now()
+	maps.DeleteFunc(d.withdrawnUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return len(d.withdrawnUntil) < known
+}
+
 // apply records an event and tells whether the view must be rebuilt.
 func (d *viewDuty) apply(e event) bool {
 	switch e := e.(type) {
@@ -121,16 +150,15 @@
 // whose entry only lapsed is back.
 const withdrawnTime = 4 * time.Second
 
-// withdrawn takes another instance's word on endpoints.
+// withdrawn takes another instance's word on endpoints. One that the own list does
+// not hold yet may come by an answer from before the word.
 func (d *viewDuty) withdrawn(names []string) bool {
 	changed := false
 	for _, name := range names {
-		if _, known := d.endpoints[name]; !known {
-			continue
-		}
-		changed = changed || !d.now().Before(d.withdrawnUntil[name])
 		if _, told := d.withdrawnUntil[name]; !told {
-			d.log.Info("endpoint leaves", "endpoint", name, "by", "the holder's word")
+			_, listed := d.endpoints[name]
+			changed = changed || listed
+			d.log.Info("endpoint leaves", "endpoint", name, "by", "the holder's word", "listed", listed)
 		}
 		d.withdrawnUntil[name] = d.now().Add(withdrawnTime)
 	}
--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -9,6 +11,7 @@
 
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
 )
@@ -79,6 +82,25 @@
 	require.False(t, h.takes("e2"))
 }
 
+// The word of another instance runs out: an endpoint whose entry had only lapsed at
+// the holder of the lease takes requests again, also if nothing else happens.
+func TestWordOnAnEndpointRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		h := newViewHarness()
+		h.viewDuty.now, h.events = time.Now, ring.New[event](eventsCapacity, ring.Block)
+		h.listing("e1")
+		go h.run(ctx)
+		require.NoError(t, h.events.Put(ctx, endpointsWithdrawn{[]string{"e1"}}))
+		time.Sleep(withdrawnTime - time.Second)
+		require.False(t, h.takes("e1"))
+		time.Sleep(time.Second + wordsLook)
+		synctest.Wait()
+		require.True(t, h.takes("e1"))
+		stop()
+	})
+}
+
 // An entry that lapsed and came back is live again: the others are not told any more
 // that its endpoint leaves.
 func TestEndpointThatIsBackIsNotToldToLeave(t *testing.T) {
