--- /dev/null
+++ b/daemon/latestore_test.go
@@ -0,0 +1,338 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// lateStore keeps entries of endpoints and serves watches by calls that wait, as the
+// platform's store does. Watches that may be behind see what is staleBy old.
+type lateStore struct {
+	staleBy time.Duration
+
+	mu       sync.Mutex
+	revision int64
+	history  []lateChange
+	changed  chan struct{}
+}
+
+type lateChange struct {
+	at       time.Time
+	revision int64
+	event    store.Event
+}
+
+const endpointsKind store.Kind = "endpoints"
+
+func newLateStore(staleBy time.Duration) *lateStore {
+	return &lateStore{staleBy: staleBy, changed: make(chan struct{})}
+}
+
+func (s *lateStore) put(name string, state membership.State) { s.enter(name, state, 1) }
+
+func (s *lateStore) enter(name string, state membership.State, slots int) {
+	spec, err := json.Marshal(membership.Member{Name: name, Incarnation: name, Pool: "pool", State: state, Slots: slots})
+	if err != nil {
+		panic(err)
+	}
+	s.record(store.EventModified, store.Object{Kind: endpointsKind, Metadata: store.Metadata{Name: name}, Spec: spec})
+}
+
+func (s *lateStore) remove(name string) {
+	s.record(store.EventDeleted, store.Object{Kind: endpointsKind, Metadata: store.Metadata{Name: name}})
+}
+
+func (s *lateStore) record(what store.EventType, o store.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o.Metadata.ResourceVersion = strconv.FormatInt(s.revision, 10)
+	s.history = append(s.history, lateChange{at: time.Now(), revision: s.revision, event: store.Event{Type: what, Object: o}})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *lateStore) list() store.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := map[string]store.Object{}
+	for _, c := range s.history {
+		if c.event.Type == store.EventDeleted {
+			delete(items, c.event.Object.Metadata.Name)
+			continue
+		}
+		items[c.event.Object.Metadata.Name] = c.event.Object
+	}
+	l := store.List{ResourceVersion: strconv.FormatInt(s.revision, 10)}
+	for _, o := range items {
+		l.Items = append(l.Items, o)
+	}
+	return l
+}
+
+// since returns what a watch sees behind a revision, and what to wait for if that is
+// nothing.
+func (s *lateStore) since(revision int64, behind bool) (events []store.Event, at int64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at = revision
+	for _, c := range s.history {
+		if c.revision <= revision || behind && time.Since(c.at) < s.staleBy {
+			continue
+		}
+		events, at = append(events, c.event), c.revision
+	}
+	return events, at, s.changed
+}
+
+// lateClient is one instance's way to the store.
+type lateClient struct {
+	store.Client
+	store *lateStore
+	link  *storeLink
+	fresh NodeFresh
+
+	mu sync.Mutex
+	// away makes calls fail, silent makes watches that begin now wait in vain; both
+	// end a watch that waits when they change.
+	away, silent bool
+	cut          chan struct{}
+}
+
+var errStoreAway = errors.New("the store does not answer")
+
+// set changes how the store behaves to this instance; cut breaks the watch that waits.
+func (c *lateClient) set(away, silent, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away, c.silent = away, silent
+	if cut {
+		close(c.cut)
+		c.cut = make(chan struct{})
+	}
+}
+
+func (c *lateClient) state() (away, silent bool, cut <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.away, c.silent, c.cut
+}
+
+func (c *lateClient) List(context.Context, store.Kind) (store.List, error) {
+	if away, _, _ := c.state(); away {
+		return store.List{}, errStoreAway
+	}
+	c.link.answered()
+	return c.store.list(), nil
+}
+
+func (c *lateClient) Watch(ctx context.Context, _ store.Kind, version string, o store.WatchOptions, handle func(store.Event)) error {
+	revision, err := strconv.ParseInt(version, 10, 64)
+	for err == nil {
+		var events []store.Event
+		behind := o.MayBeBehind()
+		if events, revision, err = c.wait(ctx, revision, behind); err != nil {
+			return err
+		}
+		at := strconv.FormatInt(revision, 10)
+		for _, e := range append(events, bookmark(at)) {
+			e.Object.Metadata.ResourceVersion, e.Behind = at, behind
+			handle(e)
+		}
+	}
+	return err
+}
+
+// wait is one call of a watch.
+func (c *lateClient) wait(ctx context.Context, revision int64, behind bool) ([]store.Event, int64, error) {
+	hold := c.fresh.entriesWait()
+	if behind {
+		hold = c.fresh.behindWait()
+	}
+	away, silent, cut := c.state()
+	if away {
+		return nil, 0, errStoreAway
+	}
+	over, timeout := time.NewTimer(hold), time.NewTimer(hold+store.WatchSlack)
+	defer over.Stop()
+	defer timeout.Stop()
+	for {
+		var changed <-chan struct{}
+		var look <-chan time.Time
+		if !silent {
+			events, at, more := c.store.since(revision, behind)
+			if len(events) > 0 {
+				c.link.answered()
+				return events, at, nil
+			}
+			changed = more
+			if behind {
+				// What is old enough now becomes visible.
+				look = time.After(10 * time.Millisecond)
+			}
+		}
+		select {
+		case <-changed:
+		case <-look:
+		case <-cut:
+			return nil, 0, errStoreAway
+		case <-over.C:
+			if !silent {
+				c.link.answered()
+				return nil, revision, nil
+			}
+		case <-timeout.C:
+			return nil, 0, context.DeadlineExceeded
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// lateInstance is what of an instance learns of endpoints that leave.
+type lateInstance struct {
+	client *lateClient
+	link   *storeLink
+	mesh   *mesh
+	duty   *entriesDuty
+	list   *membership.List
+
+	mu sync.Mutex
+	// left is when each endpoint was known to take no more work.
+	left map[string]time.Time
+}
+
+func newLateInstance(s *lateStore, name string, holds func() bool) *lateInstance {
+	fresh := DefaultNodeConfig().Fresh
+	link := &storeLink{log: logr.Discard(), now: time.Now}
+	i := &lateInstance{
+		link: link, list: membership.NewList(), left: map[string]time.Time{},
+		client: &lateClient{store: s, link: link, fresh: fresh, cut: make(chan struct{})},
+	}
+	sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
+	if err != nil {
+		panic(err)
+	}
+	i.mesh = &mesh{
+		instance: name, now: time.Now, log: logr.Discard(), sealer: sealer, holds: holds,
+		current: func() bool { return link.age(endpointsKind) < fresh.vouchAge() },
+		listed:  map[string]presence{}, withdrawn: map[string]time.Time{}, counted: func(int) {},
+		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], nil), revision: func() int64 { return 1 },
+	}
+	i.duty = &entriesDuty{
+		client: i.client, kind: endpointsKind, entries: membership.NewEntries(), link: link, log: logr.Discard(), now: time.Now,
+		decode: func(o store.Object) (m membership.Member, err error) { return m, json.Unmarshal(o.Spec, &m) },
+		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: ring.New[event](eventsCapacity, ring.Block),
+		behind: func() bool { return i.mesh.holderTells() && link.settled() },
+	}
+	return i
+}
+
+// follow runs what follows the store.
+func (i *lateInstance) follow(ctx context.Context) {
+	go i.duty.watch(ctx)
+	go i.duty.run(ctx)
+	go i.learn(ctx)
+}
+
+// learn takes the list as the view does.
+func (i *lateInstance) learn(ctx context.Context) {
+	for {
+		e, err := i.duty.events.Take(ctx)
+		if err != nil {
+			return
+		}
+		if l, ok := e.(membersListed); ok {
+			for _, c := range i.list.Step(time.Now(), membership.Listed{Listing: l.listing}) {
+				if c.Member.State != membership.Live {
+					i.mesh.withdraw(c.Member.Name)
+					i.leaves(c.Member.Name)
+				}
+			}
+		}
+	}
+}
+
+func (i *lateInstance) leaves(name string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if _, known := i.left[name]; !known {
+		i.left[name] = time.Now()
+	}
+}
+
+// lateness is how long after began the instance knew that the endpoint leaves.
+func (i *lateInstance) lateness(t *testing.T, name string, began time.Time) time.Duration {
+	t.Helper()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	at, known := i.left[name]
+	require.True(t, known, "%s is not known to leave", name)
+	return at.Sub(began)
+}
+
+// wire carries the packets of one instance to the only other one.
+type wire struct {
+	from, to *lateInstance
+}
+
+func (w wire) Send(_ string, sealed []byte) {
+	plain, err := w.from.mesh.sealer.Open(sealed)
+	if err != nil {
+		panic(err)
+	}
+	p, err := peer.DecodePacket(plain)
+	if err != nil {
+		panic(err)
+	}
+	w.to.mesh.totals.take(time.Now(), p)
+	for _, name := range p.Withdrawn {
+		w.to.leaves(name)
+	}
+}
+
+func (wire) Close() {}
+
+// speak lets a holder of the lease renew it and tell the other instance what it knows.
+func (i *lateInstance) speak(ctx context.Context, to *lateInstance) {
+	i.mesh.datagrams = wire{from: i, to: to}
+	i.mesh.listed[to.mesh.instance] = presence{Datagrams: "10.0.0.2:1"}
+	go func() {
+		for ctx.Err() == nil {
+			if away, _, _ := i.client.state(); !away {
+				i.link.answered()
+			}
+			time.Sleep(leaseRenewal)
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			if i.mesh.holds() {
+				i.mesh.tellSum()
+			}
+			time.Sleep(hubTick)
+		}
+	}()
+}
+
+// busy lets other endpoints change all the time, as units come and go.
+func (s *lateStore) busy(ctx context.Context) {
+	for n := 1; ctx.Err() == nil; n++ {
+		s.enter("busy", membership.Live, n)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
