Behind an answer that may be old nothing gathers once nobody vouches

Cause: an instance whose last answer may be old waited half a second more before its first close call. Change: gathering goes by what the answer was, and ends with the holder's word.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -129,7 +129,7 @@
 				changes = nil
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				d.gather(ctx)
+				d.gather(ctx, e.Behind)
 			case store.EventDeleted:
 				changes = append(changes, membership.EntryChange{Name: e.Object.Metadata.Name})
 			default:
@@ -148,9 +148,10 @@
 }
 
 // gather lets changes gather before they are asked for: each answer of the store
-// costs a call, and wakes the instance.
-func (d *entriesDuty) gather(ctx context.Context) {
-	if d.behind() {
+// costs a call, and wakes the instance. Behind an answer that may be old it goes on
+// only for as long as another instance tells what matters.
+func (d *entriesDuty) gather(ctx context.Context, behind bool) {
+	if behind {
 		wait.While(ctx, behindGather, d.behind)
 		return
 	}
