Failing test: an instance that went with the store's history stays listed

Cause: an audit of paths by which membership is learned late: this one is never learned. Conclusion: a list must also say who is not in it any more.

--- /dev/null
+++ b/daemon/presence_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// An instance went while the store dropped its history, so nobody was told that its
+// entry was removed, and the list that followed was only read for those that are in
+// it. It was counted among the instances for good: the retries that all may make were
+// divided among too many, and packets went to an address where nobody was.
+
+// forgetfulStore lists fewer instances after it has dropped its history.
+type forgetfulStore struct {
+	store.Client
+	mu    sync.Mutex
+	lists [][]string
+}
+
+func (s *forgetfulStore) List(context.Context, store.Kind) (store.List, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := store.List{ResourceVersion: "1"}
+	for _, name := range s.lists[0] {
+		spec, err := json.Marshal(presence{Datagrams: name + ":1"})
+		if err != nil {
+			return l, err
+		}
+		l.Items = append(l.Items, store.Object{Metadata: store.Metadata{Name: name}, Spec: spec})
+	}
+	if len(s.lists) > 1 {
+		s.lists = s.lists[1:]
+	}
+	return l, nil
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, _ store.Kind, _ string, _ store.WatchOptions, _ func(store.Event)) error {
+	s.mu.Lock()
+	last := len(s.lists) == 1
+	s.mu.Unlock()
+	if last {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Second)
+	return &store.StatusError{Code: 410}
+}
+
+func TestInstanceThatWentWithTheHistoryIsNotListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		m := &mesh{listed: map[string]presence{}, counted: func(int) {}}
+		d := &presenceDuty{
+			client: &forgetfulStore{lists: [][]string{{"n1", "n2", "n3"}, {"n1", "n3"}, {"n1", "n3"}}},
+			link:   &storeLink{log: logr.Discard(), now: time.Now}, log: logr.Discard(), found: m.find,
+		}
+		go d.watch(ctx)
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, 3, m.size())
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, 2, m.size())
+		stop()
+		synctest.Wait()
+	})
+}
