--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -43,6 +43,8 @@
 	// nil says that it is gone.
 	opened func(key []byte) error
 	found  func(instance string, p *presence)
+	// known are the instances whose entries are there; the watch alone uses it.
+	known map[string]bool
 }
 
 // presenceGather is how long entries of instances gather.
@@ -134,9 +136,7 @@
 	r := store.NewReflector(d.client, store.KindInstance, store.WatchOptions{Behind: whoIsThereMayBeOld},
 		func(l store.List) {
 			d.link.heard()
-			for _, o := range l.Items {
-				d.note(o)
-			}
+			d.listed(l)
 		},
 		func(e store.Event) {
 			d.link.heard()
@@ -145,7 +145,7 @@
 				// Many instances start together; their entries gather meanwhile.
 				wait.For(ctx, presenceGather)
 			case store.EventDeleted:
-				d.found(e.Object.Metadata.Name, nil)
+				d.gone(e.Object.Metadata.Name)
 			default:
 				d.note(e.Object)
 			}
@@ -154,7 +154,28 @@
 	r.Run(ctx)
 }
 
+// listed notes who is listed, and that all others are gone: where history was dropped
+// nothing else tells.
+func (d *presenceDuty) listed(l store.List) {
+	before := d.known
+	d.known = make(map[string]bool, len(l.Items))
+	for _, o := range l.Items {
+		d.note(o)
+	}
+	for name := range before {
+		if !d.known[name] {
+			d.gone(name)
+		}
+	}
+}
+
+func (d *presenceDuty) gone(instance string) {
+	delete(d.known, instance)
+	d.found(instance, nil)
+}
+
 func (d *presenceDuty) note(o store.Object) {
+	d.known[o.Metadata.Name] = true
 	var p presence
 	if err := json.Unmarshal(o.Spec, &p); err != nil {
 		d.log.Error(err, "presence unreadable", "name", o.Metadata.Name)
