--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/eiderspring/eiderspring/wait"
 )
 
@@ -14,6 +16,7 @@
 // settings allow. net/http reads its own bound without a lock, so it cannot
 // follow settings that change.
 type idleConns struct {
+	log logr.Logger
 	now func() time.Time
 	// limit returns how long a connection may rest; 0 sets no bound.
 	limit func() time.Duration
@@ -26,8 +29,8 @@
 	earlierUntil  time.Time
 }
 
-func newIdleConns(now func() time.Time, limit func() time.Duration) *idleConns {
-	return &idleConns{now: now, limit: limit, idle: map[net.Conn]time.Time{}}
+func newIdleConns(log logr.Logger, now func() time.Time, limit func() time.Duration) *idleConns {
+	return &idleConns{log: log, now: now, limit: limit, idle: map[net.Conn]time.Time{}}
 }
 
 // note is the server's ConnState hook.
@@ -78,10 +81,17 @@
 	if limit == 0 {
 		return
 	}
+	closed, oldest := 0, time.Duration(0)
 	for conn, since := range c.idle {
-		if c.now().Sub(since) >= limit+idleSlack {
-			conn.Close()
-			delete(c.idle, conn)
+		rested := c.now().Sub(since)
+		if rested < limit+idleSlack {
+			continue
 		}
+		conn.Close()
+		delete(c.idle, conn)
+		closed, oldest = closed+1, max(oldest, rested)
+	}
+	if closed > 0 {
+		c.log.Info("idle connections closed", "closed", closed, "limit_ms", limit.Milliseconds(), "oldest_ms", oldest.Milliseconds())
 	}
 }
--- a/daemon/idleconns_test.go
+++ b/daemon/idleconns_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 )
 
@@ -22,7 +23,7 @@
 	h := &idleHarness{clock: time.Unix(1000, 0), bound: bound}
 	h.conn, h.peer = net.Pipe()
 	t.Cleanup(func() { h.conn.Close(); h.peer.Close() })
-	h.idleConns = newIdleConns(func() time.Time { return h.clock }, func() time.Duration { return h.bound })
+	h.idleConns = newIdleConns(logr.Discard(), func() time.Time { return h.clock }, func() time.Duration { return h.bound })
 	h.sweep()
 	h.note(h.conn, http.StateIdle)
 	return h
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -111,7 +111,7 @@
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.startedAt = n.now()
 	n.link = &storeLink{log: log, now: n.now}
-	n.idle = newIdleConns(n.now, n.idleLimit)
+	n.idle = newIdleConns(log, n.now, n.idleLimit)
 	n.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, n.now)
 	n.engine = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, IdlePerEndpoint: idlePerEndpoint, Dialect: ports.Endpoints})
 	n.control = engine.NewClient(engine.Config{Dial: watchfulDialer().DialContext, Dialect: ports.Endpoints, IdlePerEndpoint: 1})
