Let the watch of idle connections serve the callers' listener

Change: idleConns runs the callers' server on its listener; nothing else. Conclusion: no change of behaviour; the tests of daemon and platform pass.

--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -33,6 +33,12 @@
 	return &idleConns{log: log, now: now, limit: limit, idle: map[net.Conn]time.Time{}}
 }
 
+// serve runs the callers' server on a listener, whose connections are then watched.
+func (c *idleConns) serve(server *http.Server, l net.Listener) error {
+	server.ConnState = c.note
+	return server.Serve(l)
+}
+
 // note is the server's ConnState hook.
 func (c *idleConns) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -99,6 +99,8 @@
 	server   *http.Server
 }
 
+func (s *nodeServer) serve() error { return s.server.Serve(s.listener) }
+
 // NewNode returns a node that listens but serves nothing yet.
 func NewNode(cfg NodeConfig, ports NodePorts, log logr.Logger) (*Node, error) {
 	n := &Node{
@@ -261,7 +263,6 @@
 			IdleTimeout: longestRest,
 		}}
 	}
-	n.front.server.ConnState = n.idle.note
 	return nil
 }
 
@@ -404,9 +405,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.duties()
 	failed := make(chan error, 3)
-	for _, s := range []*nodeServer{n.front, n.ready, n.operators} {
+	for _, serve := range []func() error{
+		func() error { return n.idle.serve(n.front.server, n.front.listener) }, n.ready.serve, n.operators.serve,
+	} {
 		n.done.Go(func() {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		})
