Let the watch of idle connections end the callers' server

Cause: what a planned stop does to connections at rest stands in net/http and cannot be tested without a node and its seconds of grace. Change: idleConns ends the callers' server, for now by Shutdown as before.

--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -39,6 +39,11 @@
 	return server.Serve(l)
 }
 
+// shutdown ends the server once what is in progress is answered, or with ctx.
+func (c *idleConns) shutdown(ctx context.Context, server *http.Server) error {
+	return server.Shutdown(ctx)
+}
+
 // note is the server's ConnState hook.
 func (c *idleConns) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
