Test requests that arrive as their connection is closed

By the time alone, an instance that stood still also closes connections whose requests wait unread. Change: three tests that bring a request between two steps of the server by hooks in its reads.

--- /dev/null
+++ b/daemon/arrivedrequest_test.go
@@ -0,0 +1,224 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// hook runs at a read of a whole request; read counts those of its connection.
+type hook func(read int)
+
+// hookedConn is a TCP connection that runs hooks before its reads and, where bytes
+// came, behind them.
+type hookedConn struct {
+	*net.TCPConn
+	arrivals *arrivals
+	reads    int
+}
+
+// Read implements net.Conn.
+func (c *hookedConn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		// So net/http watches a connection while its request is served.
+		return c.TCPConn.Read(p)
+	}
+	c.reads++
+	(*c.arrivals.beforeRead.Load())(c.reads)
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		(*c.arrivals.afterRead.Load())(c.reads)
+	}
+	return n, err
+}
+
+// hookedListener hooks the one connection that it accepts.
+type hookedListener struct {
+	net.Listener
+	arrivals *arrivals
+}
+
+// Accept implements net.Listener.
+func (l *hookedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	hooked := &hookedConn{TCPConn: conn.(*net.TCPConn), arrivals: l.arrivals}
+	l.arrivals.accepted.Store(hooked)
+	return hooked, nil
+}
+
+// arrivals is a server on loopback with one caller. Hooks run in the server's
+// reads, so that what happens there comes between two steps of the server.
+type arrivals struct {
+	t        *testing.T
+	idle     *idleConns
+	late     atomic.Bool
+	server   *http.Server
+	accepted atomic.Pointer[hookedConn]
+	// served counts the requests that reached the server's handler.
+	served atomic.Int64
+	caller net.Conn
+	reader *bufio.Reader
+
+	beforeRead, afterRead atomic.Pointer[hook]
+}
+
+// patience bounds waiting for what must come; no test asserts how soon.
+const patience = 30 * time.Second
+
+// restLimit is how long connections may rest.
+const restLimit = 3 * time.Second
+
+func newArrivals(t *testing.T) *arrivals {
+	a := &arrivals{t: t}
+	none := hook(func(int) {})
+	a.beforeRead.Store(&none)
+	a.afterRead.Store(&none)
+	a.idle = newIdleConns(logr.Discard(), a.now, func() time.Duration { return restLimit })
+	a.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.served.Add(1)
+		_, _ = io.WriteString(w, "answer to "+r.URL.Path)
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = a.idle.serve(a.server, &hookedListener{l, a}) }()
+	t.Cleanup(func() { a.server.Close() })
+	a.caller, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { a.caller.Close() })
+	a.reader = bufio.NewReader(a.caller)
+	return a
+}
+
+// now stands still but for one step beyond the limit.
+func (a *arrivals) now() time.Time {
+	start := time.Unix(1000, 0)
+	if a.late.Load() {
+		return start.Add(3 * restLimit)
+	}
+	return start
+}
+
+// send sends a request.
+func (a *arrivals) send(path string) {
+	a.t.Helper()
+	_, err := fmt.Fprintf(a.caller, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+	require.NoError(a.t, err)
+}
+
+// requireAnswer reads an answer, which has to be the one to the request.
+func (a *arrivals) requireAnswer(path string) {
+	a.t.Helper()
+	resp, err := http.ReadResponse(a.reader, nil)
+	require.NoError(a.t, err, "no answer to %s; %d requests were served", path, a.served.Load())
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(a.t, err)
+	require.Equal(a.t, "answer to "+path, string(body))
+}
+
+// rest waits until the server counts the connection as idle.
+func (a *arrivals) rest() {
+	a.t.Helper()
+	require.Eventually(a.t, func() bool {
+		a.idle.mu.Lock()
+		defer a.idle.mu.Unlock()
+		return len(a.idle.idle) == 1
+	}, patience, time.Millisecond)
+}
+
+// sweepLate sweeps when the connection has rested for longer than the limit.
+func (a *arrivals) sweepLate() {
+	a.late.Store(true)
+	a.idle.sweep()
+}
+
+// waitUnread waits until bytes wait unread at the server.
+func (a *arrivals) waitUnread() {
+	a.t.Helper()
+	raw, err := a.accepted.Load().SyscallConn()
+	require.NoError(a.t, err)
+	require.Eventually(a.t, func() bool {
+		var unread int
+		require.NoError(a.t, raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }))
+		return unread > 0
+	}, patience, time.Millisecond)
+}
+
+// endNow ends the server with no time left to wait for anything.
+func (a *arrivals) endNow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = a.idle.shutdown(ctx, a.server)
+}
+
+// A sweep of idle connections came between the read of a request and the moment
+// at which net/http counts its connection as active, which it does only once it has
+// read the whole head. The instance had stood still for seconds, so that the
+// connection seemed to have rested for longer than the limit. It was closed, the
+// request went on to an endpoint all the same, and its caller got no answer.
+func TestSweepSparesRequestBeingRead(t *testing.T) {
+	a := newArrivals(t)
+	a.send("/first")
+	a.requireAnswer("/first")
+	a.rest()
+	sweep := hook(func(int) { a.sweepLate() })
+	a.afterRead.Store(&sweep)
+	a.send("/second")
+	require.Eventually(t, func() bool { return a.served.Load() == 2 }, patience, time.Millisecond, "the request is served")
+	a.requireAnswer("/second")
+}
+
+// Requests pile up unread while an instance stands still. The sweep that came
+// first afterwards judged by the time alone and closed their connections, also of
+// callers that had kept to the limit when they sent.
+func TestSweepSparesUnreadRequest(t *testing.T) {
+	a := newArrivals(t)
+	still := make(chan struct{})
+	hold := hook(func(read int) {
+		if read == 2 {
+			<-still
+		}
+	})
+	a.beforeRead.Store(&hold)
+	a.send("/first")
+	a.requireAnswer("/first")
+	a.rest()
+	a.send("/second")
+	a.waitUnread()
+	a.sweepLate()
+	close(still)
+	a.requireAnswer("/second")
+}
+
+// A planned stop closed the connections that net/http counted as idle, and net/http
+// drops whatever it reads from then on: a request that was being read when the stop
+// came this far got neither an answer nor a refusal. So did the first request of a
+// connection.
+func TestStopAnswersRequestBeingRead(t *testing.T) {
+	for name, before := range map[string][]string{"first request": nil, "on a kept connection": {"/first"}} {
+		t.Run(name, func(t *testing.T) {
+			a := newArrivals(t)
+			for _, path := range before {
+				a.send(path)
+				a.requireAnswer(path)
+				a.rest()
+			}
+			end := hook(func(int) { a.endNow() })
+			a.afterRead.Store(&end)
+			a.send("/last")
+			a.requireAnswer("/last")
+		})
+	}
+}
