Close callers' connections only while no request has begun to arrive

A request in between was served, and its connection closed under it. Change: the callers' connections are wrapped. A wrapper is at rest from the last answer until the first byte behind it is taken from the system, which it marks before it takes the byte; it is closed only at rest and if a peek finds nothing unread, both under one lock. The stop no longer ends by Server.Shutdown, which drops what it reads: it closes the listener and what is at rest and waits for the others, which are answered or refused. The harness of the older tests makes its connection by the wrapping listener; what they check is the same. A request that crosses the close on the wire still finds the connection closed, but is not passed on.

--- a/daemon/arrivedrequest_test.go
+++ b/daemon/arrivedrequest_test.go
@@ -160,7 +160,7 @@
 func (a *arrivals) endNow() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = a.idle.shutdown(ctx, a.server)
+	_ = a.idle.drain(ctx)
 }
 
 // A sweep of idle connections came between the read of a request and the moment
--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -13,15 +13,20 @@
 )
 
 // idleConns closes callers' connections that have rested for longer than the
-// settings allow. net/http reads its own bound without a lock, so it cannot
-// follow settings that change.
+// settings allow, and all that rest once the instance stops. net/http reads its own
+// bound without a lock, so it cannot follow settings that change, and its Shutdown
+// drops requests that it is reading.
 type idleConns struct {
 	log logr.Logger
 	now func() time.Time
 	// limit returns how long a connection may rest; 0 sets no bound.
 	limit func() time.Duration
 
-	mu   sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
+	// open holds all connections, idle those that wait for a further request and
+	// since when.
+	open map[net.Conn]struct{}
 	idle map[net.Conn]time.Time
 	// last is the limit at the last sweep. Before it was lowered it was earlier,
 	// which callers may go by until earlierUntil.
@@ -30,33 +35,85 @@
 }
 
 func newIdleConns(log logr.Logger, now func() time.Time, limit func() time.Duration) *idleConns {
-	return &idleConns{log: log, now: now, limit: limit, idle: map[net.Conn]time.Time{}}
+	return &idleConns{log: log, now: now, limit: limit, open: map[net.Conn]struct{}{}, idle: map[net.Conn]time.Time{}}
 }
 
 // serve runs the callers' server on a listener, whose connections are then watched.
 func (c *idleConns) serve(server *http.Server, l net.Listener) error {
+	c.mu.Lock()
+	c.listener = l
+	c.mu.Unlock()
 	server.ConnState = c.note
-	return server.Serve(l)
+	return server.Serve(callerListener{l})
+}
+
+// drainLook is the time between two looks at the connections that are left, short
+// beside the seconds of a planned stop.
+const drainLook = 20 * time.Millisecond
+
+// drain takes no more connections, closes those at rest, and returns once the others
+// have ended behind their answers, or with ctx. Requests that arrive on them until
+// then go to the handler.
+func (c *idleConns) drain(ctx context.Context) error {
+	c.closeListener()
+	for c.closeResting() > 0 {
+		if !wait.For(ctx, drainLook) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (c *idleConns) closeListener() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.listener != nil {
+		c.listener.Close()
+	}
+}
+
+// closeResting closes the connections at rest and returns how many are left.
+func (c *idleConns) closeResting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		c.closeAtRest(conn)
+	}
+	return len(c.open)
+}
+
+// closeAtRest closes a connection unless a request has begun to arrive.
+func (c *idleConns) closeAtRest(conn net.Conn) bool {
+	if !conn.(*callerConn).closeAtRest() {
+		return false
+	}
+	c.forget(conn)
+	return true
 }
 
-// shutdown ends the server once what is in progress is answered, or with ctx.
-func (c *idleConns) shutdown(ctx context.Context, server *http.Server) error {
-	return server.Shutdown(ctx)
+func (c *idleConns) forget(conn net.Conn) {
+	delete(c.open, conn)
+	delete(c.idle, conn)
 }
 
 // note is the server's ConnState hook.
 func (c *idleConns) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateIdle {
+	switch state {
+	case http.StateIdle:
+		conn.(*callerConn).rest()
 		c.idle[conn] = c.now()
-		return
+	case http.StateNew, http.StateActive:
+		c.open[conn] = struct{}{}
+		delete(c.idle, conn)
+	default:
+		c.forget(conn)
 	}
-	delete(c.idle, conn)
 }
 
-// idleSlack is how much longer than the limit a connection may rest: a request
-// that is being read has not made it active yet, and closing it then would cut it.
+// idleSlack is how much longer than the limit a connection may rest: a request may
+// be on its way, and its caller would have to send it again.
 const idleSlack = time.Second
 
 // promised is the limit that callers may go by: a lowered one holds only for
@@ -95,11 +152,9 @@
 	closed, oldest := 0, time.Duration(0)
 	for conn, since := range c.idle {
 		rested := c.now().Sub(since)
-		if rested < limit+idleSlack {
+		if rested < limit+idleSlack || !c.closeAtRest(conn) {
 			continue
 		}
-		conn.Close()
-		delete(c.idle, conn)
 		closed, oldest = closed+1, max(oldest, rested)
 	}
 	if closed > 0 {
--- a/daemon/idleconns_test.go
+++ b/daemon/idleconns_test.go
@@ -21,7 +21,13 @@
 
 func newIdleHarness(t *testing.T, bound time.Duration) *idleHarness {
 	h := &idleHarness{clock: time.Unix(1000, 0), bound: bound}
-	h.conn, h.peer = net.Pipe()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	h.peer, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	h.conn, err = callerListener{l}.Accept()
+	require.NoError(t, err)
 	t.Cleanup(func() { h.conn.Close(); h.peer.Close() })
 	h.idleConns = newIdleConns(logr.Discard(), func() time.Time { return h.clock }, func() time.Duration { return h.bound })
 	h.sweep()
--- a/daemon/nodefront.go
+++ b/daemon/nodefront.go
@@ -86,7 +86,7 @@
 	n.gates.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(milliseconds(n.cfg.Limits.GraceMS)-stopEarly))
 	defer cancel()
-	if err := n.idle.shutdown(ctx, n.front.server); err != nil {
+	if err := n.idle.drain(ctx); err != nil {
 		n.log.Info("requests cut by the end of the grace", "error", err.Error())
 		return
 	}
