Read short answers whole before any of them is passed on

Cause: an answer counts as begun once its head is written, but the server's buffers hold the head and what follows until some kilobytes are there or the answer ends. One that an endpoint broke off in between could be neither refused nor tried again, and its caller saw the connection end without a byte. Change: an answer whose length is told and fits the buffer that it is copied through (32 KB) is read whole first. If it breaks, nothing has gone out: the caller gets 502, or the request runs again where it may. Conclusion: answers without a told length still go out as they come, as they may be slow on purpose; one that breaks in its first bytes is still cut.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -69,9 +69,9 @@
 	defer resp.Body.Close()
 	buf := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buf)
-	// The first read comes before the header goes out: an answer that breaks
-	// before any of it has reached the caller may still be tried elsewhere.
-	n, err := resp.Body.Read(buf[:])
+	// The start is read before the header goes out: an answer that breaks before
+	// any of it has reached the caller may still be tried elsewhere.
+	n, err := readStart(resp, buf[:])
 	if err != nil && err != io.EOF {
 		return f.broken(ctx, err)
 	}
@@ -94,6 +94,16 @@
 	}
 }
 
+// readStart reads an answer whole if it is known to fit buf, and else what comes
+// first. Bytes of a short answer would stay in the server's buffers until its end:
+// if it broke in between, the caller would see its connection end without a byte.
+func readStart(resp *http.Response, buf []byte) (int, error) {
+	if length := resp.ContentLength; length > 0 && length <= int64(len(buf)) {
+		return io.ReadFull(resp.Body, buf[:length])
+	}
+	return resp.Body.Read(buf)
+}
+
 // stream relays events one by one and resumes the stream if it breaks.
 func (f relay) stream(ctx context.Context, x *Exchange) error {
 	a := x.attempt()
