Where there is more time for news the holder may be silent for longer

Cause: at 91 instances the words of the hub come up to 0.4 s apart; one lost or late word let instances look closely, which costs calls. Change: the silence after which they do so grows with the time for news: 0.55 s of 2 s, 0.95 s of 3 s.

--- a/daemon/fresh.go
+++ b/daemon/fresh.go
@@ -44,11 +44,21 @@
 // of what the other parts leave. A call that began while the store was away, and that
 // nobody answers, is also over and made again before the node counts as in contact.
 func (f NodeFresh) wait() time.Duration {
-	left := f.forNews() - newsReserve - holderLost - entriesGather - answerTime
+	left := f.forNews() - newsReserve - f.holderLost() - entriesGather - answerTime
 	inContact := milliseconds(f.ContactMS) - entriesGather - store.WatchSlack - store.LongestPause - answerTime
 	return min(max(min(left/2, inContact), leastWait), mostWait)
 }
 
+// holderLost is for how long the holder of the lease may fail to vouch before the
+// others look closely themselves: longer where there is more time for news, as the
+// words of a hub with many instances and a narrow link come hubSlow apart, and one of
+// them may be lost.
+func (f NodeFresh) holderLost() time.Duration {
+	const share, beyond = 0.4, 2 * time.Second
+	spare := max(f.forNews()-beyond, 0)
+	return leastHolderLost + time.Duration(share*float64(spare))
+}
+
 // entriesWait is how long the store may hold a close watch on endpoints.
 func (f NodeFresh) entriesWait() time.Duration { return f.wait() }
 
--- a/daemon/late_test.go
+++ b/daemon/late_test.go
@@ -87,7 +87,7 @@
 		s := newLateStore(staleAnswers)
 		s.put("e", membership.Live)
 		follower := newLateInstance(s, "follower", func() bool { return false })
-		follower.client.fresh = fresh
+		follower.client.fresh, follower.mesh.totals.holderLost = fresh, fresh.holderLost()
 		follower.follow(ctx)
 		silent := time.Now().Add(5*time.Second + last)
 		for time.Now().Before(silent) {
@@ -204,7 +204,7 @@
 	const step, startStep = 15 * time.Millisecond, 150 * time.Millisecond
 	// takes is how long the successor may need to see that the lease is free, and less
 	// than what makes the others look closely.
-	const takes = min(leaseRenewal+leaseLook, holderLost) - step
+	const takes = min(leaseRenewal+leaseLook, leastHolderLost) - step
 	var worst time.Duration
 	for last := time.Duration(0); last < behindGather+step; last += step {
 		for start := time.Duration(0); start < behindGather; start += startStep {
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -116,10 +116,10 @@
 	maxPassedOn = 40
 	// maxWithdrawn bounds the endpoints that one packet tells of.
 	maxWithdrawn = 16
-	// holderLost is for how long the holder of the lease may fail to vouch for what
-	// it knows before the others look closely themselves: one of its words may be
-	// lost.
-	holderLost = 550 * time.Millisecond
+	// leastHolderLost is for how long the holder of the lease may fail to vouch for
+	// what it knows, at least, before the others look closely themselves: its words
+	// come hubTick apart in small fleets, where several may be lost.
+	leastHolderLost = 550 * time.Millisecond
 	// hubTick is the time between two words of the hub, and hubSlow that where its
 	// link is too narrow. Requests go by what it told last: with a longer time, more
 	// of them meet at the same endpoints.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -169,6 +169,7 @@
 		holds:          func() bool { return n.placers.holds() },
 		counted:        n.shareRetries,
 		linkBytes:      n.cfg.Limits.LinkMbps * bytesPerMbit,
+		totals:         totals{holderLost: n.cfg.Fresh.holderLost()},
 	}
 }
 
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -61,7 +61,7 @@
 	require.GreaterOrEqual(t, m.hubPause(), hubTick)
 	m.linkBytes = 10 * bytesPerMbit
 	require.Equal(t, hubSlow, m.hubPause())
-	require.Less(t, m.hubPause()+meshTick, holderLost, "the others still hear it in time")
+	require.Less(t, m.hubPause()+meshTick, leastHolderLost, "the others still hear it in time")
 }
 
 // TestSilentHubIsReplaced lets entries of instances that are gone rank first.
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -15,6 +15,8 @@
 	// currentAt is when the hub last said that what it knows is current.
 	currentAt time.Time
 	loads     map[string]totalLoad
+	// holderLost is for how long a word that vouches counts, leastHolderLost at least.
+	holderLost time.Duration
 	// own is what this instance told last; the hub's sums hold it.
 	own map[string]peer.EndpointLoad
 }
@@ -79,7 +81,7 @@
 
 // vouched tells whether the hub has said lately that what it knows is current.
 func (t *totals) vouched(now time.Time) bool {
-	return t.vouchedAge(now) < holderLost
+	return t.vouchedAge(now) < max(t.holderLost, leastHolderLost)
 }
 
 // vouchedAge is how long ago the hub last said that what it knows is current.
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -30,12 +30,12 @@
 
 	m.totals.take(now, wordOfHolder(true))
 	require.True(t, m.holderTells())
-	now = now.Add(holderLost)
+	now = now.Add(leastHolderLost)
 	require.False(t, m.holderTells(), "silence")
 
 	m.totals.take(now, wordOfHolder(true))
 	for range 3 {
-		now = now.Add(holderLost / 2)
+		now = now.Add(leastHolderLost / 2)
 		m.totals.take(now, wordOfHolder(false))
 	}
 	require.False(t, m.holderTells(), "the holder speaks but has lost the store")
@@ -78,7 +78,7 @@
 	for _, ms := range boundsForNews {
 		f := NodeFresh{LeavingMS: ms, SettingsMS: 10_000, ContactMS: 4000}
 		for range 2 {
-			noticed := f.vouchAge() + holderLost + max(f.behindWait(), wait.Look)
+			noticed := f.vouchAge() + f.holderLost() + max(f.behindWait(), wait.Look)
 			require.LessOrEqual(t, noticed+newsReserve, milliseconds(ms), "%d ms", ms)
 			f.LeavingMS, f.SettingsMS = f.SettingsMS, f.LeavingMS
 		}
