Tests: a backlog of changes neither fills the memory nor is applied one by one

One answer brought the changes of nine seconds, and each became a list of all endpoints. Change: two tests with such an answer.

--- /dev/null
+++ b/daemon/backlog_test.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// Two instances of 90 ended as they had more memory than they may, half a second
+// after the store had let them in again, and every request on them was cut:
+//
+//	msg="store regained" away_ms=9232
+//	msg="settings in force" revision=6, 9 and 13 within the same millisecond
+//	memory over the limit (184 MB; 24 MB are usual)
+//
+// One answer brought all changes of those nine seconds. Each change of an entry was
+// made into a list of all endpoints, and each list copied for the controller of the
+// engines, faster than either was used: memory grew with changes times endpoints.
+// Each of several settings was decoded whole, though only the newest counts.
+
+// backlogStore has a watch whose first answer brings many changes.
+type backlogStore struct {
+	store.Client
+	list    []store.Object
+	backlog []store.Event
+	answers int
+	// told is set once the whole backlog was taken.
+	told bool
+}
+
+func (s *backlogStore) List(context.Context, store.Kind) (store.List, error) {
+	return store.List{ResourceVersion: "1", Items: s.list}, nil
+}
+
+func (s *backlogStore) Watch(ctx context.Context, _ store.Kind, _ string, _ store.WatchOptions, handle func(store.Event)) error {
+	s.answers++
+	if s.answers == 1 {
+		for _, e := range s.backlog {
+			handle(e)
+		}
+		handle(bookmark("2"))
+		s.told = true
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func TestBacklogOfEntriesMakesOneList(t *testing.T) {
+	const endpoints, rounds = 150, 20
+	s := &backlogStore{}
+	slots := 0
+	for i := range endpoints {
+		s.list = append(s.list, memberObject(fmt.Sprintf("e%d", i)))
+	}
+	for range rounds {
+		for _, o := range s.list {
+			s.backlog = append(s.backlog, store.Event{Type: store.EventModified, Object: o})
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		d := &entriesDuty{
+			client: s, entries: membership.NewEntries(), link: &storeLink{log: logr.Discard(), now: time.Now}, log: logr.Discard(), now: time.Now,
+			inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: ring.New[event](eventsCapacity, ring.Block),
+			behind: func() bool { return false },
+			decode: func(o store.Object) (membership.Member, error) {
+				// Each change is one.
+				slots++
+				m, err := liveMember(o)
+				m.Slots = slots
+				return m, err
+			},
+		}
+		go d.watch(ctx)
+		go d.run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.True(t, s.told, "the watch waits for the view")
+		require.LessOrEqual(t, d.events.Len(), 2, "lists that wait for the view")
+		stop()
+		synctest.Wait()
+	})
+}
+
+func TestBacklogOfSettingsBringsTheNewest(t *testing.T) {
+	const versions = 50
+	s := &backlogStore{}
+	for v := range versions {
+		o := memberObject("main")
+		o.Metadata.ResourceVersion = fmt.Sprint(v + 1)
+		s.backlog = append(s.backlog, store.Event{Type: store.EventModified, Object: o}, store.Event{Type: store.EventModified, Object: memberObject("other")})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var decoded []string
+		d := &configDuty{
+			client: s, name: "main", log: logr.Discard(), link: &storeLink{log: logr.Discard(), now: time.Now},
+			events: ring.New[event](eventsCapacity, ring.Block), behind: func() bool { return false },
+			decode: func(o store.Object) (*revision.Accepted, error) {
+				decoded = append(decoded, o.Metadata.ResourceVersion)
+				return &revision.Accepted{}, nil
+			},
+		}
+		go d.run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{fmt.Sprint(versions)}, decoded)
+		stop()
+		synctest.Wait()
+	})
+}
