Of the changes that one answer of the store brings only the newest of each object counts

Cause: see the failing test; decoding each of many versions costs a weak instance time and memory right when it comes back. Change: both duties that follow the store gather an answer's changes by object, decode the newest of each, and apply them with the answer's end. Figures: the test decodes 50 versions before, 1 after.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -62,8 +62,29 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	r := watched(d.client, d.kind, store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}, d.link.heard,
-		func(o store.Object) { d.found(ctx, o) },
+	options := store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}
+	var changes batch
+	r := store.NewReflector(d.client, d.kind, options,
+		func(l store.List) {
+			d.link.heard()
+			changes.take()
+			for _, o := range l.Items {
+				d.found(ctx, o)
+			}
+		},
+		func(e store.Event) {
+			switch e.Type {
+			case store.EventBookmark:
+				d.link.heard()
+				for _, e := range changes.take() {
+					d.found(ctx, e.Object)
+				}
+			case store.EventDeleted:
+				// Settings that were removed stay in force.
+			default:
+				changes.add(e)
+			}
+		},
 		func(err error) { d.link.failed(d.kind, err) })
 	r.Run(ctx)
 }
@@ -110,13 +131,12 @@
 
 func (d *entriesDuty) watch(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
-	// What one answer of the store brings is applied together.
-	var changes []membership.EntryChange
+	var changes batch
 	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }}
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
-			changes = nil
+			changes.take()
 			put(membership.StoreHeard{Since: d.link.returned()})
 			put(membership.EntriesListed{Members: d.members(l.Items)})
 		},
@@ -125,17 +145,12 @@
 			case store.EventBookmark:
 				d.link.heard()
 				put(membership.StoreHeard{Since: d.link.returned()})
-				put(membership.EntriesChanged{Changes: changes})
-				changes = nil
+				put(membership.EntriesChanged{Changes: d.changes(changes.take())})
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
 				d.gather(ctx, e.Behind)
-			case store.EventDeleted:
-				changes = append(changes, membership.EntryChange{Name: e.Object.Metadata.Name})
 			default:
-				for _, m := range d.members([]store.Object{e.Object}) {
-					changes = append(changes, membership.EntryChange{Name: m.Name, Member: &m})
-				}
+				changes.add(e)
 			}
 		},
 		func(err error) {
@@ -158,6 +173,21 @@
 	wait.For(ctx, entriesGather)
 }
 
+// changes decodes what an answer of the store brings.
+func (d *entriesDuty) changes(events []store.Event) []membership.EntryChange {
+	var changes []membership.EntryChange
+	for _, e := range events {
+		if e.Type == store.EventDeleted {
+			changes = append(changes, membership.EntryChange{Name: e.Object.Metadata.Name})
+			continue
+		}
+		for _, m := range d.members([]store.Object{e.Object}) {
+			changes = append(changes, membership.EntryChange{Name: m.Name, Member: &m})
+		}
+	}
+	return changes
+}
+
 func (d *entriesDuty) members(objects []store.Object) []membership.Member {
 	members := make([]membership.Member, 0, len(objects))
 	for _, o := range objects {
--- a/store/client.go
+++ b/store/client.go
@@ -25,7 +25,8 @@
 	// Delete removes an object; a missing one is an error.
 	Delete(ctx context.Context, kind Kind, name string) error
 	// Watch reports changes of a kind after a resource version until the
-	// stream or ctx ends. It always returns an error.
+	// stream or ctx ends. It always returns an error. Where it is made of calls
+	// that end, a bookmark follows the changes of each answer.
 	Watch(ctx context.Context, kind Kind, resourceVersion string, o WatchOptions, handle func(Event)) error
 }
 
