Failing tests: a poll of the platform's list that hangs while others have a newer one

Cause: a poll that began while the list was silent is never answered. It is given up after 30 s, and nobody tells the instance that there is a newer list, so it routes to endpoints that left meanwhile. Conclusion: instances have to tell how new their list is, and a poll must not outlast the platform's hold.

--- /dev/null
+++ b/daemon/hungpoll_test.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/standin"
+)
+
+// An instance routed to an endpoint for up to half a minute after the platform's list
+// had said that it leaves. Its poll of the list had begun while the list was silent,
+// and nobody answers such a call. The other instances had the newer list.
+
+// silences answers no call that begins while it is silent, however long the caller
+// waits.
+type silences struct {
+	next   http.Handler
+	silent atomic.Bool
+	// hung and calls count the calls that nobody answers, and all.
+	hung, calls atomic.Int64
+}
+
+func (s *silences) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	if s.silent.Load() {
+		s.hung.Add(1)
+		<-r.Context().Done()
+		return
+	}
+	s.next.ServeHTTP(w, r)
+}
+
+// inMemory carries calls to a handler without a network. As net/http's transport does,
+// it gives a call up when its context ends, and it counts how often the resting
+// connections are closed.
+type inMemory struct {
+	handler http.Handler
+	closed  atomic.Int64
+}
+
+func (m *inMemory) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer := &recordedAnswer{header: http.Header{}, status: http.StatusOK}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.handler.ServeHTTP(answer, r)
+	}()
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-done:
+	}
+	return &http.Response{StatusCode: answer.status, Header: answer.header, Body: io.NopCloser(&answer.body), Request: r}, nil
+}
+
+func (m *inMemory) CloseIdleConnections() { m.closed.Add(1) }
+
+type recordedAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *recordedAnswer) Header() http.Header         { return a.header }
+func (a *recordedAnswer) WriteHeader(status int)      { a.status = status }
+func (a *recordedAnswer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+// listOf returns a platform's list that holds an endpoint.
+func listOf(endpoint standin.Member) *standin.Members {
+	members := standin.NewMembers(0)
+	members.Set(endpoint)
+	return members
+}
+
+var deskMember = standin.Member{Name: "desk-0", Pool: "desk", Address: "127.0.0.1:1", FailureDomain: "a", Incarnation: "1", State: standin.MemberLive}
+
+// leavesBy tells whether the events bring, by a moment of virtual time, a list on which
+// the endpoint leaves.
+func leavesBy(events *ring.Ring[event], within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	for {
+		e, err := events.Take(ctx)
+		if err != nil {
+			return false
+		}
+		for _, m := range e.(membersListed).listing.Members {
+			if m.Name == deskMember.Name && m.State == membership.Leaving {
+				return true
+			}
+		}
+	}
+}
+
+// platformHold is how long the platform holds an unchanged list.
+const platformHold = 10 * time.Second
+
+// TestHungPollIsGivenUpBehindThePlatformsHold has nobody who could tell of the newer list.
+func TestHungPollIsGivenUpBehindThePlatformsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		members := listOf(deskMember)
+		list := &silences{next: members}
+		d := &membersDuty{source: membership.NewSource("http://platform", &inMemory{handler: list}), events: ring.New[event](eventsCapacity, ring.Block), log: logr.Discard()}
+		var running sync.WaitGroup
+		list.silent.Store(true)
+		running.Go(func() { d.run(ctx) })
+		synctest.Wait()
+		list.silent.Store(false)
+		leaves := deskMember
+		leaves.State = standin.MemberLeaving
+		members.Set(leaves)
+		require.True(t, leavesBy(d.events, platformHold+3*time.Second))
+		stop()
+		running.Wait()
+	})
+}
+
+// twoInstances is two instances with one list and one store; the second one's calls to
+// the list may hang.
+type twoInstances struct {
+	first, second *Instance
+	members       *standin.Members
+	list          *silences
+}
+
+func startTwo(t *testing.T) *twoInstances {
+	t.Helper()
+	two := &twoInstances{members: standin.NewMembers(0)}
+	two.list = &silences{next: two.members}
+	platform, beside := http.NewServeMux(), http.NewServeMux()
+	platform.Handle("/apis/", standin.NewObjectAPI())
+	platform.Handle("/members", two.members)
+	beside.Handle("/members", two.list)
+	objects, list := serve(t, platform), serve(t, beside)
+	publishSettings(t, objects)
+	two.members.Set(deskMember)
+	two.first = startBeside(t, two.members, "entry-0", Platform{ObjectAPI: objects, Members: objects})
+	two.second = startBeside(t, two.members, "entry-1", Platform{ObjectAPI: objects, Members: list})
+	for _, i := range []*Instance{two.first, two.second} {
+		two.eventually(t, func() bool {
+			return i.Ready() && i.router.View().Instances == 2 && len(i.router.View().Pools["desk"]) == 1
+		})
+	}
+	return two
+}
+
+// eventually waits for less than the platform holds an unchanged list, so that nothing
+// is found by a poll that is over by itself.
+func (two *twoInstances) eventually(t *testing.T, found func() bool) {
+	t.Helper()
+	require.Eventually(t, found, platformHold-2*time.Second, 5*time.Millisecond)
+}
+
+// startBeside starts an instance and puts it on the list.
+func startBeside(t *testing.T, members *standin.Members, name string, platform Platform) *Instance {
+	t.Helper()
+	cfg := DefaultConfig()
+	cfg.Incarnation, cfg.Instance, cfg.FailureDomain = "1", name, "a"
+	cfg.Callers, cfg.Operators = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Peers = Peers{Datagrams: freeUDP(t), Streams: freeUDP(t), Keys: []string{strings.Repeat("01", 32)}}
+	cfg.Platform, cfg.Limits.DrainGraceMS = platform, 1
+	i, err := New(cfg, Deps{Log: logr.Discard()})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- i.Run(ctx) }()
+	t.Cleanup(func() { stop(); require.NoError(t, <-done) })
+	members.Set(standin.Member{
+		Name: name, Pool: membership.InstancePool, Address: i.CallersAddr(), FailureDomain: "a", Incarnation: "1",
+		PeerPort: portOf(t, cfg.Peers.Datagrams), StreamPort: portOf(t, cfg.Peers.Streams), State: standin.MemberLive,
+	})
+	return i
+}
+
+func portOf(t *testing.T, address string) int {
+	t.Helper()
+	at, err := netip.ParseAddrPort(address)
+	require.NoError(t, err)
+	return int(at.Port())
+}
+
+// takesNothing tells whether an instance routes nothing to the endpoint.
+func takesNothing(i *Instance) bool {
+	for _, e := range i.router.View().Pools[deskMember.Pool] {
+		if !e.Leaving() {
+			return false
+		}
+	}
+	return true
+}
+
+// TestInstanceWhosePollHangsHearsThatAnEndpointLeaves lets the second instance's poll
+// begin while its list is silent.
+func TestInstanceWhosePollHangsHearsThatAnEndpointLeaves(t *testing.T) {
+	two := startTwo(t)
+	two.list.silent.Store(true)
+	two.members.Set(standin.Member{Name: "desk-1", Pool: "other", Address: "127.0.0.1:1", Incarnation: "1", State: standin.MemberLive})
+	two.eventually(t, func() bool { return two.list.hung.Load() > 0 })
+	two.list.silent.Store(false)
+	leaves := deskMember
+	leaves.State = standin.MemberLeaving
+	two.members.Set(leaves)
+	two.eventually(t, func() bool { return takesNothing(two.first) })
+	two.eventually(t, func() bool { return takesNothing(two.second) })
+}
