Instances tell each other how new their platform's list is, and a hung poll is given up

Cause: a poll that nobody answers was given up after 30 s, and other instances' newer list was no reason to ask. Change: hints carry the version of the list that the sender has. An instance that hears of a newer one gives its own call 250 ms to bring it, then gives it up, closes the resting connections and asks at once for any list: at most once a second, further apart while no answer comes. An answer that has begun is left to come; one that is older than the word refutes it. A hint without a version asks for nothing. In virtual time six instances make no call more than one for each of 50 changes, with answers up to 200 ms apart, and an unchanged list costs a call in 10 s as before. Where the polls of all hang at once, nobody can tell, and the last resort counts.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +25,11 @@
 	source *membership.Source
 	events *ring.Ring[event]
 	log    logr.Logger
+	// held is told of each answer's version, and of the version on whose word it was
+	// asked for, 0 if on none; nil tells nobody.
+	held func(version, asked int64)
+	// told is a version that another instance has and that was not asked for yet.
+	told atomic.Int64
 }
 
 // membersPause is the pause after a failure to read the list.
@@ -31,19 +38,46 @@
 func (d *membersDuty) run(ctx context.Context) {
 	var version int64
 	for ctx.Err() == nil {
-		listing, err := d.source.Next(ctx, version)
+		after, asked := version, d.told.Swap(0)
+		if asked > version {
+			// Any list is asked for, so that it answers at once whichever it has.
+			after = 0
+		} else {
+			asked = 0
+		}
+		listing, err := d.source.Next(ctx, after)
 		if err != nil {
-			if ctx.Err() == nil {
-				d.log.Info("members not read", "error", err.Error())
-			}
-			wait.For(ctx, jitter(membersPause))
+			d.failed(ctx, err, version)
 			continue
 		}
 		version = listing.Version
 		_ = d.events.Put(ctx, membersListed{listing})
+		if d.held != nil {
+			d.held(version, asked)
+		}
 	}
 }
 
+// failed tells of a call without an answer, and pauses unless it was given up to ask
+// at once.
+func (d *membersDuty) failed(ctx context.Context, err error, version int64) {
+	if ctx.Err() != nil {
+		return
+	}
+	if givenUp := (*membership.GivenUpError)(nil); errors.As(err, &givenUp) {
+		d.log.Info("poll given up", "version", version, "told", d.told.Load(), "waited_ms", givenUp.Waited.Milliseconds())
+		return
+	}
+	d.log.Info("members not read", "error", err.Error())
+	wait.For(ctx, jitter(membersPause))
+}
+
+// ask gives up a call that waits and asks at once, as another instance has that version.
+func (d *membersDuty) ask(version int64) {
+	d.told.Store(version)
+	d.source.GiveUp()
+}
+
 // loadDuty asks the engines for their load in turn. Its rate does not grow
 // with the number of endpoints; reports only become older. While no requests
 // come to this instance it asks less often, as nothing is routed by the answers.
--- a/daemon/hungpoll_test.go
+++ b/daemon/hungpoll_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -17,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/standin"
 )
@@ -218,3 +223,193 @@
 	two.eventually(t, func() bool { return takesNothing(two.first) })
 	two.eventually(t, func() bool { return takesNothing(two.second) })
 }
+
+// following is a duty that follows a list of the stand-ins without a network.
+type following struct {
+	*membersDuty
+	members *standin.Members
+	list    *silences
+	carrier *inMemory
+	answers chan peer.ListHeld
+}
+
+// follow runs the duty until the returned function is called.
+func follow(t *testing.T) (*following, func()) {
+	t.Helper()
+	f := &following{members: listOf(deskMember), answers: make(chan peer.ListHeld, eventsCapacity)}
+	f.list = &silences{next: f.members}
+	f.carrier = &inMemory{handler: f.list}
+	f.membersDuty = &membersDuty{
+		source: membership.NewSource("http://platform", f.carrier), events: ring.New[event](eventsCapacity, ring.Block), log: logr.Discard(),
+		held: func(version, asked int64) { f.answers <- peer.ListHeld{Version: version, Asked: asked} },
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.run(ctx) })
+	synctest.Wait()
+	return f, func() { stop(); running.Wait(); synctest.Wait() }
+}
+
+// version returns the list's version.
+func (f *following) version() int64 {
+	answer := httptest.NewRecorder()
+	f.members.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/members?after=0", nil))
+	var l membership.Listing
+	_ = json.Unmarshal(answer.Body.Bytes(), &l)
+	return l.Version
+}
+
+// hang lets the duty's next call begin while the list is silent, and lets the endpoint
+// leave behind the silence.
+func (f *following) hang(t *testing.T) {
+	t.Helper()
+	f.list.silent.Store(true)
+	f.members.Set(deskMember)
+	synctest.Wait()
+	require.EqualValues(t, 1, f.list.hung.Load())
+	f.list.silent.Store(false)
+	leaves := deskMember
+	leaves.State = standin.MemberLeaving
+	f.members.Set(leaves)
+	synctest.Wait()
+}
+
+func TestHungPollIsGivenUpOnTheWordOfANewerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := follow(t)
+		defer stop()
+		f.hang(t)
+		calls, closed := f.list.calls.Load(), f.carrier.closed.Load()
+		f.ask(f.version())
+		require.True(t, leavesBy(f.events, time.Millisecond))
+		synctest.Wait()
+		require.EqualValues(t, 2, f.list.calls.Load()-calls, "one that asks, and one that waits for the next change")
+		require.EqualValues(t, 1, f.carrier.closed.Load()-closed, "resting connections may be as silent")
+		for len(f.answers) > 1 {
+			<-f.answers
+		}
+		require.Equal(t, peer.ListHeld{Version: f.version(), Asked: f.version()}, <-f.answers)
+	})
+}
+
+// TestWordOfAListThatIsNotThereIsAnswered has a list that began anew, so that another
+// instance tells of a version that will not come for long.
+func TestWordOfAListThatIsNotThereIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := follow(t)
+		defer stop()
+		<-f.answers
+		f.ask(100)
+		synctest.Wait()
+		require.Len(t, f.answers, 1, "answered at once")
+		require.Equal(t, peer.ListHeld{Version: f.version(), Asked: 100}, <-f.answers)
+	})
+}
+
+// TestUnchangedListCostsACallForEachHold counts the calls of a healthy duty.
+func TestUnchangedListCostsACallForEachHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := follow(t)
+		defer stop()
+		time.Sleep(time.Minute - time.Second)
+		require.EqualValues(t, 1+6, f.list.calls.Load())
+		require.Zero(t, f.carrier.closed.Load(), "nothing was given up")
+	})
+}
+
+// wire carries datagrams between duties in memory, each to its address.
+type wire struct {
+	mu sync.Mutex
+	to map[string]*peersDuty
+}
+
+func (w *wire) Send(address string, data []byte) {
+	w.mu.Lock()
+	to := w.to[address]
+	w.mu.Unlock()
+	if to != nil {
+		to.receive(data)
+	}
+}
+
+func (w *wire) Close() {}
+
+// slowly answers each call a little later, by less than a bound. One caller at a time
+// uses it.
+type slowly struct {
+	next  http.Handler
+	bound time.Duration
+	rand  *rand.Rand
+}
+
+func (s slowly) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.next.ServeHTTP(w, r)
+	time.Sleep(time.Duration(s.rand.Int64N(int64(s.bound))))
+}
+
+// TestWordsCostNoCallsWhileAllAreWell has instances that tell each other how new their
+// list is, and a list whose answers reach them at different times.
+func TestWordsCostNoCallsWhileAllAreWell(t *testing.T) {
+	const instances, changes, latest = 6, 50, 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer func() { stop(); time.Sleep(latest) }()
+		members, w := listOf(deskMember), &wire{to: map[string]*peersDuty{}}
+		sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
+		require.NoError(t, err)
+		var lists []*silences
+		for at := range instances {
+			name := fmt.Sprintf("i%d", at)
+			members.Set(standin.Member{Name: name, Pool: membership.InstancePool, Address: "10.0.0.1:1", PeerPort: at + 1, StreamPort: at + 1, Incarnation: "1", State: standin.MemberLive})
+			peers := &peersDuty{
+				gossip: peer.NewGossip(peer.GossipConfig{Name: name, Process: "p"}), sealer: sealer, datagrams: w,
+				events: ring.New[peer.Event](peerEvents, ring.DropOldest), log: logr.Discard(), now: time.Now,
+				heard: newFreshness(time.Now, time.Second, func() {}), leaving: func(string) {}, sent: func(int) {}, received: func(int) {},
+			}
+			w.to[fmt.Sprintf("10.0.0.1:%d", at+1)] = peers
+			list := &silences{next: slowly{members, latest, rand.New(rand.NewPCG(uint64(at), 0))}}
+			lists = append(lists, list)
+			duty := &membersDuty{
+				source: membership.NewSource("http://platform", &inMemory{handler: list}), events: ring.New[event](eventsCapacity, ring.Block),
+				log: logr.Discard(), held: peers.listHeld,
+			}
+			peers.askList = duty.ask
+			// Their looks are spread.
+			time.Sleep(peerTick / instances)
+			go peers.run(ctx)
+			go duty.run(ctx)
+			go func() {
+				known := membership.NewList()
+				for {
+					e, err := duty.events.Take(ctx)
+					if err != nil {
+						return
+					}
+					known.Step(time.Now(), membership.Listed{Listing: e.(membersListed).listing})
+					peers.members(known)
+				}
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		before := make([]int64, instances)
+		for i, list := range lists {
+			before[i] = list.calls.Load()
+		}
+		for range changes {
+			members.Set(deskMember)
+			time.Sleep(900 * time.Millisecond)
+		}
+		for i, list := range lists {
+			require.EqualValues(t, changes, list.calls.Load()-before[i])
+		}
+	})
+}
+
+// TestNewerListIsInTimeAcrossTwoInstances adds up what may pass until an instance whose
+// poll hangs has the list by way of another one that had to hear of it too.
+func TestNewerListIsInTimeAcrossTwoInstances(t *testing.T) {
+	const inTime = 2 * time.Second
+	told := peerTick
+	asked := peer.DefaultListGrace + peerTick
+	require.LessOrEqual(t, 2*(told+asked+answerTime), inTime)
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -274,7 +274,10 @@
 		client: objects, streams: i.asking, fetcher: revision.NewFetcher(), wanted: i.peers.wanted,
 		events: i.events, heard: i.heard, log: i.log,
 	}
-	members := &membersDuty{source: membership.NewSource(i.cfg.Platform.Members, platform), events: i.events, log: i.log}
+	members := &membersDuty{
+		source: membership.NewSource(i.cfg.Platform.Members, platform), events: i.events, log: i.log, held: i.peers.listHeld,
+	}
+	i.peers.askList = members.ask
 	load := &loadDuty{
 		router: i.router, client: i.control, catalog: i.catalog.Load, events: i.events, log: i.log,
 		limiter: rate.NewLimiter(rate.Limit(i.cfg.Limits.LoadPollsPerSecond), 1),
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -27,6 +27,9 @@
 	now       func() time.Time
 	// leaving is told of instances that make a planned stop.
 	leaving func(name string)
+	// askList is told of a newer version of the platform's list that another instance
+	// has.
+	askList func(version int64)
 	// addresses holds where each instance is reached; the view duty writes it.
 	addresses atomic.Pointer[map[string]peerAddress]
 	sent      func(bytes int)
@@ -96,6 +99,8 @@
 		d.datagrams.Send(address, sealed)
 	case peer.Fetch:
 		_ = d.wanted.Put(ctx, wanted{stream: d.address(a.From).streams, revision: a.Revision})
+	case peer.AskList:
+		d.askList(a.Version)
 	case peer.PeerLeaving:
 		d.leaving(a.Name)
 	}
@@ -108,6 +113,12 @@
 	return peerAddress{}
 }
 
+// listHeld takes the version of an answer of the platform's list, and the version on
+// whose word it was asked for.
+func (d *peersDuty) listHeld(version, asked int64) {
+	_ = d.events.Put(context.Background(), peer.ListHeld{Version: version, Asked: asked})
+}
+
 // members takes the instances of a new list.
 func (d *peersDuty) members(list *membership.List) {
 	addresses := map[string]peerAddress{}
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -1,8 +1,8 @@
 // Package peer is the link between instances.
 //
 // Small datagrams over gnet carry hints: which revision of the settings the
-// sender has in force, and how long ago anyone it knows of heard the object
-// API. They are sealed with a key and protected from replay; a lost one costs
+// sender has in force, how new its platform's list is, and how long ago anyone
+// it knows of heard the object API. They are sealed with a key and protected from replay; a lost one costs
 // only time. Streams over quic-go with mutual TLS carry what must arrive: the
 // root and the chunks of the settings.
 //
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -13,6 +13,10 @@
 // InForce is the revision in force here.
 type InForce struct{ Revision int64 }
 
+// ListHeld is the version of an answer of the platform's list, and the version on
+// whose word it was asked for, 0 if on none.
+type ListHeld struct{ Version, Asked int64 }
+
 // StoreHeard says that the object API has answered this instance.
 type StoreHeard struct{}
 
@@ -27,6 +31,7 @@
 
 func (Live) isEvent()       {}
 func (InForce) isEvent()    {}
+func (ListHeld) isEvent()   {}
 func (StoreHeard) isEvent() {}
 func (Received) isEvent()   {}
 func (Leave) isEvent()      {}
@@ -47,11 +52,16 @@
 	Revision int64
 }
 
+// AskList asks to give up a call to the platform's list that waits, and to ask at once:
+// an instance has that version, and this one has not.
+type AskList struct{ Version int64 }
+
 // PeerLeaving says that an instance makes a planned stop.
 type PeerLeaving struct{ Name string }
 
 func (Send) isAction()        {}
 func (Fetch) isAction()       {}
+func (AskList) isAction()     {}
 func (PeerLeaving) isAction() {}
 
 // GossipConfig sets up a Gossip.
@@ -62,15 +72,27 @@
 	Every time.Duration
 	// FetchEvery is the least time between two fetches of the same revision.
 	FetchEvery time.Duration
+	// ListGrace is how long the own call to the platform's list has to bring what
+	// another instance has; ListEvery is the least time between two asks for it.
+	ListGrace, ListEvery time.Duration
 }
 
 // Defaults of GossipConfig.
 const (
 	DefaultGossipEvery = 500 * time.Millisecond
 	DefaultFetchEvery  = 300 * time.Millisecond
+	// DefaultListGrace is many times what lies between the list's answers to two
+	// calls that wait, so that an ask means that the own call hangs.
+	DefaultListGrace = 250 * time.Millisecond
+	// DefaultListEvery is half of the time that there is for a leaving endpoint.
+	DefaultListEvery = time.Second
 )
 
-// Gossip spreads the newest revision and the word that the store was heard.
+// mostListPause bounds the pause between asks that are not answered, in ListEvery.
+const mostListPause = 4
+
+// Gossip spreads the newest revision, the word that the store was heard, and how new
+// the platform's list is that each instance has.
 //
 // Invariants: revision never falls; storeAt and peerAt never go back.
 type Gossip struct {
@@ -86,6 +108,9 @@
 	guard           replayGuard
 	fetching        int64
 	fetchedAt       time.Time
+	list            listWord
+	// listNews says that the neighbours were not told yet of the list held here.
+	listNews bool
 }
 
 // NewGossip returns a gossip that knows of nobody.
@@ -96,7 +121,13 @@
 	if cfg.FetchEvery == 0 {
 		cfg.FetchEvery = DefaultFetchEvery
 	}
-	return &Gossip{cfg: cfg, guard: newReplayGuard()}
+	if cfg.ListGrace == 0 {
+		cfg.ListGrace = DefaultListGrace
+	}
+	if cfg.ListEvery == 0 {
+		cfg.ListEvery = DefaultListEvery
+	}
+	return &Gossip{cfg: cfg, guard: newReplayGuard(), list: listWord{grace: cfg.ListGrace, every: cfg.ListEvery}}
 }
 
 // Step applies an event and returns what to do.
@@ -111,19 +142,32 @@
 		}
 	case StoreHeard:
 		g.storeAt = now
+	case ListHeld:
+		g.listNews = g.list.held(now, e.Version, e.Asked) || g.listNews
 	case Leave:
 		g.leaving = true
 		return g.tell(now)
 	case Received:
 		return g.received(now, e.Hint)
 	case Tick:
-		if now.Sub(g.sentAt) >= g.cfg.Every {
-			return g.tell(now)
-		}
+		return g.tick(now)
 	}
 	return nil
 }
 
+// tick tells the neighbours when it is time, or when there is a newer list; many
+// changes of the list between two ticks are told once.
+func (g *Gossip) tick(now time.Time) []Action {
+	var actions []Action
+	if g.list.due(now) {
+		actions = append(actions, AskList{Version: g.list.told})
+	}
+	if g.listNews || now.Sub(g.sentAt) >= g.cfg.Every {
+		actions = append(actions, g.tell(now)...)
+	}
+	return actions
+}
+
 // PeerHeard returns when a peer was last heard.
 func (g *Gossip) PeerHeard() time.Time { return g.peerAt }
 
@@ -147,6 +191,7 @@
 	if heard := now.Add(-time.Duration(h.StoreAgeMS) * time.Millisecond); h.StoreAgeMS >= 0 && heard.After(g.storeAt) {
 		g.storeAt = heard
 	}
+	g.list.hear(now, h.List)
 	var actions []Action
 	if h.Leaving {
 		actions = append(actions, PeerLeaving{Name: h.From})
@@ -164,7 +209,7 @@
 
 // tell sends a hint to every neighbour.
 func (g *Gossip) tell(now time.Time) []Action {
-	g.sentAt = now
+	g.sentAt, g.listNews = now, false
 	actions := make([]Action, 0, len(g.neighbours))
 	for _, to := range g.neighbours {
 		actions = append(actions, g.send(now, to))
@@ -181,5 +226,6 @@
 	return Send{To: to, Hint: Hint{
 		Version: HintVersion, From: g.cfg.Name, Process: g.cfg.Process, Seq: g.seq, SentMS: now.UnixMilli(),
 		Revision: g.revision, StoreAgeMS: age, Leaving: g.leaving,
+		List: g.list.own,
 	}}
 }
--- a/peer/hint.go
+++ b/peer/hint.go
@@ -31,6 +31,9 @@
 	StoreAgeMS int64 `cbor:"7,keyasint"`
 	// Leaving tells that the sender makes a planned stop.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// List is the version of the platform's list that the sender has; a release that
+	// does not tell it leaves it 0, which asks for nothing.
+	List int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Errors of decoding a hint.
