--- a/bench/slopes_test.go
+++ b/bench/slopes_test.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	h := peer.Hint{Version: peer.HintVersion, From: "entry-0123", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Seq: 1 << 20, SentMS: 1 << 41, Revision: 1 << 20, StoreAgeMS: 500}
+	h := peer.Hint{Version: peer.HintVersion, From: "entry-0123", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Seq: 1 << 20, SentMS: 1 << 41, Revision: 1 << 20, StoreAgeMS: 500, List: 1 << 20}
 	size := 0
 	for b.Loop() {
 		data, err := peer.EncodeHint(h)
