--- a/daemon/hungpoll_test.go
+++ b/daemon/hungpoll_test.go
@@ -317,13 +317,13 @@
 	})
 }
 
-// wire carries datagrams between duties in memory, each to its address.
-type wire struct {
+// datagramWire carries datagrams between duties in memory, each to its address.
+type datagramWire struct {
 	mu sync.Mutex
 	to map[string]*peersDuty
 }
 
-func (w *wire) Send(address string, data []byte) {
+func (w *datagramWire) Send(address string, data []byte) {
 	w.mu.Lock()
 	to := w.to[address]
 	w.mu.Unlock()
@@ -332,7 +332,7 @@
 	}
 }
 
-func (w *wire) Close() {}
+func (w *datagramWire) Close() {}
 
 // slowly answers each call a little later, by less than a bound. One caller at a time
 // uses it.
@@ -354,7 +354,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer func() { stop(); time.Sleep(latest) }()
-		members, w := listOf(deskMember), &wire{to: map[string]*peersDuty{}}
+		members, w := listOf(deskMember), &datagramWire{to: map[string]*peersDuty{}}
 		sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
 		require.NoError(t, err)
 		var lists []*silences
