Failing test: the own interface's planned stop drops a request being read

Cause: looking for where else a request ends without a word: eiderspring serve still ends by net/http's Shutdown, and rests by its idle timeout. Conclusion: the listener that was made for the node has to serve here too.

--- a/daemon/arrivedrequest_test.go
+++ b/daemon/arrivedrequest_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 )
@@ -81,11 +83,17 @@
 // restLimit is how long connections may rest.
 const restLimit = 3 * time.Second
 
-func newArrivals(t *testing.T) *arrivals {
+// noArrivals has no server and no caller yet, and hooks that do nothing.
+func noArrivals(t *testing.T) *arrivals {
 	a := &arrivals{t: t}
 	none := hook(func(int) {})
 	a.beforeRead.Store(&none)
 	a.afterRead.Store(&none)
+	return a
+}
+
+func newArrivals(t *testing.T) *arrivals {
+	a := noArrivals(t)
 	a.idle = newIdleConns(logr.Discard(), a.now, func() time.Duration { return restLimit })
 	a.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.served.Add(1)
@@ -95,13 +103,20 @@
 	require.NoError(t, err)
 	go func() { _ = a.idle.serve(a.server, &hookedListener{l, a}) }()
 	t.Cleanup(func() { a.server.Close() })
-	a.caller, err = net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(func() { a.caller.Close() })
-	a.reader = bufio.NewReader(a.caller)
+	a.dial(l.Addr().String())
 	return a
 }
 
+// dial opens the caller's connection.
+func (a *arrivals) dial(address string) {
+	a.t.Helper()
+	var err error
+	a.caller, err = net.Dial("tcp", address)
+	require.NoError(a.t, err)
+	a.t.Cleanup(func() { a.caller.Close() })
+	a.reader = bufio.NewReader(a.caller)
+}
+
 // now stands still but for one step beyond the limit.
 func (a *arrivals) now() time.Time {
 	start := time.Unix(1000, 0)
@@ -222,3 +237,46 @@
 		})
 	}
 }
+
+// The product's own interface made its planned stop by net/http alone, which closes
+// what it counts as idle and drops what it reads from then on.
+func TestPlannedStopOfAnInstanceAnswersRequestBeingRead(t *testing.T) {
+	a := noArrivals(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := startFleetOn(t, &hookedListener{l, a})
+	resting := make(chan struct{})
+	var once sync.Once
+	rests := hook(func(read int) {
+		if read > 1 {
+			once.Do(func() { close(resting) })
+		}
+	})
+	a.beforeRead.Store(&rests)
+	a.dial(l.Addr().String())
+	a.send("/v1/models")
+	a.requireSomeAnswer()
+	<-resting
+	ends := hook(func(int) {
+		f.stop()
+		assert.Eventually(t, func() bool {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err == nil {
+				conn.Close()
+			}
+			return err != nil
+		}, patience, time.Millisecond, "the listener is closed")
+	})
+	a.afterRead.Store(&ends)
+	a.send("/v1/models")
+	a.requireSomeAnswer()
+}
+
+// requireSomeAnswer reads an answer or a refusal.
+func (a *arrivals) requireSomeAnswer() {
+	a.t.Helper()
+	resp, err := http.ReadResponse(a.reader, nil)
+	require.NoError(a.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(a.t, err)
+}
--- a/daemon/instance_test.go
+++ b/daemon/instance_test.go
@@ -45,9 +45,18 @@
 	engine   *standin.Engine
 	service  *standin.Service
 	objects  *standin.ObjectAPI
+	// stop begins the instance's planned stop.
+	stop context.CancelFunc
 }
 
 func startFleet(t *testing.T, adjust ...func(*Config)) *fleet {
+	t.Helper()
+	return startFleetOn(t, nil, adjust...)
+}
+
+// startFleetOn starts an instance that takes callers from a listener; nil means one of
+// its own.
+func startFleetOn(t *testing.T, callers net.Listener, adjust ...func(*Config)) *fleet {
 	t.Helper()
 	f := &fleet{objects: standin.NewObjectAPI(), service: standin.NewService(0)}
 	members := standin.NewMembers(0)
@@ -74,9 +83,10 @@
 		a(&cfg)
 	}
 	var err error
-	f.instance, err = New(cfg, Deps{Log: funcr.New(func(p, a string) { fmt.Println(time.Now().Format("05.000000"), p, a) }, funcr.Options{Verbosity: 1})})
+	f.instance, err = New(cfg, Deps{Callers: callers, Log: funcr.New(func(p, a string) { fmt.Println(time.Now().Format("05.000000"), p, a) }, funcr.Options{Verbosity: 1})})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
 	done := make(chan error, 1)
 	go func() { done <- f.instance.Run(ctx) }()
 	t.Cleanup(func() { stop(); require.NoError(t, <-done) })
