The own interface rests and stops by the same listener as the node

Change: eiderspring serve closes callers' connections through idleConns, in rest and in the planned stop. A connection that is no socket (the demo's) is closed by what was read alone. Half-closing is passed through, so that net/http ends an early answer as before.

--- a/daemon/callerconn.go
+++ b/daemon/callerconn.go
@@ -18,6 +18,8 @@
 // byte behind that is taken from the system.
 type callerConn struct {
 	net.Conn
+	// raw is nil for a connection that is no socket, of which nothing tells whether
+	// bytes wait unread.
 	raw syscall.RawConn
 
 	mu      sync.Mutex
@@ -33,16 +35,24 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return nil, err
+	c := &callerConn{Conn: conn, resting: true}
+	if system, ok := conn.(syscall.Conn); ok {
+		if c.raw, err = system.SyscallConn(); err != nil {
+			conn.Close()
+			return nil, err
+		}
 	}
-	return &callerConn{Conn: conn, raw: raw, resting: true}, nil
+	return c, nil
 }
 
 // Read implements net.Conn. It ends the rest before it takes the first byte: until
 // then the byte shows to unread.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.raw == nil {
+		n, err := c.Conn.Read(p)
+		c.wake()
+		return n, err
+	}
 	if c.atRest() {
 		// Whatever it fails by, the read below fails by too.
 		_ = c.raw.Read(func(fd uintptr) bool {
@@ -86,11 +96,23 @@
 
 // unread tells whether bytes wait to be read.
 func (c *callerConn) unread() bool {
+	if c.raw == nil {
+		return false
+	}
 	var n int
 	err := c.raw.Control(func(fd uintptr) { n, _ = peek(fd) })
 	return err == nil && n > 0
 }
 
+// CloseWrite lets net/http end its side first, so that a caller that is still sending
+// reads the answer.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // peek returns how many bytes, of one, could be read without waiting.
 func peek(fd uintptr) (int, error) {
 	var first [1]byte
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -70,6 +70,7 @@
 	process string
 
 	callers, operators *http.Server
+	idle               *idleConns
 	// work ends when the instance stops; duties stop with it.
 	work context.Context
 	stop context.CancelFunc
@@ -212,7 +213,8 @@
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
 		FailureDomain: i.cfg.FailureDomain,
 	})
-	i.callers = i.server(i.guard(dialect, dialect.WithModels(handler)))
+	i.callers = i.server(i.closing(i.guard(dialect, dialect.WithModels(handler))))
+	i.idle = newIdleConns(i.log, i.deps.Now, func() time.Duration { return milliseconds(i.cfg.Limits.IdleMS) })
 	i.operators = i.server(i.operatorHandler())
 	i.duties(objects, platform)
 }
@@ -242,7 +244,8 @@
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: i.cfg.Limits.HeaderBytes,
 		ReadHeaderTimeout: milliseconds(i.cfg.Limits.ReadMS), ReadTimeout: milliseconds(i.cfg.Limits.ReadMS),
-		IdleTimeout: milliseconds(i.cfg.Limits.IdleMS),
+		// Callers' connections rest for as long as idleConns allows.
+		IdleTimeout: longestRest,
 	}
 }
 
@@ -260,6 +263,13 @@
 	})
 }
 
+// closing ends connections with their answers once the instance drains.
+func (i *Instance) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: i.draining.Load}, r)
+	})
+}
+
 func (i *Instance) duties(objects store.Client, platform http.RoundTripper) {
 	i.cells = &cells{
 		ctx: i.work, name: i.cfg.Instance, holder: i.holder(), client: objects, engine: i.control, log: i.log, now: i.deps.Now,
@@ -288,7 +298,7 @@
 		i.settings.poll(ctx, func() int { return i.router.View().Instances })
 	}
 	for _, run := range []func(context.Context){
-		view.run, i.settings.run, i.settings.watch, poll, members.run, load.run, i.peers.run, i.kickDuty,
+		view.run, i.settings.run, i.settings.watch, poll, members.run, load.run, i.peers.run, i.kickDuty, i.idle.run,
 	} {
 		i.done.Go(func() { run(i.work) })
 	}
@@ -322,12 +332,12 @@
 // new work, everything in progress finished.
 func (i *Instance) Run(ctx context.Context) error {
 	failed := make(chan error, 2)
-	for _, s := range []struct {
-		server   *http.Server
-		listener net.Listener
-	}{{i.callers, i.deps.Callers}, {i.operators, i.deps.Operators}} {
+	for _, serve := range []func() error{
+		func() error { return i.idle.serve(i.callers, i.deps.Callers) },
+		func() error { return i.operators.Serve(i.deps.Operators) },
+	} {
 		i.done.Go(func() {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- err
 			}
 		})
@@ -351,12 +361,11 @@
 func (i *Instance) drain() error {
 	i.draining.Store(true)
 	_ = i.peers.events.Put(i.work, peer.Leave{})
-	i.callers.SetKeepAlivesEnabled(false)
 	i.log.Info("draining", "waiting", i.gates.Len())
 	wait.For(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
 	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(i.cfg.Limits.DrainMS))
 	defer cancel()
-	if err := i.callers.Shutdown(ctx); err != nil {
+	if err := i.idle.drain(ctx); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	i.log.Info("drained")
