--- a/membership/entries_test.go
+++ b/membership/entries_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
 )
 
 // TestEntriesGolden runs the sessions in testdata/entries: times are
@@ -83,3 +84,17 @@
 	}
 	return b.String()
 }
+
+// Behind an outage one answer brought that a member leaves and that its entry went. As
+// only the last of these counted, the entry seemed to have lapsed, and the member was
+// kept for the time that such an entry has to come back.
+func TestMemberThatLeavesAndGoesInOneAnswerIsGone(t *testing.T) {
+	s := NewEntries()
+	live, leaving := Member{Name: "a", State: Live}, Member{Name: "a", State: Leaving}
+	s.Step(time.UnixMilli(0), EntriesListed{Members: []Member{live}})
+	s.Step(time.UnixMilli(1000), StoreLost{})
+	s.Step(time.UnixMilli(5000), StoreHeard{})
+	l, changed := s.Step(time.UnixMilli(5001), EntriesChanged{Changes: []EntryChange{{Name: "a", Member: &leaving}, {Name: "a"}}})
+	require.True(t, changed)
+	require.Empty(t, l.Members)
+}
