--- a/daemon/arrivedrequest_test.go
+++ b/daemon/arrivedrequest_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -272,3 +274,43 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	require.NoError(a.t, err)
 }
+
+// What a connection that rests shows of its caller decides whether it may be closed:
+// nothing may be closed under a byte that has arrived, and all that rests may.
+func TestConnectionIsClosedAtRestOnlyWithNothingUnread(t *testing.T) {
+	a := newArrivals(t)
+	a.send("/first")
+	a.requireAnswer("/first")
+	a.rest()
+	a.idle.mu.Lock()
+	conns := slices.Collect(maps.Keys(a.idle.open))
+	a.idle.mu.Unlock()
+	require.Len(t, conns, 1)
+	conn := conns[0].(*callerConn)
+	conn.mu.Lock()
+	require.True(t, conn.resting, "it rests behind its answer")
+	require.False(t, conn.unread())
+	conn.mu.Unlock()
+	require.True(t, a.idle.closeAtRest(conn))
+}
+
+// A byte that waits unread keeps a connection open that has not been read since its
+// last answer.
+func TestConnectionWithAnUnreadByteStays(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted, err := callerListener{l}.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	conn := accepted.(*callerConn)
+	_, err = caller.Write([]byte{'G'})
+	require.NoError(t, err)
+	require.Eventually(t, conn.unread, patience, time.Millisecond)
+	require.False(t, conn.closeAtRest())
+	_, half := accepted.(interface{ CloseWrite() error })
+	require.True(t, half, "net/http ends its side first where a caller still sends")
+}
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -116,6 +116,9 @@
 	behind func() bool
 	// closeWait is how long the store may hold a close watch.
 	closeWait time.Duration
+	// storeThere is since when the store has been there by another instance's word;
+	// zero if none tells.
+	storeThere func() time.Time
 }
 
 const (
@@ -137,14 +140,14 @@
 		func(l store.List) {
 			d.link.heard()
 			changes.take()
-			put(membership.StoreHeard{Since: d.link.returned()})
+			put(membership.StoreHeard{Since: d.returned()})
 			put(membership.EntriesListed{Members: d.members(l.Items)})
 		},
 		func(e store.Event) {
 			switch e.Type {
 			case store.EventBookmark:
 				d.link.heard()
-				put(membership.StoreHeard{Since: d.link.returned()})
+				put(membership.StoreHeard{Since: d.returned()})
 				put(membership.EntriesChanged{Changes: d.changes(changes.take())})
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
@@ -162,6 +165,17 @@
 	r.Run(ctx)
 }
 
+// returned is since when the store is back: by its answers to this instance, or by the
+// word of another, if that is earlier, as this one may have been cut off alone. Entries
+// lapse only while members cannot reach the store.
+func (d *entriesDuty) returned() time.Time {
+	own, there := d.link.returned(), d.storeThere()
+	if !there.IsZero() && there.Before(own) {
+		return there
+	}
+	return own
+}
+
 // gather lets changes gather before they are asked for: each answer of the store
 // costs a call, and wakes the instance. Behind an answer that may be old it goes on
 // only for as long as another instance tells what matters.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -342,6 +342,7 @@
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
 		behind: n.entriesMayBeBehind, closeWait: n.cfg.Fresh.entriesWait(),
+		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch,
@@ -359,13 +360,17 @@
 // in time, which it vouches for if it holds the lease. Only answers to its watches on
 // them show that: one may hang while all other calls are answered.
 func (n *Node) current() bool {
+	if !n.link.settled() {
+		// Entries that are kept now may have lapsed, or have left.
+		return false
+	}
 	age := max(n.link.age(n.ports.MembersKind), n.link.age(n.ports.SettingsKind))
 	return age < n.cfg.Fresh.vouchAge()
 }
 
 // endpointsAgeMS is how long ago it was certain that this instance knew which
-// endpoints leave, by its own watch or by the word of the holder of the lease,
-// in milliseconds; -1 if it never was.
+// endpoints leave, by its own watch or by the word of the holder of the lease, whose
+// own knowledge may be vouchAge old, in milliseconds; -1 if it never was.
 func (n *Node) endpointsAgeMS() int64 {
 	return ageMS(min(n.link.age(n.ports.MembersKind), n.mesh.totals.vouchedAge(n.now())))
 }
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -14,7 +14,9 @@
 	heardAt time.Time
 	// currentAt is when the hub last said that what it knows is current.
 	currentAt time.Time
-	loads     map[string]totalLoad
+	// vouchedSince is since when it has said so without a break.
+	vouchedSince time.Time
+	loads        map[string]totalLoad
 	// holderLost is for how long a word that vouches counts, leastHolderLost at least.
 	holderLost time.Duration
 	// own is what this instance told last; the hub's sums hold it.
@@ -36,6 +38,9 @@
 	defer t.mu.Unlock()
 	t.hub, t.heardAt = p.Address, now
 	if p.Current {
+		if now.Sub(t.currentAt) >= t.lost() {
+			t.vouchedSince = now
+		}
 		t.currentAt = now
 	}
 	if t.loads == nil {
@@ -81,7 +86,21 @@
 
 // vouched tells whether the hub has said lately that what it knows is current.
 func (t *totals) vouched(now time.Time) bool {
-	return t.vouchedAge(now) < max(t.holderLost, leastHolderLost)
+	return t.vouchedAge(now) < t.lost()
+}
+
+// lost is for how long a word that vouches counts.
+func (t *totals) lost() time.Duration { return max(t.holderLost, leastHolderLost) }
+
+// storeThere is since when, by the holder's word, the store has been there for it
+// without a break; zero if it does not vouch now.
+func (t *totals) storeThere(now time.Time) time.Time {
+	if !t.vouched(now) {
+		return time.Time{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.vouchedSince
 }
 
 // vouchedAge is how long ago the hub last said that what it knows is current.
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -152,6 +152,10 @@
 	now := time.Now()
 	n := vouchingNode(&now)
 	m := n.mesh
+	for range int(settleTime/leaseRenewal) + 1 {
+		n.link.answered()
+		now = now.Add(leaseRenewal)
+	}
 	kinds := []store.Kind{n.ports.MembersKind, n.ports.SettingsKind}
 	confirm := func(kind store.Kind) {
 		n.link.answered()
@@ -173,3 +177,32 @@
 		require.False(t, m.current(), "%s was not heard for 5 s", hung)
 	}
 }
+
+// Behind an outage an instance keeps entries that may have lapsed or have left; until
+// that is settled it does not vouch, and its own watch of them is close.
+func TestNobodyVouchesOrIsBehindUntilEntriesAreSettled(t *testing.T) {
+	now := time.Now()
+	n := vouchingNode(&now)
+	n.placers = &placers{}
+	answer := func() {
+		n.link.answered()
+		n.link.confirmed(n.ports.MembersKind)
+		n.link.confirmed(n.ports.SettingsKind)
+		n.mesh.totals.take(now, wordOfHolder(true))
+	}
+	answer()
+	for since := time.Duration(0); since < settleTime; since += leaseRenewal {
+		require.False(t, n.mesh.current(), "%s behind the outage", since)
+		require.False(t, n.entriesMayBeBehind(), "%s behind the outage", since)
+		now = now.Add(leaseRenewal)
+		answer()
+	}
+	require.True(t, n.mesh.current())
+	require.True(t, n.entriesMayBeBehind())
+	now = now.Add(awayAfter - time.Millisecond)
+	answer()
+	require.True(t, n.mesh.current(), "a slow answer is no outage")
+	now = now.Add(awayAfter)
+	answer()
+	require.False(t, n.mesh.current())
+}
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -116,7 +116,8 @@
 	return changed
 }
 
-// changedTo applies what the changes come to.
+// changedTo applies what the changes come to: of each name the last, and before it
+// the word of a member that it leaves, which is final.
 func (s *Entries) changedTo(now time.Time, changes []EntryChange) bool {
 	last := make(map[string]int, len(changes))
 	for i, c := range changes {
@@ -124,8 +125,9 @@
 	}
 	changed := false
 	for i, c := range changes {
+		leaves := c.Member != nil && c.Member.State == Leaving
 		switch {
-		case last[c.Name] != i:
+		case last[c.Name] != i && !leaves:
 		case c.Member == nil:
 			changed = s.remove(now, c.Name) || changed
 		default:
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -42,7 +42,7 @@
 	// LongestPause is that while it does not.
 	LongestPause = reflectorMaxPause * 3 / 2
 	// WatchSlack is how much longer than the store was told to hold a watch its
-	// answer may take: a slow store needs 0.2 s. A call that nobody answers, as it
+	// answer may take: a slow store needs up to 0.4 s. A call that nobody answers, as it
 	// began while the store was silent or its connection is, is given up then.
 	WatchSlack = 600 * time.Millisecond
 )
--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -160,3 +160,28 @@
 		<-done
 	})
 }
+
+// An answer that may be old confirms nothing, one that may not be does, also without
+// changes; and so does a list.
+func TestOnlyCloseAnswersConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedClient{watch: func(n int, _ string, handle func(store.Event)) error {
+			e := store.Event{Type: store.EventBookmark, Object: store.Object{Metadata: store.Metadata{ResourceVersion: "101"}}, Behind: n == 1}
+			handle(e)
+			if n < 3 {
+				return errAway
+			}
+			return nil
+		}}
+		confirmed := 0
+		options := store.WatchOptions{Confirmed: func() { confirmed++ }}
+		r := store.NewReflector(c, store.KindLease, options, func(store.List) {}, func(store.Event) {}, func(error) {})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		time.Sleep(time.Minute)
+		stop()
+		<-done
+		require.Equal(t, 3, confirmed, "the list and two of three answers")
+	})
+}
