Soak: connections of a link that go silent for good

Cause: the proxy could mute open connections, but no schedule did it, so the soak could not see what the program does with connections that carry nothing any more while new ones work. Change: the action link-mute, for the links of callers, store and endpoints.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -31,11 +31,13 @@
 	StoreRefusing Action = "store-refusing"
 	StoreLosing   Action = "store-losing"
 	StoreForget   Action = "store-forget"
-	// LinkDelay, LinkSilence, LinkOneWay and LinkReset disturb a link's proxy.
+	// LinkDelay, LinkSilence, LinkOneWay and LinkReset disturb a link's proxy. LinkMute
+	// silences the connections that are open, for good; new ones work.
 	LinkDelay   Action = "link-delay"
 	LinkSilence Action = "link-silence"
 	LinkOneWay  Action = "link-one-way"
 	LinkReset   Action = "link-reset"
+	LinkMute    Action = "link-mute"
 	// Reconfigure writes a new configuration, in which a route has moved.
 	Reconfigure Action = "reconfigure"
 )
@@ -79,14 +81,20 @@
 	faultMost  = 3 * time.Second
 )
 
-// actions are drawn evenly; some stand twice to come more often.
-var actions = []Action{
+// firstActions are drawn evenly; some stand twice to come more often. Seeds that are
+// kept from the time of this list draw from it, which keeps their schedules.
+var firstActions = []Action{
 	NodeTerm, NodeTerm, NodeKill, NodeKill, NodePause, NodePause, NodeHangup, AllKill, WorkerTerm, WorkerKill, WorkerKill, WorkerPause,
 	StoreRefusing, StoreLosing, StoreForget, LinkDelay, LinkSilence, LinkSilence, LinkOneWay, LinkReset, LinkReset, Reconfigure, Reconfigure,
 }
 
+// actions are those that are drawn now.
+var actions = slices.Concat(firstActions, []Action{LinkMute, LinkMute})
+
 // Draw makes the schedule of a seed.
-func Draw(seed uint64, size Size) []Fault {
+func Draw(seed uint64, size Size) []Fault { return draw(seed, size, actions) }
+
+func draw(seed uint64, size Size, actions []Action) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
 	for at := faultEvery; at < size.Faults; at += time.Duration(random.ExpFloat64() * float64(faultEvery)) {
@@ -111,5 +119,5 @@
 }
 
 func (f Fault) onLink() bool {
-	return f.Action == LinkDelay || f.Action == LinkSilence || f.Action == LinkOneWay || f.Action == LinkReset
+	return slices.Contains([]Action{LinkDelay, LinkSilence, LinkOneWay, LinkReset, LinkMute}, f.Action)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -16,6 +16,8 @@
 	Programs Programs
 	Seed     uint64
 	Size     Size
+	// Plan is the schedule of faults; nil draws it from the seed.
+	Plan []Fault
 	// Callers is how many callers ask each instance.
 	Callers int
 	// Dir gets the logs of all processes.
@@ -63,7 +65,10 @@
 		return report, fmt.Errorf("not ready within %s, logs in %s", calmPatience, o.Dir)
 	}
 	r.callers = StartCallers(site, o.Seed, o.Callers)
-	plan := Draw(o.Seed, o.Size)
+	plan := o.Plan
+	if plan == nil {
+		plan = Draw(o.Seed, o.Size)
+	}
 	r.play(plan)
 	r.calm()
 	r.callers.Stop()
@@ -178,6 +183,10 @@
 	default:
 		proxy = r.site.workers[f.Target].proxy
 	}
+	if f.Action == LinkMute {
+		proxy.Mute()
+		return
+	}
 	proxy.Set(f.Action)
 	time.Sleep(f.For)
 	if f.Link == LinkWorker {
