Soak: the store silent for all, while entries lapse

Cause: in the soak's store outages calls were refused or reset and no entry lapsed. Behind an outage in which calls hang, and entries lapse that come back within two seconds, an instance used an endpoint more than two seconds after it had left.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -97,6 +97,7 @@
 			mux.Handle("/", store)
 			for path, mode := range map[string]fake.Mode{
 				"up": fake.Up, string(soak.StoreRefusing): fake.Refusing, string(soak.StoreLosing): fake.LosingAnswers,
+				string(soak.StoreSilent): fake.Silent,
 			} {
 				mux.HandleFunc("POST /control/mode/"+path, func(http.ResponseWriter, *http.Request) { store.SetMode(mode) })
 			}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,10 +26,12 @@
 	WorkerTerm  Action = "worker-term"
 	WorkerKill  Action = "worker-kill"
 	WorkerPause Action = "worker-pause"
-	// StoreRefusing and StoreLosing change how the store answers; StoreForget drops
-	// its history.
+	// StoreRefusing, StoreLosing and StoreSilent change how the store answers; in a
+	// silence entries lapse, and come back as their endpoints renew them. StoreForget
+	// drops the store's history.
 	StoreRefusing Action = "store-refusing"
 	StoreLosing   Action = "store-losing"
+	StoreSilent   Action = "store-silent"
 	StoreForget   Action = "store-forget"
 	// LinkDelay, LinkSilence, LinkOneWay and LinkReset disturb a link's proxy. LinkMute
 	// silences the connections that are open, for good; new ones work.
@@ -89,7 +91,7 @@
 }
 
 // actions are those that are drawn now.
-var actions = slices.Concat(firstActions, []Action{LinkMute, LinkMute})
+var actions = slices.Concat(firstActions, []Action{LinkMute, LinkMute, StoreSilent, StoreSilent})
 
 // Draw makes the schedule of a seed.
 func Draw(seed uint64, size Size) []Fault { return draw(seed, size, actions) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -124,7 +124,7 @@
 		s.nodes[f.Target].signal(syscall.SIGHUP)
 	case WorkerTerm, WorkerKill, WorkerPause:
 		r.disturbWorker(s.workers[f.Target], f)
-	case StoreRefusing, StoreLosing:
+	case StoreRefusing, StoreLosing, StoreSilent:
 		s.tellStore("mode/" + string(f.Action))
 		time.Sleep(f.For)
 		s.tellStore("mode/up")
