Soak: endpoints leave right behind outages of the store too

Cause: an instance used an endpoint more than 2 s after it had left, 3 s behind a silent outage of the store; the end phase let one endpoint leave with the store at rest. That check could not fail either: the endpoint ended 2.5 s after it began to leave, which is when the check began to look. Change: endpoints that leave serve for 4.5 s and record when the store has acknowledged that. Behind the leave with the store at rest come three silent outages of 2.5 to 4.5 s; 3.0 to 3.2 s behind each, one endpoint says that it leaves and the entry of another goes at once. The judge asks that nothing runs later than 2 s and 0.3 s of margin behind the acknowledgement (before: 2.5 s behind the signal). Lines of endpoints' records also go to the logs. The short soak of tests leaves the phase out, as before.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -124,10 +124,11 @@
 	}
 }
 
-// runWorker serves until SIGTERM, then leaves as planned.
-func runWorker(ctx context.Context, c *cli.Command) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
-	defer stop()
+// runWorker serves until SIGTERM, then leaves as planned, or until soak.Gone, then
+// without a word; either way what still comes is served for soak.DrainTime.
+func runWorker(_ context.Context, c *cli.Command) error {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, soak.Gone)
 	w := fake.NewWorkerHandler(fake.RemoteRegistry{URL: c.String("store")}, c.String("id"), c.String("service"), "z1")
 	w.Address = c.String("advertise")
 	recorder := soak.NewRecorder(os.Stdout)
@@ -138,24 +139,46 @@
 		return trace.Wrap(err)
 	}
 	go func() { _ = http.Serve(listener, w) }()
-	renew(ctx, w, "ready")
-	leaving, cancel := context.WithTimeout(context.Background(), soak.DrainTime)
-	defer cancel()
-	renew(leaving, w, "draining")
+	how := renew(w, told)
+	end := time.After(soak.DrainTime)
+	left := fake.Happening{What: soak.HappenedLeft}
+	if how == soak.Gone {
+		w.Leave()
+		recorder.Record(w, left)
+		<-end
+		return nil
+	}
+	w.Enter("draining")
+	recorder.Record(w, left)
+	drain(w, end)
 	w.Leave()
 	return nil
 }
 
-// renew writes the worker's entry until ctx ends.
-func renew(ctx context.Context, w *fake.Worker, state string) {
+// renew writes the worker's entry until a signal comes, and returns it.
+func renew(w *fake.Worker, told <-chan os.Signal) os.Signal {
+	ticker := time.NewTicker(soak.EntryEvery)
+	defer ticker.Stop()
+	for {
+		w.Enter("ready")
+		select {
+		case how := <-told:
+			return how
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain writes the entry of a worker that leaves until the end.
+func drain(w *fake.Worker, end <-chan time.Time) {
 	ticker := time.NewTicker(soak.EntryEvery)
 	defer ticker.Stop()
 	for {
-		w.Enter(state)
 		select {
-		case <-ctx.Done():
+		case <-end:
 			return
 		case <-ticker.C:
+			w.Enter("draining")
 		}
 	}
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -53,6 +53,11 @@
 	// Excused tells of an order that was sent right after its sender woke or its
 	// link was mended, which no sender can help; nil excuses none.
 	Excused func(Record) bool
+	// LeaveBound is how long an endpoint that leaves may get requests, and LeavesFrom
+	// since when leaves are judged: faults before it excuse them. The zero time
+	// judges none.
+	LeaveBound time.Duration
+	LeavesFrom time.Time
 }
 
 // Judge returns the promises that were broken.
@@ -68,6 +73,7 @@
 		j.answer(a)
 	}
 	j.orders(records)
+	j.leaves(records)
 	return j.broken
 }
 
@@ -182,6 +188,25 @@
 	}
 }
 
+// leaves checks that nothing runs at an endpoint when the time for its leave is over.
+func (j *judge) leaves(records []Record) {
+	left := map[string]time.Time{}
+	for _, r := range records {
+		if r.What == HappenedLeft {
+			left[r.Worker] = r.At
+		}
+	}
+	for _, r := range records {
+		at, leaves := left[r.Worker]
+		if r.What != fake.HappenedRun || !leaves || j.rules.LeavesFrom.IsZero() || at.Before(j.rules.LeavesFrom) {
+			continue
+		}
+		if late := r.At.Sub(at); late > j.rules.LeaveBound {
+			j.add("an endpoint that leaves: %s ran %s %s behind its leave", r.Worker, r.Attempt, late)
+		}
+	}
+}
+
 // plainBody is what a worker answers to the plain request of an attempt.
 func plainBody(k Kind, attempt, worker string) string {
 	return fake.PlainBody(k.Method, k.Path+attempt, worker, requestBody(attempt))
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -31,14 +31,18 @@
 	ordered := func(after time.Duration, holder string, fence int64) Record {
 		return Record{At: start.Add(after), Worker: "w2", Happening: fake.Happening{What: fake.HappenedOrder, Holder: holder, Fence: fence}}
 	}
+	left := func(worker string, after time.Duration) Record {
+		return Record{At: start.Add(after), Worker: worker, Happening: fake.Happening{What: HappenedLeft}}
+	}
 	records := []Record{
 		ran("w1", fake.Plain, "p1"), ran("w1", fake.Plain, "p3"), ran("w2", fake.LLM, "s1"), ran("w2", fake.LLM, "s2"), ran("w3", fake.LLM, "s2"),
 		ordered(0, "n1", 1), ordered(time.Second, "n1", 1), ordered(3*time.Second, "n2", 2),
+		left("w3", 0), left("w1", -time.Second),
 	}
 	return answers, records
 }
 
-var sessionRules = Rules{OrderLease: 1500 * time.Millisecond}
+var sessionRules = Rules{OrderLease: 1500 * time.Millisecond, LeaveBound: 2 * time.Second, LeavesFrom: time.Unix(1000, 0)}
 
 func TestJudgePassesWhatIsSound(t *testing.T) {
 	answers, records := session()
@@ -74,6 +78,10 @@
 			late.At = late.At.Add(time.Hour)
 			return append(r, late)
 		},
+		"an endpoint that leaves": func(_ []Answer, r []Record) []Record {
+			r[4].At = r[8].At.Add(2*time.Second + 1)
+			return r
+		},
 		"turns": func(_ []Answer, r []Record) []Record { r[7].At = r[6].At.Add(time.Second); return r },
 	} {
 		answers, records := session()
@@ -84,6 +92,12 @@
 	}
 }
 
+func TestLeavesAmongFaultsAreNotJudged(t *testing.T) {
+	answers, records := session()
+	records[0].At = records[9].At.Add(time.Hour)
+	require.Empty(t, Judge(answers, records, sessionRules))
+}
+
 func TestOrdersRightAfterAWakeAreExcused(t *testing.T) {
 	answers, records := session()
 	records[7].At = records[6].At.Add(time.Second)
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,7 +18,7 @@
 	command []string
 	env     []string
 	logs    string
-	// lines gets each line of standard output; nil writes them to the log.
+	// lines gets each line of standard output, which the log has too; nil for none.
 	lines func([]byte)
 
 	mu  sync.Mutex
@@ -63,7 +63,7 @@
 	if p.lines == nil {
 		_, _ = io.Copy(log, out)
 	} else {
-		scanner := bufio.NewScanner(out)
+		scanner := bufio.NewScanner(io.TeeReader(out, log))
 		for scanner.Scan() {
 			p.lines(scanner.Bytes())
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -50,6 +51,9 @@
 	calmTries = 10
 	// settleTime lets what is on its way arrive before the judge looks.
 	settleTime = 500 * time.Millisecond
+	// loadMargin is what the machine's load may add to the time until an endpoint
+	// that leaves gets nothing.
+	loadMargin = 300 * time.Millisecond
 )
 
 // Run plays the schedule of a seed and judges it.
@@ -85,6 +89,8 @@
 	faults  sync.WaitGroup
 	mu      sync.Mutex
 	broken  []string
+	// leavesFrom is when all faults were over and endpoints began to leave.
+	leavesFrom time.Time
 }
 
 func (r *run) add(format string, args ...any) {
@@ -281,20 +287,60 @@
 	return n
 }
 
-// leaves lets a plain endpoint leave: once the time for that is over, none of its
-// requests may be new.
+// Times of a store outage in the end phase.
+const (
+	// outageRounds is how many outages have endpoints that leave behind them.
+	outageRounds = 3
+	// silenceLeast is longer than EntryLapse, so that all entries lapse.
+	silenceLeast = 2500 * time.Millisecond
+	silenceMost  = 4500 * time.Millisecond
+	// contactTime is when an instance counts as in contact with a store that is back;
+	// endpoints leave up to contactJitter behind that.
+	contactTime   = 3 * time.Second
+	contactJitter = 200 * time.Millisecond
+)
+
+// leaves lets plain endpoints leave, first with the store at rest, then right behind
+// outages of the store, both by saying so and by their entries going at once. The
+// judge looks at the records.
 func (r *run) leaves() {
-	w := r.site.workers[r.site.size.Engines]
-	w.signal(syscall.SIGTERM)
-	time.Sleep(settingsTime + settleTime)
-	late := time.Now()
-	w.end(syscall.SIGTERM, 2*DrainTime)
-	r.site.mu.Lock()
-	defer r.site.mu.Unlock()
-	for _, record := range r.site.records {
-		if record.At.After(late) && record.What == fake.HappenedRun && record.Worker == fmt.Sprintf("%s-life-%d", w.name, w.lives) {
-			r.add("an endpoint that leaves: %s ran %s", record.Worker, record.Attempt)
-		}
+	r.leavesFrom = time.Now()
+	random := rand.New(rand.NewPCG(r.options.Seed, 1))
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Float64()*float64(most-least))
+	}
+	says, goes := r.site.workers[r.site.size.Engines], r.site.workers[r.site.size.Engines+1]
+	r.leave(says, syscall.SIGTERM)
+	for range outageRounds {
+		silence, contact := between(silenceLeast, silenceMost), between(contactTime, contactTime+contactJitter)
+		slog.Info("outage", "silence", silence, "contact", contact)
+		r.site.tellStore("mode/" + string(StoreSilent))
+		time.Sleep(silence)
+		r.site.tellStore("mode/up")
+		time.Sleep(contact)
+		var both sync.WaitGroup
+		both.Go(func() { r.leave(says, syscall.SIGTERM) })
+		both.Go(func() { r.leave(goes, Gone) })
+		both.Wait()
+	}
+}
+
+// leave lets an endpoint leave by a signal. Once it has ended, its next incarnation is
+// waited for until it is in use.
+func (r *run) leave(w *worker, how syscall.Signal) {
+	slog.Info("leave", "worker", w.id(), "how", how.String())
+	w.signal(how)
+	time.Sleep(DrainTime)
+	if !r.site.happened(w.id(), HappenedLeft) {
+		r.add("leave not acknowledged: %s", w.id())
+	}
+	w.end(syscall.SIGTERM, DrainTime)
+	if err := r.site.startWorker(r.options.Programs.Stand, w); err != nil {
+		r.add("not started: %s: %v", w.name, err)
+		return
+	}
+	if !eventually(func() bool { return r.site.happened(w.id(), fake.HappenedRun) }) {
+		r.add("not used again: %s", w.id())
 	}
 }
 
@@ -325,7 +371,9 @@
 		}
 	}
 	answers := r.callers.Answers()
-	rules := Rules{OrderLease: orderLease, Excused: r.site.excusedOrder}
+	rules := Rules{
+		OrderLease: orderLease, Excused: r.site.excusedOrder, LeaveBound: settingsTime + loadMargin, LeavesFrom: r.leavesFrom,
+	}
 	if r.options.Untimed {
 		rules.OrderLease = 0
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -231,16 +231,26 @@
 	return s.startWorker(programs.Stand, w)
 }
 
+// id is the worker's name in its present incarnation.
+func (w *worker) id() string { return fmt.Sprintf("%s-life-%d", w.name, w.lives) }
+
 // startWorker starts a new incarnation of a worker.
 func (s *Site) startWorker(program string, w *worker) error {
 	w.lives++
 	w.command = []string{
 		program, "worker", "--listen", w.listen, "--advertise", w.proxy.Address(), "--store", s.registry.URL,
-		"--id", fmt.Sprintf("%s-life-%d", w.name, w.lives), "--service", w.service, "--capacity-mb", fmt.Sprint(engineMB), "--model-mb", fmt.Sprint(modelMB),
+		"--id", w.id(), "--service", w.service, "--capacity-mb", fmt.Sprint(engineMB), "--model-mb", fmt.Sprint(modelMB),
 	}
 	return w.start()
 }
 
+// happened tells whether something has happened at a worker.
+func (s *Site) happened(id, what string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.records, func(r Record) bool { return r.Worker == id && r.What == what })
+}
+
 // note takes a line of a worker.
 func (s *Site) note(line []byte) {
 	r, err := recordLine(line)
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/eiderspring/eiderspring/platform/fake"
@@ -17,10 +18,18 @@
 	// old an entry gets.
 	EntryEvery = 300 * time.Millisecond
 	EntryLapse = 1200 * time.Millisecond
-	// DrainTime is how long a worker that leaves still serves.
-	DrainTime = 2500 * time.Millisecond
+	// DrainTime is how long a worker that leaves still serves: well beyond the time
+	// in which instances must stop to use it, so that what comes late is seen.
+	DrainTime = 4500 * time.Millisecond
 )
 
+// Gone tells a worker to leave without saying so: its entry goes at once.
+const Gone = syscall.SIGUSR1
+
+// HappenedLeft is recorded once the store has acknowledged that a worker leaves, or
+// that its entry is gone.
+const HappenedLeft = "left"
+
 // Recorder writes what happens at a worker as lines of JSON.
 type Recorder struct {
 	mu  sync.Mutex
