Soak: what was sent whole on a kept connection is answered or refused

Cause: an instance that stood still closed callers' connections for their rest when it went on, though requests had come on them meanwhile. The soak took any broken answer for the work of its own faults, its callers (net/http's transport) repeated some of them, and none rested for as long as the settings allow (15 s) nor outwaited a pause (3 s). Change: callers speak on connections of their own that repeat nothing; twelve more at each instance rest for up to 1.5 s of the 2 s that the site's settings now allow, and wait for 9 s. The action node-standstill pauses an instance for 4 to 6.7 s. The judge asks for an answer or a refusal to each request that was sent whole on a connection that had brought an answer before, unless the instance was killed or its callers' link disturbed at that time; a pause excuses only callers that gave up. A request that ended within 0.1 s of its sending and never ran may have crossed a planned close. Callers go on while all instances end by SIGTERM. Tests play a kept seed that begins with a standstill, without what callers gave up, and with 2 s for the crossing.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -24,11 +23,30 @@
 
 var kinds = []Kind{kindSafe, kindMoved, kindUnsafe, kindUnsafe, kindStream, kindResumable}
 
-// callerPatience is how long callers wait for an answer.
-const callerPatience = 3 * time.Second
+// manner is how a caller asks.
+type manner struct {
+	// patience is what the caller says that it waits.
+	patience time.Duration
+	// pause draws the time between two requests.
+	pause func(*rand.Rand) time.Duration
+}
+
+// Busy callers ask again soon. Resting ones leave their connection at rest for nearly
+// as long as the settings allow, and outwait an instance that stands still.
+var (
+	busyCaller = manner{patience: 3 * time.Second, pause: func(random *rand.Rand) time.Duration {
+		return time.Duration(random.ExpFloat64() * float64(40*time.Millisecond))
+	}}
+	restingCaller = manner{patience: 9 * time.Second, pause: func(random *rand.Rand) time.Duration {
+		return time.Duration(random.Float64() * float64(idleLimit-settleTime))
+	}}
+)
+
+// restingCallers is how many resting callers each instance has, beside the busy ones.
+const restingCallers = 12
 
-// callerPause is the mean pause of a caller between two requests.
-const callerPause = 40 * time.Millisecond
+// answerSlack is how much longer callers wait than they say.
+const answerSlack = 1500 * time.Millisecond
 
 // Callers ask all instances until they are stopped, each on a connection that it
 // keeps until the instance or the way there closes it.
@@ -42,55 +60,56 @@
 	asked   int
 }
 
-// StartCallers starts so many callers for each instance.
+// StartCallers starts so many busy callers for each instance, and the resting ones.
 func StartCallers(s *Site, seed uint64, each int) *Callers {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Callers{site: s, stop: stop}
 	for i := range s.nodes {
-		for k := range each {
-			random := rand.New(rand.NewPCG(seed, uint64(2+i*each+k)))
-			c.done.Go(func() { c.run(ctx, i, random) })
+		for k := range each + restingCallers {
+			how := busyCaller
+			if k >= each {
+				how = restingCaller
+			}
+			random := rand.New(rand.NewPCG(seed, uint64(2+i*(each+restingCallers)+k)))
+			c.done.Go(func() { c.run(ctx, i, how, random) })
 		}
 	}
 	return c
 }
 
-func (c *Callers) run(ctx context.Context, node int, random *rand.Rand) {
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
+func (c *Callers) run(ctx context.Context, node int, how manner, random *rand.Rand) {
+	l := &line{}
+	defer l.close()
 	for ctx.Err() == nil {
-		c.Ask(transport, node, kinds[random.IntN(len(kinds))])
+		c.ask(l, node, kinds[random.IntN(len(kinds))], how.patience)
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(random.ExpFloat64() * float64(callerPause))):
+		case <-time.After(how.pause(random)):
 		}
 	}
 }
 
-// Ask sends one request to an instance and records the answer.
-func (c *Callers) Ask(transport http.RoundTripper, node int, kind Kind) Answer {
+// Ask sends one request to an instance, on a connection of its own, and records the
+// answer.
+func (c *Callers) Ask(node int, kind Kind) Answer {
+	l := &line{}
+	defer l.close()
+	return c.ask(l, node, kind, busyCaller.patience)
+}
+
+func (c *Callers) ask(l *line, node int, kind Kind, patience time.Duration) Answer {
 	a := Answer{Attempt: c.nextID(), Kind: kind, Node: node, Sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
-	defer cancel()
 	req, err := fake.Request{
 		Address: c.site.nodes[node].callers, Method: kind.Method, Path: kind.Path + a.Attempt, Attempt: a.Attempt,
-		Model: kind.Model, Body: requestBody(a.Attempt), Patience: callerPatience,
-	}.HTTP(ctx)
-	if err != nil {
-		a.Broken = err.Error()
-		return c.record(a)
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		a.Broken = err.Error()
-		return c.record(a)
+		Model: kind.Model, Body: requestBody(a.Attempt), Patience: patience,
+	}.HTTP(context.Background())
+	if err == nil {
+		err = l.ask(req, &a, a.Sent.Add(patience+answerSlack))
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	a.Status, a.Seal, a.Body = resp.StatusCode, fake.Seal(resp.Header), string(text)
 	if err != nil {
 		a.Broken = err.Error()
 	}
+	a.Ended = time.Now()
 	return c.record(a)
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -29,12 +29,19 @@
 	Attempt string
 	Kind    Kind
 	Node    int
-	Sent    time.Time
-	Status  int
-	Seal    string
-	Body    string
+	// Dialed is when the connection was made, Sent when the request went out, Ended
+	// when the caller had its answer or gave up.
+	Dialed, Sent, Ended time.Time
+	// Kept tells that the request was sent whole on a connection that had brought an
+	// answer before.
+	Kept   bool
+	Status int
+	Seal   string
+	Body   string
 	// Broken is why the answer has no end; empty for a whole one.
 	Broken string
+	// TimedOut tells that the caller gave up; else the connection ended.
+	TimedOut bool
 }
 
 // Record is something that happened at an endpoint.
@@ -58,6 +65,16 @@
 	// judges none.
 	LeaveBound time.Duration
 	LeavesFrom time.Time
+	// Disturbed tells of a request without an answer whose instance was killed, or
+	// whose way there was disturbed, at that time, or that its caller gave up while
+	// the instance stood still; nil tells of none.
+	Disturbed func(Answer) bool
+	// Crossing is within what time of its sending a request may meet the planned
+	// close of its connection on the way; the instance has not taken it then.
+	Crossing time.Duration
+	// Patient tells that callers give up only where an answer is overdue, which
+	// depends on the machine.
+	Patient bool
 }
 
 // Judge returns the promises that were broken.
@@ -117,7 +134,22 @@
 	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
 }
 
+// unanswered checks that a request that was sent whole on a kept connection has an
+// answer or a refusal.
+func (j *judge) unanswered(a Answer) {
+	if !a.Kept || a.Status != 0 || a.TimedOut && !j.rules.Patient || j.rules.Disturbed != nil && j.rules.Disturbed(a) {
+		return
+	}
+	after := a.Ended.Sub(a.Sent)
+	if !a.TimedOut && after <= j.rules.Crossing && j.runs[a.Attempt] == 0 {
+		return
+	}
+	j.add("neither answered nor refused: %s %s by instance %d, ran %d times, ended %s behind its sending at %s: %s",
+		a.Attempt, a.Kind.Path, a.Node, j.runs[a.Attempt], after, a.Sent.Format(time.StampMilli), a.Broken)
+}
+
 func (j *judge) answer(a Answer) {
+	j.unanswered(a)
 	if a.Seal == "" && promisesNotRun(a.Status) && !a.Kind.Repeatable && j.runs[a.Attempt] > 0 {
 		j.add("refused but ran: %s %s with %d from instance %d", a.Attempt, a.Kind.Path, a.Status, a.Node)
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -24,6 +24,10 @@
 		{Attempt: "p3", Kind: kindUnsafe, Status: http.StatusBadGateway},
 		{Attempt: "s1", Kind: kindStream, Status: http.StatusOK, Seal: "seal-w2", Body: streamed},
 		{Attempt: "s2", Kind: kindResumable, Status: http.StatusOK, Seal: "seal-w2", Body: fake.StreamEvent("s2", 0) + "id: 1\nda", Broken: "reset"},
+		{Attempt: "c1", Kind: kindUnsafe, Kept: true, Sent: start, Ended: start.Add(time.Millisecond), Broken: "EOF"},
+		{Attempt: "c2", Kind: kindUnsafe, Sent: start, Ended: start.Add(time.Second), Broken: "EOF"},
+		{Attempt: "c3", Kind: kindUnsafe, Node: 1, Kept: true, Sent: start, Ended: start.Add(time.Second), Broken: "EOF"},
+		{Attempt: "c4", Kind: kindUnsafe, Kept: true, Status: http.StatusBadGateway, Sent: start, Ended: start.Add(time.Second), Broken: "EOF"},
 	}
 	ran := func(worker, service, attempt string) Record {
 		return Record{At: start, Worker: worker, Service: service, Happening: fake.Happening{What: fake.HappenedRun, Attempt: attempt}}
@@ -42,7 +46,10 @@
 	return answers, records
 }
 
-var sessionRules = Rules{OrderLease: 1500 * time.Millisecond, LeaveBound: 2 * time.Second, LeavesFrom: time.Unix(1000, 0)}
+var sessionRules = Rules{
+	OrderLease: 1500 * time.Millisecond, LeaveBound: 2 * time.Second, LeavesFrom: time.Unix(1000, 0),
+	Crossing: time.Millisecond, Patient: true, Disturbed: func(a Answer) bool { return a.Node == 1 },
+}
 
 func TestJudgePassesWhatIsSound(t *testing.T) {
 	answers, records := session()
@@ -82,6 +89,21 @@
 			r[4].At = r[8].At.Add(2*time.Second + 1)
 			return r
 		},
+		"neither answered nor refused: c1": func(a []Answer, r []Record) []Record {
+			a[5].Ended = a[5].Sent.Add(2 * time.Millisecond)
+			return r
+		},
+		"neither answered nor refused: c1 /unsafe/ by instance 0, ran 1 times": func(_ []Answer, r []Record) []Record {
+			ran := r[0]
+			ran.Attempt = "c1"
+			return append(r, ran)
+		},
+		"neither answered nor refused: c2": func(a []Answer, r []Record) []Record { a[6].Kept = true; return r },
+		"neither answered nor refused: c3": func(a []Answer, r []Record) []Record { a[7].Node = 0; return r },
+		"neither answered nor refused: c4": func(a []Answer, r []Record) []Record {
+			a[8].Status, a[8].TimedOut = 0, true
+			return r
+		},
 		"turns": func(_ []Answer, r []Record) []Record { r[7].At = r[6].At.Add(time.Second); return r },
 	} {
 		answers, records := session()
@@ -92,6 +114,17 @@
 	}
 }
 
+// TestOverdueAnswersNeedAnIdleMachine leaves out only what callers gave up.
+func TestOverdueAnswersNeedAnIdleMachine(t *testing.T) {
+	answers, records := session()
+	answers[8].Status, answers[8].TimedOut = 0, true
+	rules := sessionRules
+	rules.Patient = false
+	require.Empty(t, Judge(answers, records, rules))
+	answers[8].TimedOut = false
+	require.Len(t, Judge(answers, records, rules), 1)
+}
+
 func TestLeavesAmongFaultsAreNotJudged(t *testing.T) {
 	answers, records := session()
 	records[0].At = records[9].At.Add(time.Hour)
@@ -121,3 +154,30 @@
 		require.True(t, seen[a], a)
 	}
 }
+
+// TestDisturbancesExcuse has requests that were sent at 10 s, on connections from 1 s,
+// and went without an answer until 13 s.
+func TestDisturbancesExcuse(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	gaveUp := Answer{Dialed: at(1), Sent: at(10), Ended: at(13), TimedOut: true}
+	ended := gaveUp
+	ended.TimedOut = false
+	for _, c := range []struct {
+		action        Action
+		from, to      int
+		gaveUp, ended bool
+	}{
+		{NodeKill, 12, 15, true, true},
+		{NodeKill, 13, 15, false, false},
+		{LinkReset, 8, 9, false, false},
+		{LinkMute, 8, 8, true, true},
+		{LinkMute, 0, 0, false, false},
+		{NodeStandstill, 9, 14, true, false},
+		{NodePause, 9, 11, true, false},
+		{NodePause, 8, 9, false, false},
+	} {
+		d := disturbance{from: at(c.from), to: at(c.to), action: c.action}
+		require.Equal(t, c.gaveUp, d.excuses(gaveUp), c)
+		require.Equal(t, c.ended, d.excuses(ended), c)
+	}
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -19,6 +19,9 @@
 	NodeKill   Action = "node-kill"
 	NodePause  Action = "node-pause"
 	NodeHangup Action = "node-hangup"
+	// NodeStandstill is a NodePause for so long that connections at rest reach their
+	// limit meanwhile.
+	NodeStandstill Action = "node-standstill"
 	// AllKill ends all instances at once.
 	AllKill Action = "all-kill"
 	// WorkerTerm, WorkerKill and WorkerPause do the same to an endpoint, which
@@ -81,6 +84,8 @@
 	faultEvery = 700 * time.Millisecond
 	faultLeast = 300 * time.Millisecond
 	faultMost  = 3 * time.Second
+	// standstill is how much longer a NodeStandstill lasts.
+	standstill = 3700 * time.Millisecond
 )
 
 // firstActions are drawn evenly; some stand twice to come more often. Seeds that are
@@ -90,8 +95,12 @@
 	StoreRefusing, StoreLosing, StoreForget, LinkDelay, LinkSilence, LinkSilence, LinkOneWay, LinkReset, LinkReset, Reconfigure, Reconfigure,
 }
 
-// actions are those that are drawn now.
-var actions = slices.Concat(firstActions, []Action{LinkMute, LinkMute, StoreSilent, StoreSilent})
+// secondActions are drawn now. To add some, make a further list, so that seeds that are
+// kept from the time of this one keep their schedules.
+var secondActions = slices.Concat(firstActions, []Action{LinkMute, LinkMute, StoreSilent, StoreSilent, NodeStandstill, NodeStandstill})
+
+// actions is the list that schedules are drawn from.
+var actions = secondActions
 
 // Draw makes the schedule of a seed.
 func Draw(seed uint64, size Size) []Fault { return draw(seed, size, actions) }
@@ -102,6 +111,9 @@
 	for at := faultEvery; at < size.Faults; at += time.Duration(random.ExpFloat64() * float64(faultEvery)) {
 		f := Fault{At: at, Action: actions[random.IntN(len(actions))]}
 		f.For = faultLeast + time.Duration(random.Float64()*float64(faultMost-faultLeast))
+		if f.Action == NodeStandstill {
+			f.For += standstill
+		}
 		f.For = min(f.For, size.Faults-at)
 		f.Link = []Link{LinkStore, LinkWorker, LinkCallers}[random.IntN(3)]
 		f.Target = random.IntN(f.targets(size))
--- a/soak/process.go
+++ b/soak/process.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// ending tells whether the process has been told to end and has not started again.
+func (p *process) ending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
 // crashed is how often the process ended by itself.
 func (p *process) crashed() int {
 	p.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,6 +54,11 @@
 	// loadMargin is what the machine's load may add to the time until an endpoint
 	// that leaves gets nothing.
 	loadMargin = 300 * time.Millisecond
+	// crossTime is how long a request is on its way to an instance, at most.
+	crossTime = 100 * time.Millisecond
+	// crossMost is the same on any machine, however slow; a caller at rest is in the
+	// middle of a NodeStandstill for longer.
+	crossMost = 2 * time.Second
 )
 
 // Run plays the schedule of a seed and judges it.
@@ -75,8 +80,9 @@
 	}
 	r.play(plan)
 	r.calm()
-	r.callers.Stop()
+	// Callers go on while the instances end.
 	r.stop()
+	r.callers.Stop()
 	time.Sleep(settleTime)
 	site.Close()
 	return r.judge(report, len(plan)), nil
@@ -121,11 +127,13 @@
 			all.Go(func() { r.restartNode(n, Fault{Action: NodeKill, For: f.For}) })
 		}
 		all.Wait()
+	case NodeStandstill:
+		// One that ends as planned would not get to its end within the grace.
+		if !s.nodes[f.Target].ending() {
+			r.pauseNode(s.nodes[f.Target], f)
+		}
 	case NodePause:
-		s.nodes[f.Target].signal(syscall.SIGSTOP)
-		time.Sleep(f.For)
-		s.excuse(s.nodes[f.Target])
-		s.nodes[f.Target].signal(syscall.SIGCONT)
+		r.pauseNode(s.nodes[f.Target], f)
 	case NodeHangup:
 		s.nodes[f.Target].signal(syscall.SIGHUP)
 	case WorkerTerm, WorkerKill, WorkerPause:
@@ -143,6 +151,15 @@
 	}
 }
 
+func (r *run) pauseNode(n *node, f Fault) {
+	from := time.Now()
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(f.For)
+	r.site.excuse(n)
+	n.signal(syscall.SIGCONT)
+	r.site.disturb(n, from, f.Action)
+}
+
 // restartNode ends an instance, and starts it again later.
 func (r *run) restartNode(n *node, f Fault) {
 	signal := syscall.SIGKILL
@@ -151,10 +168,15 @@
 	}
 	// A process that is paused takes a signal only when it goes on.
 	n.signal(syscall.SIGCONT)
+	from := time.Now()
 	if !n.end(signal, graceTime) {
+		from, f.Action = time.Now().Add(-settleTime), NodeKill
 		r.late(n)
 	}
 	time.Sleep(f.For)
+	if f.Action == NodeKill {
+		r.site.disturb(n, from, f.Action)
+	}
 	if err := n.start(); err != nil {
 		r.add("not started: %s: %v", n.name, err)
 	}
@@ -189,6 +211,10 @@
 	default:
 		proxy = r.site.workers[f.Target].proxy
 	}
+	if f.Link == LinkCallers {
+		from := time.Now()
+		defer func() { r.site.disturb(r.site.nodes[f.Target], from, f.Action) }()
+	}
 	if f.Action == LinkMute {
 		proxy.Mute()
 		return
@@ -271,7 +297,7 @@
 			r.add("not served again: %s at instance %d", k.Path, i)
 		}
 	}
-	if a := r.callers.Ask(http.DefaultTransport, i, then); a.Status != http.StatusNotFound {
+	if a := r.callers.Ask(i, then); a.Status != http.StatusNotFound {
 		r.add("an old route at instance %d: %s gives %d", i, then.Path, a.Status)
 	}
 }
@@ -280,7 +306,7 @@
 func (r *run) served(i int, k Kind) int {
 	n := 0
 	for range calmTries {
-		if a := r.callers.Ask(http.DefaultTransport, i, k); a.Status == http.StatusOK && a.Broken == "" {
+		if a := r.callers.Ask(i, k); a.Status == http.StatusOK && a.Broken == "" {
 			n++
 		}
 	}
@@ -373,9 +399,10 @@
 	answers := r.callers.Answers()
 	rules := Rules{
 		OrderLease: orderLease, Excused: r.site.excusedOrder, LeaveBound: settingsTime + loadMargin, LeavesFrom: r.leavesFrom,
+		Disturbed: r.site.disturbed, Crossing: crossTime, Patient: true,
 	}
 	if r.options.Untimed {
-		rules.OrderLease = 0
+		rules.OrderLease, rules.Crossing, rules.Patient = 0, crossMost, false
 	}
 	report.Broken = append(r.broken, Judge(answers, r.site.records, rules)...)
 	report.Faults, report.Requests = faults, len(answers)
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -18,38 +18,61 @@
 	from []Action
 }
 
-// kept are played by each test run: the first of each list of actions, and those that
-// once found a fault.
-var kept = []schedule{{1, firstActions}}
+// kept are played by each test run, a test each: the first of the first actions, one of
+// the second with what they added, and those that once found a fault.
+var (
+	keptFirst      = schedule{1, firstActions}
+	keptStandstill = schedule{303, secondActions}
+)
 
-// TestKeptSchedulesStayAsWritten holds the schedules of seeds from before actions were
+// TestKeptSchedulesStayAsWritten holds the kept schedules from before actions were
 // added: they are regression cases only if they stay the same.
 func TestKeptSchedulesStayAsWritten(t *testing.T) {
 	lines := []string{}
-	for _, f := range draw(1, shortSize, firstActions) {
-		lines = append(lines, f.String())
+	for _, k := range []schedule{keptFirst, keptStandstill} {
+		for _, f := range draw(k.seed, shortSize, k.from) {
+			lines = append(lines, f.String())
+		}
 	}
 	require.Equal(t, []string{
 		"at=700ms action=store-losing target=0 link=callers for=1.652487747s",
 		"at=792.643624ms action=store-refusing target=0 link=worker for=611.564548ms",
 		"at=2.942380271s action=worker-pause target=3 link=callers for=1.619520781s",
+
+		"at=700ms action=node-standstill target=1 link=worker for=4.3s",
+		"at=932.972069ms action=store-forget target=0 link=store for=726.14276ms",
+		"at=1.169120471s action=store-silent target=1 link=store for=1.823652783s",
+		"at=1.62540641s action=worker-kill target=1 link=callers for=2.891544594s",
+		"at=1.673471077s action=reconfigure target=0 link=store for=930.799948ms",
+		"at=1.911100451s action=worker-term target=3 link=callers for=1.203466302s",
+		"at=2.307783274s action=reconfigure target=1 link=worker for=385.947222ms",
+		"at=2.413556932s action=worker-kill target=0 link=store for=1.445961389s",
+		"at=2.82198787s action=store-silent target=0 link=callers for=676.780974ms",
+		"at=3.974214845s action=node-standstill target=2 link=store for=1.025785155s",
+		"at=4.072134093s action=link-mute target=2 link=callers for=927.865907ms",
 	}, lines)
 }
 
-// TestShortSoak plays the seeds with real processes. Only what holds on any machine,
-// however slow, is checked; runs by hand check the times too.
-func TestShortSoak(t *testing.T) {
+// TestShortSoak and the others play a schedule with real processes. Only what holds on
+// any machine, however slow, is checked; runs by hand check the times too.
+func TestShortSoak(t *testing.T) { playKept(t, keptFirst) }
+
+// TestStandstillSoak begins with an instance that stands still for longer than its
+// callers' connections may rest. Requests came on them meanwhile; when it went on it
+// closed the connections for their rest, with the requests unread or half served, and
+// their callers got neither an answer nor a refusal.
+func TestStandstillSoak(t *testing.T) { playKept(t, keptStandstill) }
+
+func playKept(t *testing.T, k schedule) {
 	programs := t.TempDir()
 	build := exec.Command("go", "build", "-o", programs, "../cmd/eiderspring", "../cmd/eiderspring-soak")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
-	for _, k := range kept {
-		report, err := Run(Options{
-			Programs: Programs{Node: filepath.Join(programs, "eiderspring"), Stand: filepath.Join(programs, "eiderspring-soak")},
-			Seed:     k.seed, Plan: draw(k.seed, shortSize, k.from), Size: shortSize, Callers: 2, Dir: t.TempDir(), Untimed: true,
-		})
-		require.NoError(t, err)
-		require.Empty(t, report.Broken, report.String())
-		require.Positive(t, report.Served)
-	}
+	report, err := Run(Options{
+		Programs: Programs{Node: filepath.Join(programs, "eiderspring"), Stand: filepath.Join(programs, "eiderspring-soak")},
+		Seed:     k.seed, Plan: draw(k.seed, shortSize, k.from), Size: shortSize, Callers: 2, Dir: t.TempDir(), Untimed: true,
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Broken, report.String())
+	require.Positive(t, report.Served)
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -33,6 +33,9 @@
 	graceTime    = 8 * time.Second
 	// thawTime is for how long orders of an instance that woke do not count.
 	thawTime = 300 * time.Millisecond
+	// idleLimit is for how long callers' connections may rest; a NodeStandstill is
+	// longer, also with the second that instances add to it.
+	idleLimit = 2 * time.Second
 )
 
 // Memory of an engine, in MB, holds two of the models.
@@ -58,6 +61,26 @@
 	records []Record
 	// excused holds when each instance woke or got its links back.
 	excused map[string][]time.Time
+	// disturbances are those of callers' requests at each instance.
+	disturbances map[string][]disturbance
+}
+
+// disturbance is a time in which an instance, or its callers' link, kept requests from
+// their answers.
+type disturbance struct {
+	from, to time.Time
+	action   Action
+}
+
+// excuses tells whether a request without an answer may be due to the disturbance. An
+// instance that stands still ends no connection; one that is muted stays so.
+func (d disturbance) excuses(a Answer) bool {
+	since := a.Sent
+	if d.action == LinkMute {
+		since = a.Dialed
+	}
+	stoodStill := d.action == NodePause || d.action == NodeStandstill
+	return since.Before(d.to.Add(settleTime)) && a.Ended.After(d.from) && (a.TimedOut || !stoodStill)
 }
 
 type node struct {
@@ -135,7 +158,7 @@
 
 // NewSite starts a site whose logs go to dir.
 func NewSite(programs Programs, size Size, dir string) (*Site, error) {
-	s := &Site{dir: dir, size: size, excused: map[string][]time.Time{}}
+	s := &Site{dir: dir, size: size, excused: map[string][]time.Time{}, disturbances: map[string][]disturbance{}}
 	if err := s.start(programs); err != nil {
 		s.Close()
 		return nil, err
@@ -188,7 +211,7 @@
 		}
 	}
 	write := &configWriter{registry: s.registry, until: time.Now().Add(storePatience)}
-	fake.Configure(write, s.version, routes)
+	fake.ConfigureIdle(write, s.version, routes, idleLimit)
 	return write.err
 }
 
@@ -331,6 +354,18 @@
 	})
 }
 
+// disturb notes a disturbance of an instance's callers that is over now.
+func (s *Site) disturb(n *node, from time.Time, action Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbances[n.name] = append(s.disturbances[n.name], disturbance{from: from, to: time.Now(), action: action})
+}
+
+// disturbed tells whether a request without an answer is excused.
+func (s *Site) disturbed(a Answer) bool {
+	return slices.ContainsFunc(s.disturbances[s.nodes[a.Node].name], func(d disturbance) bool { return d.excuses(a) })
+}
+
 // tellStore changes how the store behaves.
 func (s *Site) tellStore(path string) {
 	resp, err := http.Post(s.control+path, "", nil)
