A fault in the request path is told to the caller and logged

Change: a panic while a request is served becomes an error with its stack in the log; the caller gets that the request may have run, or a cut stream if it had begun.

--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -88,7 +90,25 @@
 // ServeHTTP implements http.Handler.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &Exchange{ID: rand.Text(), Received: p.cfg.Now(), Writer: w, Request: r, offset: -1}
-	p.settle.end(r.Context(), x, p.serve(r.Context(), x))
+	p.settle.end(r.Context(), x, p.guarded(r.Context(), x))
+}
+
+// PanicError is a fault in the request path.
+type PanicError struct{ Value any }
+
+// Error gives the fault.
+func (e *PanicError) Error() string { return fmt.Sprintf("fault: %v", e.Value) }
+
+// guarded serves a request and turns a fault into an error: net/http would end the
+// connection, and the caller would get neither an answer nor a refusal.
+func (p *Pipeline) guarded(ctx context.Context, x *Exchange) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = &DispatchError{Err: &PanicError{Value: v}}
+			p.cfg.Log.Error(err, "fault in the request path", "request", x.ID, "stack", string(debug.Stack()))
+		}
+	}()
+	return p.serve(ctx, x)
 }
 
 func (p *Pipeline) serve(ctx context.Context, x *Exchange) error {
