Test that entries which lapsed in a short outage are kept

Cause: a mutation of the time after which the store counts as away was seen by no test. Change: an outage of four seconds as a session; the sessions share their duty. Conclusion: both sides of the grace are held by tests.

--- a/daemon/returngrace_test.go
+++ b/daemon/returngrace_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// lapseSession is a short outage in which the entry of e1 lapses.
+type lapseSession struct {
+	watchSession
+	link *storeLink
+}
+
+func (s *lapseSession) Watch(ctx context.Context, _ store.Kind, _ string, _ store.WatchOptions, handle func(store.Event)) error {
+	s.watches++
+	if s.watches == 1 {
+		s.until(ctx, 5*time.Second)
+		return errSilent
+	}
+	s.link.answered()
+	handle(store.Event{Type: store.EventDeleted, Object: memberObject("e1")})
+	handle(bookmark("2"))
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func memberObject(name string) store.Object {
 	return store.Object{Metadata: store.Metadata{Name: name, ResourceVersion: "1"}}
 }
@@ -97,27 +116,34 @@
 	return last
 }
 
+// entriesOf returns a duty that follows the entries of a session.
+func entriesOf(session store.Client, link *storeLink) *entriesDuty {
+	return &entriesDuty{
+		client: session, decode: liveMember, entries: membership.NewEntries(), link: link, log: logr.Discard(), now: time.Now,
+		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: ring.New[event](eventsCapacity, ring.Block),
+		behind: func() bool { return false }, storeThere: func() time.Time { return time.Time{} },
+	}
+}
+
+// renew answers the lease, on another connection, but for the time of an outage.
+func (s *watchSession) renew(ctx context.Context, link *storeLink, from, to time.Duration) {
+	for at := range 40 {
+		if moment := time.Duration(at) * leaseRenewal; moment < from || moment > to {
+			s.until(ctx, moment)
+			link.answered()
+		}
+	}
+}
+
 func TestEndpointThatLeavesBehindAnOutageIsNotTakenForLapsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		session := &watchSession{began: time.Now()}
 		link := &storeLink{log: logr.Discard(), now: time.Now}
-		d := &entriesDuty{
-			client: session, decode: liveMember, entries: membership.NewEntries(), link: link, log: logr.Discard(), now: time.Now,
-			inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: ring.New[event](eventsCapacity, ring.Block),
-			behind: func() bool { return false }, storeThere: func() time.Time { return time.Time{} },
-		}
+		d := entriesOf(session, link)
 		go d.watch(ctx)
 		go d.run(ctx)
-		go func() {
-			// The lease, on another connection.
-			for at := range 40 {
-				if moment := time.Duration(at) * leaseRenewal; moment < 6*time.Second || moment > 11*time.Second {
-					session.until(ctx, moment)
-					link.answered()
-				}
-			}
-		}()
+		go session.renew(ctx, link, 6*time.Second, 11*time.Second)
 		session.until(ctx, 14200*time.Millisecond)
 		synctest.Wait()
 		live := namesListed(d.events, nil)
@@ -129,3 +155,26 @@
 		synctest.Wait()
 	})
 }
+
+// An entry that lapsed while the store was away for some seconds is kept until its
+// member has had the time to renew it, and then goes.
+func TestEntryThatLapsedInAnOutageIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		link := &storeLink{log: logr.Discard(), now: time.Now}
+		session := &lapseSession{watchSession{began: time.Now()}, link}
+		d := entriesOf(session, link)
+		go d.watch(ctx)
+		go d.run(ctx)
+		go session.renew(ctx, link, 2*time.Second, 5*time.Second)
+		session.until(ctx, 7500*time.Millisecond)
+		synctest.Wait()
+		live := namesListed(d.events, nil)
+		require.ElementsMatch(t, []string{"e1", "e2"}, live)
+		session.until(ctx, 9*time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"e2"}, namesListed(d.events, live))
+		stop()
+		synctest.Wait()
+	})
+}
