Soak: faults that overlap on one worker start it again once

Change: a worker that runs is not started again. Conclusion: the soak's own fault, none of the product.

--- a/soak/process.go
+++ b/soak/process.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// running tells whether the process is there.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
 // ending tells whether the process has been told to end and has not started again.
 func (p *process) ending() bool {
 	p.mu.Lock()
--- a/soak/site.go
+++ b/soak/site.go
@@ -97,8 +97,10 @@
 	service string
 	listen  string
 	proxy   *Proxy
-	// lives counts its incarnations.
-	lives int
+	// starting guards lives, which counts its incarnations: faults on one worker
+	// overlap, and each starts it again.
+	starting sync.Mutex
+	lives    int
 }
 
 // Ports that a site uses lie below those that the system gives to connections that
@@ -259,6 +261,11 @@
 
 // startWorker starts a new incarnation of a worker.
 func (s *Site) startWorker(program string, w *worker) error {
+	w.starting.Lock()
+	defer w.starting.Unlock()
+	if w.running() {
+		return nil
+	}
 	w.lives++
 	w.command = []string{
 		program, "worker", "--listen", w.listen, "--advertise", w.proxy.Address(), "--store", s.registry.URL,
