--- a/daemon/late_test.go
+++ b/daemon/late_test.go
@@ -18,8 +18,8 @@
 const staleAnswers = 3 * time.Second
 
 // lateCase is when things happen in one run: how long after the holder began to follow
-// the store it begins to speak and the follower starts, when the endpoint leaves, after a while, and how long after that the holder runs into
-// trouble.
+// the store it begins to speak, how long after that the follower starts, when the
+// endpoint leaves, and how long after that the holder runs into trouble.
 type lateCase struct{ speak, start, leave, trouble time.Duration }
 
 // lateRun has an endpoint leave before a follower and a holder that runs into trouble,
