An entry of another writer names no endpoint, and the others hold

A known endpoint whose entry another writer has overwritten is gone until it writes its entry again, by lists and by changes alike (a change was passed over before). Each is logged once and counted in `entries_refused`.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -119,8 +120,15 @@
 	// storeThere is since when the store has been there by another instance's word;
 	// zero if none tells.
 	storeThere func() time.Time
+	// refused holds why each entry was refused that cannot be used; the watch alone
+	// uses it. entriesRefused counts how often that was.
+	refused        map[string]string
+	entriesRefused expvar.Int
 }
 
+// maxRefusedEntries bounds the refused entries that are known, so as to log each once.
+const maxRefusedEntries = 1024
+
 const (
 	// entryInputs bounds the changes that wait for the duty.
 	entryInputs = 256
@@ -195,9 +203,12 @@
 			changes = append(changes, membership.EntryChange{Name: e.Object.Metadata.Name})
 			continue
 		}
-		for _, m := range d.members([]store.Object{e.Object}) {
-			changes = append(changes, membership.EntryChange{Name: m.Name, Member: &m})
+		change := membership.EntryChange{Name: e.Object.Metadata.Name}
+		// An entry that another writer has spoilt names no member any more.
+		if m, ok := d.member(e.Object); ok {
+			change.Member = &m
 		}
+		changes = append(changes, change)
 	}
 	return changes
 }
@@ -205,16 +216,32 @@
 func (d *entriesDuty) members(objects []store.Object) []membership.Member {
 	members := make([]membership.Member, 0, len(objects))
 	for _, o := range objects {
-		m, err := d.decode(o)
-		if err != nil {
-			d.log.Error(err, "entry refused", "name", o.Metadata.Name)
-			continue
+		if m, ok := d.member(o); ok {
+			members = append(members, m)
 		}
-		members = append(members, m)
 	}
 	return members
 }
 
+// member decodes an entry. One that is refused is counted, and logged when it is new.
+func (d *entriesDuty) member(o store.Object) (membership.Member, bool) {
+	m, err := d.decode(o)
+	if err == nil {
+		delete(d.refused, o.Metadata.Name)
+		return m, true
+	}
+	d.entriesRefused.Add(1)
+	if d.refused[o.Metadata.Name] == err.Error() {
+		return m, false
+	}
+	if d.refused == nil || len(d.refused) >= maxRefusedEntries {
+		d.refused = map[string]string{}
+	}
+	d.refused[o.Metadata.Name] = err.Error()
+	d.log.Info("entry refused", "name", o.Metadata.Name, "error", err.Error())
+	return m, false
+}
+
 func (d *entriesDuty) run(ctx context.Context) {
 	go d.tick(ctx)
 	for {
