Calls to the store are counted by freshness and phase

Purpose: an account of what each instance asks the store for, on its metrics address: verb and kind, "behind" where the answer may be old (a tenth of the price), and the phase: start, holder, told, untold, away.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -318,7 +318,7 @@
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("endpoints_age_ms", expvar.Func(func() any { return n.endpointsAgeMS() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
 	n.placers = &placers{
@@ -353,6 +353,34 @@
 	}
 }
 
+// Phases of a node's life, by which calls to the store are counted.
+const (
+	// phaseStart is until a holder of the lease has first vouched.
+	phaseStart = "start"
+	// phaseHolder is while this instance holds the lease, phaseTold while another tells
+	// it what is new, phaseUntold while none does.
+	phaseHolder = "holder"
+	phaseTold   = "told"
+	phaseUntold = "untold"
+	// phaseAway is while the store does not answer.
+	phaseAway = "away"
+)
+
+func (n *Node) phase() string {
+	switch {
+	case n.link.lost():
+		return phaseAway
+	case n.mesh.holds():
+		return phaseHolder
+	case n.mesh.holderTells():
+		return phaseTold
+	case n.mesh.totals.vouchedAge(n.now()) == neverConfirmed:
+		return phaseStart
+	default:
+		return phaseUntold
+	}
+}
+
 // entriesMayBeBehind tells whether the watch on endpoints may be seconds behind: the
 // holder of the lease tells which of them leave, and no entry is on its way back
 // behind an outage, which an old answer would show as gone.
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -83,6 +83,13 @@
 	return l.now().Sub(at)
 }
 
+// lost tells whether the store gives no answers now.
+func (l *storeLink) lost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.lostAt.IsZero()
+}
+
 func (l *storeLink) heard() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/store/caller.go
+++ b/store/caller.go
@@ -20,6 +20,20 @@
 	Name string
 	URL  string
 	Body []byte
+	// Behind tells that the answer may be old, which some stores charge less for.
+	Behind bool
+}
+
+// key is what the call is counted under.
+func (c Call) key(phase string) string {
+	key := c.Verb + " " + string(c.Kind)
+	if c.Behind {
+		key += " behind"
+	}
+	if phase != "" {
+		key += " " + phase
+	}
+	return key
 }
 
 // verbWatch counts a call that waits for changes.
@@ -29,6 +43,7 @@
 type Caller struct {
 	timeout  time.Duration
 	calls    *expvar.Map
+	phase    func() string
 	answered func()
 	http     *http.Client
 }
@@ -51,7 +66,10 @@
 	if cfg.Answered == nil {
 		cfg.Answered = func() {}
 	}
-	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
+	if cfg.Phase == nil {
+		cfg.Phase = func() string { return "" }
+	}
+	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, phase: cfg.Phase, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
 }
 
 // Call makes a call within the caller's timeout and decodes the answer into
@@ -91,7 +109,7 @@
 // open makes a call and returns the answer if it is a success.
 func (c *Caller) open(ctx context.Context, call Call) (*http.Response, error) {
 	if c.calls != nil {
-		c.calls.Add(call.Verb+" "+string(call.Kind), 1)
+		c.calls.Add(call.key(c.phase()), 1)
 	}
 	method := call.Verb
 	if method == verbWatch {
--- a/store/client.go
+++ b/store/client.go
@@ -67,8 +67,12 @@
 	// Such a call goes on as it began, so this is also how long a watch stays
 	// behind when it no longer may.
 	BehindWait time.Duration
-	// Calls counts calls by "VERB KIND"; nil counts nothing.
+	// Calls counts calls by "VERB KIND", with "behind" where the answer may be old and
+	// the phase in which they are made; nil counts nothing.
 	Calls *expvar.Map
+	// Phase tells in what phase of the instance's life calls are made now; nil means
+	// that they are not told apart.
+	Phase func() string
 	// Answered is told of each answer by which the store shows that it serves
 	// this instance; nil tells nobody.
 	Answered func()
