Instances that are told what is new ask the store only when something is

Change: - The holder's word carries a digest of the endpoints that it lists, in what state. The first list of settings stays close. - Nobody but those who rank first campaigns at a common start until they had the time to take the lease and tell. - The key of datagrams never changes: it is read behind, and made after a random pause. - A list that is asked for as history is gone may be behind where the watch may. - An outage is a call without an answer, no longer a time without calls; one that is met late may have begun right behind the last answer. - A word that an endpoint leaves does not run out while the holder's list differs (12 s more at most): it did behind an own cut of eight seconds and more.

The tests of late leaves now run each case with and without other changes.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -26,9 +26,12 @@
 	// behind tells whether another instance tells of newer settings in time, so
 	// that this one need not look so closely.
 	behind func() bool
-	events *ring.Ring[event]
-	link   *storeLink
-	log    logr.Logger
+	// inForce tells whether no instance is known to have newer settings; nil means that
+	// nobody knows.
+	inForce func() bool
+	events  *ring.Ring[event]
+	link    *storeLink
+	log     logr.Logger
 }
 
 // confirm reads the settings when another instance is known to have newer ones:
@@ -40,6 +43,10 @@
 			return
 		case <-d.newer:
 		}
+		if d.inForce != nil && wait.For(ctx, watchedGrace) && d.inForce() {
+			// The watch has brought them.
+			continue
+		}
 		o, err := d.client.Get(ctx, d.kind, d.name)
 		if err != nil {
 			d.log.Info("newer settings not read", "error", err.Error())
@@ -56,6 +63,10 @@
 	}
 }
 
+// watchedGrace is how long the watch may take to bring newer settings, by an answer that
+// may be behind and costs a tenth, before they are read.
+const watchedGrace = 250 * time.Millisecond
+
 // confirmSettle is how long settings that were read may take to be in force.
 const confirmSettle = 100 * time.Millisecond
 
@@ -63,12 +74,17 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	options := store.WatchOptions{Behind: d.behind, Confirmed: func() { d.link.confirmed(d.kind) }}
+	listed := false
+	// Settings that a new process begins with are never old ones: all instances may have
+	// ended right after newer ones were acknowledged.
+	behind := func() bool { return listed && d.behind() }
+	options := store.WatchOptions{Behind: behind, Confirmed: func() { d.link.confirmed(d.kind) }}
 	var changes batch
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
 			changes.take()
+			listed = true
 			for _, o := range l.Items {
 				d.found(ctx, o)
 			}
@@ -80,6 +96,10 @@
 				for _, e := range changes.take() {
 					d.found(ctx, e.Object)
 				}
+				if e.Behind && d.inForce != nil {
+					// There is nothing to ask for until another instance has newer ones.
+					wait.While(ctx, untilTold, func() bool { return d.behind() && d.inForce() })
+				}
 			case store.EventDeleted:
 				// Settings that were removed stay in force.
 			default:
@@ -115,6 +135,9 @@
 	now     func() time.Time
 	// behind tells whether another instance tells in time which endpoints leave.
 	behind func() bool
+	// same tells whether this instance lists the same endpoints as the one that tells;
+	// nil means that nobody knows.
+	same func() bool
 	// closeWait is how long the store may hold a close watch.
 	closeWait time.Duration
 	// storeThere is since when the store has been there by another instance's word;
@@ -140,6 +163,10 @@
 	entriesTick = 250 * time.Millisecond
 )
 
+// untilTold is for how long a watch that may be behind rests, at most, while nothing is
+// new by another instance's word: the platform's store keeps changes for 20 s.
+const untilTold = 15 * time.Second
+
 func (d *entriesDuty) watch(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
 	var changes batch
@@ -190,6 +217,10 @@
 func (d *entriesDuty) gather(ctx context.Context, behind bool) {
 	if behind {
 		wait.While(ctx, behindGather, d.behind)
+		if d.same != nil {
+			// There is nothing to ask for until the lists differ.
+			wait.While(ctx, untilTold, func() bool { return d.behind() && d.same() })
+		}
 		return
 	}
 	wait.For(ctx, entriesGather)
--- a/daemon/late_test.go
+++ b/daemon/late_test.go
@@ -20,7 +20,11 @@
 // lateCase is when things happen in one run: how long after the holder began to follow
 // the store it begins to speak, how long after that the follower starts, when the
 // endpoint leaves, and how long after that the holder runs into trouble.
-type lateCase struct{ speak, start, leave, trouble time.Duration }
+// A calm store has nothing else that changes, so that the follower's watch rests.
+type lateCase struct {
+	speak, start, leave, trouble time.Duration
+	calm                         bool
+}
 
 // lateRun has an endpoint leave before a follower and a holder that runs into trouble,
 // and returns how late the follower knows.
@@ -34,7 +38,9 @@
 		s.put("e", membership.Live)
 		holder := newLateInstance(s, "holder", func() bool { return true })
 		follower := newLateInstance(s, "follower", func() bool { return false })
-		go s.busy(ctx)
+		if !c.calm {
+			go s.busy(ctx)
+		}
 		holder.follow(holderLives)
 		time.Sleep(c.speak)
 		holder.speak(holderLives, follower)
@@ -70,8 +76,11 @@
 		c := lateCase{
 			speak: upTo(hubTick), start: upTo(behindGather), leave: upTo(behindGather), trouble: upTo(entriesGather + hubTick),
 		}
-		if late := lateRun(t, c, strike); late > worst {
-			worst, at = late, c
+		// The same moments with and without other changes.
+		for _, c.calm = range []bool{false, true} {
+			if late := lateRun(t, c, strike); late > worst {
+				worst, at = late, c
+			}
 		}
 	}
 	return worst, at
--- a/daemon/latestore_test.go
+++ b/daemon/latestore_test.go
@@ -45,11 +45,15 @@
 func (s *lateStore) put(name string, state membership.State) { s.enter(name, state, 1) }
 
 func (s *lateStore) enter(name string, state membership.State, slots int) {
-	spec, err := json.Marshal(membership.Member{Name: name, Incarnation: name, Pool: "pool", State: state, Slots: slots})
+	s.spec(membership.Member{Name: name, Incarnation: name, Pool: "pool", State: state, Slots: slots})
+}
+
+func (s *lateStore) spec(m membership.Member) {
+	spec, err := json.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	s.record(store.EventModified, store.Object{Kind: endpointsKind, Metadata: store.Metadata{Name: name}, Spec: spec})
+	s.record(store.EventModified, store.Object{Kind: endpointsKind, Metadata: store.Metadata{Name: m.Name}, Spec: spec})
 }
 
 func (s *lateStore) remove(name string) {
@@ -107,6 +111,8 @@
 	fresh NodeFresh
 
 	mu sync.Mutex
+	// calls are those that were made, closeCalls those of them that are not behind.
+	calls, closeCalls int
 	// away makes calls fail, silent makes watches that begin now wait in vain; both
 	// end a watch that waits when they change.
 	away, silent bool
@@ -136,6 +142,7 @@
 	if away, _, _ := c.state(); away {
 		return store.List{}, errStoreAway
 	}
+	c.link.asked(0)
 	c.link.answered()
 	return c.store.list(), nil
 }
@@ -164,6 +171,8 @@
 		hold = c.fresh.behindWait()
 	}
 	away, silent, cut := c.state()
+	c.link.asked(hold)
+	c.count(behind)
 	if away {
 		return nil, 0, errStoreAway
 	}
@@ -203,6 +212,22 @@
 	}
 }
 
+func (c *lateClient) count(behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if !behind {
+		c.closeCalls++
+	}
+}
+
+// counted returns how many calls were made, and how many of them were close.
+func (c *lateClient) counted() (all, closely int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, c.closeCalls
+}
+
 // lateInstance is what of an instance learns of endpoints that leave.
 type lateInstance struct {
 	client *lateClient
@@ -238,6 +263,7 @@
 		decode: func(o store.Object) (m membership.Member, err error) { return m, json.Unmarshal(o.Spec, &m) },
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: ring.New[event](eventsCapacity, ring.Block),
 		behind:     func() bool { return i.mesh.holderTells() && link.settled() },
+		same:       i.mesh.listsTheSame,
 		storeThere: func() time.Time { return i.mesh.totals.storeThere(time.Now()) },
 	}
 	return i
@@ -258,7 +284,9 @@
 			return
 		}
 		if l, ok := e.(membersListed); ok {
-			for _, c := range i.list.Step(time.Now(), membership.Listed{Listing: l.listing}) {
+			changes := i.list.Step(time.Now(), membership.Listed{Listing: l.listing})
+			i.mesh.endpoints.Store(i.list.Digest())
+			for _, c := range changes {
 				if c.Member.State != membership.Live {
 					i.mesh.withdraw(endpointStart{name: c.Member.Name})
 					i.leaves(c.Member.Name)
@@ -314,6 +342,7 @@
 	i.mesh.listed[to.mesh.instance] = presence{Datagrams: "10.0.0.2:1"}
 	go func() {
 		for ctx.Err() == nil {
+			i.link.asked(0)
 			if away, _, _ := i.client.state(); !away {
 				i.link.answered()
 			}
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -58,6 +59,11 @@
 	// newer is told when another instance has newer settings in force.
 	newer chan struct{}
 
+	// endpoints is the digest of the endpoints that this instance lists, newest the
+	// newest revision of the settings that any instance was heard to have.
+	endpoints atomic.Uint64
+	newest    atomic.Int64
+
 	inputs *ring.Ring[peer.Packet]
 	// urgent holds at most one wish to tell at once.
 	urgent chan struct{}
@@ -216,6 +222,7 @@
 		m.passOn(p.Refused)
 	}
 	if p.Revision > m.revision() {
+		m.newest.Store(max(m.newest.Load(), p.Revision))
 		select {
 		case m.newer <- struct{}{}:
 		default:
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -45,6 +45,9 @@
 	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
 	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
 		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed}
+		if p.Current {
+			p.Endpoints = m.endpoints.Load()
+		}
 		p.Totals, sum = cut(sum, maxTotals)
 		var leaving, replaced []endpointStart
 		leaving, withdrawn = cut(withdrawn, maxWithdrawn)
@@ -116,6 +119,22 @@
 // itself must look.
 func (m *mesh) holderTells() bool { return !m.holds() && m.totals.vouched(m.now()) }
 
+// listsTheSame tells whether this instance lists the endpoints that the holder of the
+// lease lists, in the same states, so that there is nothing to ask the store for.
+func (m *mesh) listsTheSame() bool {
+	told := m.totals.toldEndpoints()
+	return told != 0 && told == m.endpoints.Load()
+}
+
+// listsOthers tells whether the holder of the lease tells that it lists other endpoints,
+// or the same in other states.
+func (m *mesh) listsOthers() bool {
+	return m.holderTells() && m.totals.toldEndpoints() != 0 && !m.listsTheSame()
+}
+
+// settingsInForce tells whether no instance is known to have newer settings.
+func (m *mesh) settingsInForce() bool { return m.revision() >= m.newest.Load() }
+
 // noteVouch logs when the holder begins or ceases to vouch.
 func (m *mesh) noteVouch() {
 	vouched := m.totals.vouched(m.now())
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -225,7 +225,14 @@
 	// Placing units takes processor time, so the strong go first.
 	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(known[b], known[a]) })
 	at := slices.Index(names, n.cfg.Instance)
-	return at < nodeCampaigners || n.mesh.hubSilent() >= silentCampaign+time.Duration(at)*silentStep
+	return at < nodeCampaigners || n.nobodyPlaces(time.Duration(at)*silentStep)
+}
+
+// nobodyPlaces tells whether nobody who places units was heard for so long, and step
+// besides. A process that has just begun has not been able to hear one.
+func (n *Node) nobodyPlaces(step time.Duration) bool {
+	sinceStart := n.now().Sub(n.startedAt) - campaignDelay
+	return n.mesh.hubSilent() >= silentCampaign+step && sinceStart >= silentStart+step
 }
 
 // Entries of instances that are gone may rank first. So one that has heard
@@ -233,7 +240,10 @@
 // step later each.
 const (
 	silentCampaign = 1200 * time.Millisecond
-	silentStep     = 100 * time.Millisecond
+	// silentStart is the same behind campaignDelay in a new process: whoever ranks first
+	// has taken the lease by then, and told.
+	silentStart = 300 * time.Millisecond
+	silentStep  = 100 * time.Millisecond
 )
 
 func (n *Node) listen() error {
@@ -318,7 +328,7 @@
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("endpoints_age_ms", expvar.Func(func() any { return n.endpointsAgeMS() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Answered: n.link.answered, Transport: &http.Transport{
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Asked: n.link.asked, Answered: n.link.answered, Transport: &http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	}})
 	n.placers = &placers{
@@ -333,16 +343,16 @@
 		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
 		cells: n.placers.update, peers: func(*membership.List) {},
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
-		catalog: n.adopt, leaving: n.mesh.withdraw,
+		catalog: n.adopt, leaving: n.mesh.withdraw, listed: n.mesh.endpoints.Store, differs: n.mesh.listsOthers,
 	}
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
-		newer: n.mesh.newer, behind: n.mesh.holderTells, events: n.events, link: n.link, log: n.log,
+		newer: n.mesh.newer, behind: n.settingsMayBeBehind, inForce: n.mesh.settingsInForce, events: n.events, link: n.link, log: n.log,
 	}
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
-		behind: n.entriesMayBeBehind, closeWait: n.cfg.Fresh.entriesWait(),
+		behind: n.entriesMayBeBehind, same: n.mesh.listsTheSame, closeWait: n.cfg.Fresh.entriesWait(),
 		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
 	n.vars.Set("entries_refused", &entries.entriesRefused)
@@ -384,7 +394,26 @@
 // entriesMayBeBehind tells whether the watch on endpoints may be seconds behind: the
 // holder of the lease tells which of them leave, and no entry is on its way back
 // behind an outage, which an old answer would show as gone.
-func (n *Node) entriesMayBeBehind() bool { return n.mesh.holderTells() && n.link.settled() }
+func (n *Node) entriesMayBeBehind() bool {
+	return n.mesh.holderTells() && n.link.settled() || n.starting()
+}
+
+// settingsMayBeBehind tells the same of the watch on settings.
+func (n *Node) settingsMayBeBehind() bool { return n.mesh.holderTells() || n.starting() }
+
+// contactReserve is how long before an instance counts as in contact its watches are
+// close, if nobody tells it what is new.
+const contactReserve = 1200 * time.Millisecond
+
+// starting tells whether this process began so lately that it does not count as in
+// contact yet: until then it waits for the word of a holder rather than look closely.
+// All instances start together at times, and would make some ten calls each.
+func (n *Node) starting() bool {
+	if n.mesh.holds() || n.mesh.totals.vouchedAge(n.now()) != neverConfirmed {
+		return false
+	}
+	return n.now().Sub(n.startedAt) < milliseconds(n.cfg.Fresh.ContactMS)-contactReserve
+}
 
 // current tells whether this instance knows of newer settings and leaving endpoints
 // in time, which it vouches for if it holds the lease. Only answers to its watches on
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	randv2 "math/rand/v2"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -70,12 +71,23 @@
 	}
 }
 
+// keyPause is the longest pause before an instance makes the key that it has not found:
+// all start together at times, and one of them is enough.
+const keyPause = 600 * time.Millisecond
+
 // key reads the datagrams' key, or makes it if there is none.
 func (d *presenceDuty) key(ctx context.Context) error {
-	o, err := d.client.Get(ctx, store.KindPeerKey, peerKeyName)
+	o, err := d.findKey(ctx)
+	if store.IsNotFound(err) {
+		wait.For(ctx, time.Duration(randv2.Int64N(int64(keyPause))))
+		o, err = d.findKey(ctx)
+	}
 	if store.IsNotFound(err) {
 		o, err = d.makeKey(ctx)
 	}
+	if store.IsConflict(err) {
+		o, err = d.client.Get(ctx, store.KindPeerKey, peerKeyName)
+	}
 	if err != nil {
 		return err
 	}
@@ -90,6 +102,14 @@
 	return d.opened(key)
 }
 
+// findKey reads the key. It never changes, so an old answer is as good.
+func (d *presenceDuty) findKey(ctx context.Context) (store.Object, error) {
+	if reader, offered := d.client.(store.BehindReader); offered {
+		return reader.GetBehind(ctx, store.KindPeerKey, peerKeyName)
+	}
+	return d.client.Get(ctx, store.KindPeerKey, peerKeyName)
+}
+
 func (d *presenceDuty) makeKey(ctx context.Context) (store.Object, error) {
 	key := make([]byte, peer.KeyBytes)
 	if _, err := rand.Read(key); err != nil {
--- a/daemon/returngrace_test.go
+++ b/daemon/returngrace_test.go
@@ -128,8 +128,10 @@
 // renew answers the lease, on another connection, but for the time of an outage.
 func (s *watchSession) renew(ctx context.Context, link *storeLink, from, to time.Duration) {
 	for at := range 40 {
-		if moment := time.Duration(at) * leaseRenewal; moment < from || moment > to {
-			s.until(ctx, moment)
+		moment := time.Duration(at) * leaseRenewal
+		s.until(ctx, moment)
+		link.asked(0)
+		if moment < from || moment > to {
 			link.answered()
 		}
 	}
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -20,27 +20,43 @@
 
 	mu     sync.Mutex
 	lostAt time.Time
-	// answeredAt is when the store last answered any call, returnedAt since when it
-	// has answered without a break of awayAfter.
-	answeredAt, returnedAt time.Time
+	// answeredAt is when the store last answered any call, askedAt when the first call
+	// since was made that it should have answered soon; zero for none. returnedAt is
+	// since when it has answered without a break of awayAfter.
+	answeredAt, askedAt, returnedAt time.Time
+	// failing is set from a watch that got no answer to the next answer.
+	failing bool
 	// confirmedAt is when the watch on a kind was last answered closely.
 	confirmedAt map[store.Kind]time.Time
 }
 
-// awayAfter is the time without an answer of the store after which it was away.
-// Watches are answered about every second; entries of endpoints lapse only after
-// several heartbeats of a second or more.
+// awayAfter is the time for which a call goes without an answer after which the store
+// was away. Entries of endpoints lapse only after several heartbeats of a second or
+// more. An instance that asks for nothing, as another tells it, does not find it away.
 const awayAfter = 2 * time.Second
 
+// asked notes that a call is made which the store may hold for so long.
+func (l *storeLink) asked(hold time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if hold < awayAfter && l.askedAt.IsZero() {
+		l.askedAt = l.now()
+	}
+}
+
 // answered notes that the store has answered a call.
 func (l *storeLink) answered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	if now.Sub(l.answeredAt) >= awayAfter {
+	unanswered := !l.askedAt.IsZero() && now.Sub(l.askedAt) >= awayAfter
+	// Whoever asks seldom meets an outage late: it may have begun right behind the last
+	// answer.
+	missed := l.failing && now.Sub(l.answeredAt) >= awayAfter
+	if l.answeredAt.IsZero() || unanswered || missed {
 		l.returnedAt = now
 	}
-	l.answeredAt = now
+	l.answeredAt, l.askedAt, l.failing = now, time.Time{}, false
 }
 
 // returned is since when the store has answered without a break, whatever the
@@ -109,6 +125,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.failing = true
 	if !l.lostAt.IsZero() {
 		return
 	}
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -16,7 +16,9 @@
 	currentAt time.Time
 	// vouchedSince is since when it has said so without a break.
 	vouchedSince time.Time
-	loads        map[string]totalLoad
+	// endpoints is the hub's digest of the endpoints, of its last word that vouches.
+	endpoints uint64
+	loads     map[string]totalLoad
 	// holderLost is for how long a word that vouches counts, leastHolderLost at least.
 	holderLost time.Duration
 	// own is what this instance told last; the hub's sums hold it.
@@ -41,7 +43,7 @@
 		if now.Sub(t.currentAt) >= t.lost() {
 			t.vouchedSince = now
 		}
-		t.currentAt = now
+		t.currentAt, t.endpoints = now, p.Endpoints
 	}
 	if t.loads == nil {
 		t.loads = map[string]totalLoad{}
@@ -103,6 +105,13 @@
 	return t.vouchedSince
 }
 
+// toldEndpoints is the hub's digest of the endpoints; 0 where it tells none.
+func (t *totals) toldEndpoints() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endpoints
+}
+
 // vouchedAge is how long ago the hub last said that what it knows is current.
 func (t *totals) vouchedAge(now time.Time) time.Duration {
 	t.mu.Lock()
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -32,6 +32,11 @@
 	kick  func()
 	// leaving is told of each endpoint that begins to leave; nil tells nobody.
 	leaving func(endpoint endpointStart)
+	// differs tells whether the holder of the lease is known to list other endpoints than
+	// this instance; nil means that nobody knows.
+	differs func() bool
+	// listed is told the digest of the list when it has changed; nil tells nobody.
+	listed func(digest uint64)
 
 	accepted  *revision.Accepted
 	resolved  *settings.Catalog
@@ -76,13 +81,23 @@
 
 // forgetWords drops the words of other instances that have run out, and tells whether
 // there were any: an endpoint whose entry had only lapsed takes requests again.
+//
+// A word does not run out, but for wordsMost, while the holder of the lease lists other
+// endpoints than this instance: no list has come since that would tell.
 func (d *viewDuty) forgetWords() bool {
 	known := len(d.withdrawnUntil)
 	now := d.now()
+	if d.differs != nil && d.differs() {
+		now = now.Add(-wordsMost)
+	}
 	maps.DeleteFunc(d.withdrawnUntil, func(_ string, w withdrawal) bool { return !now.Before(w.at) })
 	return len(d.withdrawnUntil) < known
 }
 
+// wordsMost is for how much longer a word counts, at most, while no list comes: longer
+// than an instance is cut off from the store.
+const wordsMost = 12 * time.Second
+
 // apply records an event and tells whether the view must be rebuilt.
 func (d *viewDuty) apply(e event) bool {
 	switch e := e.(type) {
@@ -94,6 +109,9 @@
 			d.noteLeaving(c)
 			d.log.V(1).Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
 		}
+		if len(changes) > 0 && d.listed != nil {
+			d.listed(d.list.Digest())
+		}
 		return len(changes) > 0 && d.inform()
 	case instanceLeaving:
 		m, known := d.list.Member(e.name)
@@ -172,7 +190,7 @@
 // withheld tells whether another instance's word keeps requests from a member.
 func (d *viewDuty) withheld(m membership.Member) bool {
 	w, told := d.withdrawnUntil[m.Name]
-	return told && d.now().Before(w.at) && endpointStart{m.Name, w.startedAtMS}.concerns(m.StartedAtMS)
+	return told && endpointStart{m.Name, w.startedAtMS}.concerns(m.StartedAtMS)
 }
 
 // noteLeaving tells that an endpoint has begun to leave or has gone.
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -186,6 +186,8 @@
 	n.placers = &placers{}
 	answer := func() {
 		n.link.answered()
+		// The next call is made at once.
+		n.link.asked(0)
 		n.link.confirmed(n.ports.MembersKind)
 		n.link.confirmed(n.ports.SettingsKind)
 		n.mesh.totals.take(now, wordOfHolder(true))
--- a/membership/list.go
+++ b/membership/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -123,6 +125,22 @@
 	return members
 }
 
+// Digest stands for who the members of all pools are, and in what state: two lists of the
+// same come to the same number, whatever their versions. It says nothing of the units
+// that they hold. 0 stands for no list.
+func (l *List) Digest() uint64 {
+	if len(l.members) == 0 {
+		return 0
+	}
+	var sum uint64
+	for _, m := range l.members {
+		h := fnv.New64a()
+		fmt.Fprintf(h, "%q %q %q %q %q %q %d", m.Name, m.Incarnation, m.Pool, m.Address, m.FailureDomain, m.State, m.Slots)
+		sum += h.Sum64()
+	}
+	return max(sum, 1)
+}
+
 // Version returns the newest listing's version.
 func (l *List) Version() int64 { return l.version }
 
--- a/store/caller.go
+++ b/store/caller.go
@@ -22,6 +22,8 @@
 	Body []byte
 	// Behind tells that the answer may be old, which some stores charge less for.
 	Behind bool
+	// Hold is how long the store may hold the call before it answers.
+	Hold time.Duration
 }
 
 // key is what the call is counted under.
@@ -44,6 +46,7 @@
 	timeout  time.Duration
 	calls    *expvar.Map
 	phase    func() string
+	asked    func(hold time.Duration)
 	answered func()
 	http     *http.Client
 }
@@ -66,10 +69,13 @@
 	if cfg.Answered == nil {
 		cfg.Answered = func() {}
 	}
+	if cfg.Asked == nil {
+		cfg.Asked = func(time.Duration) {}
+	}
 	if cfg.Phase == nil {
 		cfg.Phase = func() string { return "" }
 	}
-	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, phase: cfg.Phase, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
+	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, phase: cfg.Phase, asked: cfg.Asked, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
 }
 
 // Call makes a call within the caller's timeout and decodes the answer into
@@ -111,6 +117,7 @@
 	if c.calls != nil {
 		c.calls.Add(call.key(c.phase()), 1)
 	}
+	c.asked(call.Hold)
 	method := call.Verb
 	if method == verbWatch {
 		method = http.MethodGet
--- a/store/client.go
+++ b/store/client.go
@@ -30,6 +30,15 @@
 	Watch(ctx context.Context, kind Kind, resourceVersion string, o WatchOptions, handle func(Event)) error
 }
 
+// BehindReader is a Client whose store answers some reads late for a lower price.
+type BehindReader interface {
+	// GetBehind is Get of what the object may have been seconds ago.
+	GetBehind(ctx context.Context, kind Kind, name string) (Object, error)
+	// ListBehind is List of what may have been seconds ago, but not before the version
+	// least; an older answer is an ErrOlder. Empty means any.
+	ListBehind(ctx context.Context, kind Kind, least string) (List, error)
+}
+
 // WatchOptions say how a watch may be served.
 type WatchOptions struct {
 	// Behind tells, before each call that the watch makes, whether changes may
@@ -73,6 +82,9 @@
 	// Phase tells in what phase of the instance's life calls are made now; nil means
 	// that they are not told apart.
 	Phase func() string
+	// Asked is told of each call that is made, and how long the store may hold it; nil
+	// tells nobody.
+	Asked func(hold time.Duration)
 	// Answered is told of each answer by which the store shows that it serves
 	// this instance; nil tells nobody.
 	Answered func()
--- a/store/errors.go
+++ b/store/errors.go
@@ -35,6 +35,9 @@
 // Unwrap returns the transport's error.
 func (e *UnansweredError) Unwrap() error { return e.Err }
 
+// ErrOlder is an answer from before what is known already.
+var ErrOlder = errors.New("object API: the answer is older than what is known")
+
 // EncodeError is an object that cannot be encoded or decoded.
 type EncodeError struct {
 	Kind Kind
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,8 @@
 	options WatchOptions
 	// version is where the watch goes on; empty means that a list is needed.
 	version string
+	// least is the newest version that was known.
+	least string
 }
 
 // Bounds of the pause before a reflector lists again after a failure. With the
@@ -88,18 +91,20 @@
 // that the store no longer keeps is forgotten.
 func (r *Reflector) listAndWatch(ctx context.Context) (progress bool, err error) {
 	if r.version == "" {
-		list, err := r.client.List(ctx, r.kind)
+		list, behind, err := r.list(ctx)
 		if err != nil {
 			return false, err
 		}
-		r.version = list.ResourceVersion
+		r.version, r.least = list.ResourceVersion, list.ResourceVersion
 		r.replace(list)
-		r.options.confirm()
+		if !behind {
+			r.options.confirm()
+		}
 		progress = true
 	}
 	err = r.client.Watch(ctx, r.kind, r.version, r.options, func(e Event) {
 		progress = true
-		r.version = e.Object.Metadata.ResourceVersion
+		r.version, r.least = e.Object.Metadata.ResourceVersion, e.Object.Metadata.ResourceVersion
 		if !e.Behind {
 			r.options.confirm()
 		}
@@ -110,3 +115,17 @@
 	}
 	return progress, err
 }
+
+// list asks for the whole list, which may be behind where changes may be and the store
+// knows such reads. One that is older than what is known is asked for again, not behind.
+func (r *Reflector) list(ctx context.Context) (l List, behind bool, err error) {
+	reader, offered := r.client.(BehindReader)
+	if offered && r.options.MayBeBehind() {
+		l, err = reader.ListBehind(ctx, r.kind, r.least)
+		if !errors.Is(err, ErrOlder) {
+			return l, true, err
+		}
+	}
+	l, err = r.client.List(ctx, r.kind)
+	return l, false, err
+}
