Nobody campaigns for the lease until it knows who the others are

Cause: of 295 instances that started together each had listed next to nobody 1.5 s later, so all campaigned (772 reads and 287 writes of the lease) and a weak one of 0.19 cores took it.

Change: an instance is known by the others before it reads the key of datagrams; nobody campaigns while new instances are still being listed, for two seconds at most; a holder of a large fleet hands over to an instance with twice its processor time once it hears it. An instance that does not want the lease does not read it. The key is looked for again after up to 1.2 s.

--- /dev/null
+++ b/daemon/campaign_test.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// campaigner is a node that started at a moment and has listed instances since.
+func campaigner(cores float64, now *time.Time) *Node {
+	n := &Node{now: func() time.Time { return *now }, startedAt: *now}
+	n.cfg.Instance = "self"
+	n.mesh = &mesh{
+		instance: "self", now: n.now, self: presence{Cores: cores}, listed: map[string]presence{}, told: map[string]string{}, counted: func(int) {},
+	}
+	return n
+}
+
+// All of 295 instances campaigned 1.5 s behind a common start, as each had listed nobody
+// but itself, and a weak one took the lease.
+func TestNobodyCampaignsWhileInstancesAreNew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := campaigner(0.2, &now)
+	now = now.Add(campaignDelay - 200*time.Millisecond)
+	n.mesh.find("strong1", &presence{Cores: 0.8})
+	now = now.Add(200 * time.Millisecond)
+	require.False(t, n.campaigns("pool", false), "more may come")
+	n.mesh.find("strong2", &presence{Cores: 0.8})
+	now = now.Add(joinSettle)
+	require.False(t, n.campaigns("pool", false), "two rank before it")
+	now = now.Add(silentStart + 2*silentStep)
+	require.True(t, n.campaigns("pool", false), "they were not heard")
+	now = now.Add(mostJoining)
+	n.mesh.find("late", &presence{Cores: 0.1})
+	require.True(t, n.campaigns("pool", false), "it does not wait for ever")
+}
+
+// A holder that is too weak for a large fleet hands over to one that it hears.
+func TestWeakHolderOfALargeFleetHandsOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := campaigner(0.2, &now)
+	for i := range smallFleet + 1 {
+		n.mesh.find(string(rune('a'+i)), &presence{Cores: 0.2})
+	}
+	n.mesh.find("strong", &presence{Cores: 0.8})
+	n.mesh.told["a"] = "10.0.0.1:1"
+	require.True(t, n.campaigns("pool", true), "the strong one is only listed: it may be gone")
+	n.mesh.told["strong"] = "10.0.0.2:1"
+	require.False(t, n.campaigns("pool", true))
+
+	small := campaigner(0.2, &now)
+	small.mesh.find("strong", &presence{Cores: 0.8})
+	small.mesh.told["strong"] = "10.0.0.2:1"
+	require.True(t, small.campaigns("pool", true), "in a small fleet the holder has little to do")
+}
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -85,6 +85,8 @@
 	// was heard lately says that it receives packets.
 	listed map[string]presence
 	told   map[string]string
+	// joinedAt is when an instance was last listed that was not before.
+	joinedAt time.Time
 	// heard is how many instances were heard lately, sum what they have under way.
 	heard int
 	sum   []peer.EndpointLoad
@@ -182,6 +184,9 @@
 	if p == nil {
 		delete(m.listed, instance)
 	} else {
+		if _, known := m.listed[instance]; !known {
+			m.joinedAt = m.now()
+		}
 		m.listed[instance] = *p
 	}
 	n := len(m.listed)
@@ -317,6 +322,26 @@
 	return known
 }
 
+// joined is how long ago an instance was listed that was not before.
+func (m *mesh) joined() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now().Sub(m.joinedAt)
+}
+
+// hearsStronger tells whether an instance was heard lately that has so many times the
+// processor time of this one.
+func (m *mesh) hearsStronger(times float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.told {
+		if m.listed[name].Cores >= times*m.self.Cores {
+			return true
+		}
+	}
+	return false
+}
+
 // hubSilent is how long ago the instance that places units was heard.
 func (m *mesh) hubSilent() time.Duration { return m.totals.silent(m.now()) }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -208,15 +208,16 @@
 // among the first by rendezvous hashing over those that are alive.
 //
 // A holder stays one until it stops: each change of holder leaves the pool
-// without orders for seconds, and who ranks first changes with each restart.
+// without orders for seconds, and who ranks first changes with each restart. Only one
+// that is too weak for its fleet hands the lease over.
 func (n *Node) campaigns(pool string, held bool) bool {
 	if n.stopping.Load() != nil {
 		return false
 	}
 	if held {
-		return true
+		return n.mesh.small() || !n.mesh.hearsStronger(tooWeak)
 	}
-	if n.now().Sub(n.startedAt) < campaignDelay {
+	if !n.knowsOthers() {
 		return false
 	}
 	known := n.mesh.known()
@@ -228,10 +229,30 @@
 	return at < nodeCampaigners || n.nobodyPlaces(time.Duration(at)*silentStep)
 }
 
+// tooWeak is how many times the processor time of the holder another instance must have
+// for the holder to hand over in a large fleet: with a fifth of a core and 295 instances
+// its words came 1.4 s apart, so that the others asked the store themselves, and with
+// another too.
+const tooWeak = 2
+
+// joinSettle is how long no instance must have been new for the others to be known, and
+// mostJoining for how long after campaignDelay that is waited for: entries of instances
+// that start together come within about two seconds.
+const (
+	joinSettle  = presenceGather + 200*time.Millisecond
+	mostJoining = 2 * time.Second
+)
+
+// knowsOthers tells whether this process has had the time to learn who the others are.
+func (n *Node) knowsOthers() bool {
+	age := n.now().Sub(n.startedAt)
+	return age >= campaignDelay && (n.mesh.joined() >= joinSettle || age >= campaignDelay+mostJoining)
+}
+
 // nobodyPlaces tells whether nobody who places units was heard for so long, and step
 // besides. A process that has just begun has not been able to hear one.
 func (n *Node) nobodyPlaces(step time.Duration) bool {
-	sinceStart := n.now().Sub(n.startedAt) - campaignDelay
+	sinceStart := n.now().Sub(n.startedAt) - campaignDelay - joinSettle
 	return n.mesh.hubSilent() >= silentCampaign+step && sinceStart >= silentStart+step
 }
 
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -55,8 +55,9 @@
 const presencePause = 500 * time.Millisecond
 
 func (d *presenceDuty) run(ctx context.Context) {
-	d.until(ctx, "key", d.key)
+	// The others are to know of this instance before one of them campaigns.
 	d.until(ctx, "presence", d.register)
+	d.until(ctx, "key", d.key)
 }
 
 // until makes a call until it succeeds.
@@ -73,7 +74,7 @@
 
 // keyPause is the longest pause before an instance makes the key that it has not found:
 // all start together at times, and one of them is enough.
-const keyPause = 600 * time.Millisecond
+const keyPause = 1200 * time.Millisecond
 
 // key reads the datagrams' key, or makes it if there is none.
 func (d *presenceDuty) key(ctx context.Context) error {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -164,6 +164,9 @@
 	switch {
 	case m.writing != nil:
 		return nil
+	case !m.seen && !m.want:
+		// What it read now would be old when it wants the lease.
+		return nil
 	case !m.seen || m.doubtful:
 		return m.read(now, readEvery)
 	case m.held && !m.want:
