--- a/daemon/presence_test.go
+++ b/daemon/presence_test.go
@@ -74,3 +74,79 @@
 		synctest.Wait()
 	})
 }
+
+// keyStore has no key at first; reads that may be behind see it a while after it was made.
+type keyStore struct {
+	store.Client
+	mu      sync.Mutex
+	key     *store.Object
+	madeAt  time.Time
+	creates int
+	closely int
+}
+
+const keyShownAfter = 300 * time.Millisecond
+
+func (s *keyStore) Get(context.Context, store.Kind, string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closely++
+	if s.key == nil {
+		return store.Object{}, &store.StatusError{Code: 404}
+	}
+	return *s.key, nil
+}
+
+func (s *keyStore) GetBehind(context.Context, store.Kind, string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.key == nil || time.Since(s.madeAt) < keyShownAfter {
+		return store.Object{}, &store.StatusError{Code: 404}
+	}
+	return *s.key, nil
+}
+
+func (s *keyStore) ListBehind(context.Context, store.Kind, string) (store.List, error) {
+	return store.List{}, store.ErrOlder
+}
+
+func (s *keyStore) Create(_ context.Context, o store.Object) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.creates++
+	if s.key != nil {
+		return store.Object{}, &store.StatusError{Code: 409}
+	}
+	s.key, s.madeAt = &o, time.Now()
+	return o, nil
+}
+
+// Each of 295 instances that started together looked for the key of the datagrams, tried
+// to make it and read it again. Now most find the one that a few have tried to make, and
+// all have the same.
+func TestFewMakeTheKeyAtACommonStart(t *testing.T) {
+	const instances = 295
+	synctest.Test(t, func(t *testing.T) {
+		s := &keyStore{}
+		var mu sync.Mutex
+		keys := map[string]int{}
+		for range instances {
+			d := &presenceDuty{client: s, writer: store.NewWriter(s), log: logr.Discard(), opened: func(key []byte) error {
+				mu.Lock()
+				defer mu.Unlock()
+				keys[string(key)]++
+				return nil
+			}}
+			go d.until(t.Context(), "key", d.key)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.Len(t, keys, 1, "all have the same key")
+		for _, n := range keys {
+			require.Equal(t, instances, n)
+		}
+		// A third of keyPause passes at most until the key that was made shows.
+		require.Less(t, s.creates, instances/2)
+		require.Less(t, s.closely, instances/2)
+	})
+}
