--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -74,17 +75,17 @@
 const confirmPause = 300 * time.Millisecond
 
 func (d *configDuty) run(ctx context.Context) {
-	listed := false
+	var listed atomic.Bool
 	// Settings that a new process begins with are never old ones: all instances may have
 	// ended right after newer ones were acknowledged.
-	behind := func() bool { return listed && d.behind() }
+	behind := func() bool { return listed.Load() && d.behind() }
 	options := store.WatchOptions{Behind: behind, Confirmed: func() { d.link.confirmed(d.kind) }}
 	var changes batch
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
 			changes.take()
-			listed = true
+			listed.Store(true)
 			for _, o := range l.Items {
 				d.found(ctx, o)
 			}
--- a/store/client.go
+++ b/store/client.go
@@ -41,9 +41,9 @@
 
 // WatchOptions say how a watch may be served.
 type WatchOptions struct {
-	// Behind tells, before each call that the watch makes, whether changes may
-	// come seconds late, which costs some stores less; nil means that they may
-	// not.
+	// Behind tells, before each call that the watch makes and while it waits, whether
+	// changes may come seconds late, which costs some stores less; nil means that they
+	// may not. It is called by several goroutines.
 	Behind func() bool
 	// Wait is how long the store may hold a call that is not behind and has nothing
 	// to tell; 0 means as long as the client is set up for.
