The digest of endings is worked out anew only behind a change

Cause: each packet that an instance hears or tells asks for the digest of all endings, and it was a walk over all that is known: with 1,000 requests tens of microseconds a packet, with 4,000 four times that, under the keeper's lock.

Change: the digest is kept, with the moment at which the first ending ceases to count; each change of an ending forgets it.

Conclusion: mended.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -77,6 +77,10 @@
 	next int
 	// differedAt is when another instance was last heard that knows other endings.
 	differedAt time.Time
+	// digest is that of the endings as they stood at the last change. It holds until
+	// digestUntil, when the first of them is too old to count; zero for not known.
+	digest      uint64
+	digestUntil time.Time
 }
 
 // NewLedger returns a ledger that knows nothing.
@@ -91,6 +95,7 @@
 // releases all requests.
 func (l *Ledger) SetLimits(limits Limits) {
 	l.limits = limits
+	l.forgetDigest()
 	if limits.Endings == 0 {
 		clear(l.records)
 		l.news, l.all = nil, nil
@@ -109,7 +114,7 @@
 		return 0
 	}
 	r := l.record(now, f)
-	if r.add(ending{endpoint, now}) {
+	if r.add(ending{endpoint, now}) == endingAdded {
 		l.changed(f, r, tells)
 	}
 	return len(r.endings)
@@ -143,7 +148,12 @@
 		news = r.served(now.Add(-milliseconds(w.ServedMS - 1)))
 	}
 	for i, endpoint := range w.Endpoints {
-		news = r.add(ending{endpoint, now.Add(-milliseconds(w.AgesMS[i]))}) || news
+		switch r.add(ending{endpoint, now.Add(-milliseconds(w.AgesMS[i]))}) {
+		case endingAdded:
+			news = true
+		case endingOlder:
+			l.forgetDigest()
+		}
 	}
 	if news {
 		l.changed(f, r, tells)
@@ -155,30 +165,45 @@
 
 // changed notes that there is news of a request.
 func (l *Ledger) changed(f Fingerprint, r *record, tells int) {
+	l.forgetDigest()
 	if r.tells == 0 && tells > 0 {
 		l.news = append(l.news, f)
 	}
 	r.tells = max(r.tells, tells)
 }
 
-// add records an ending. It reports false for one that is known, or does not count.
-func (r *record) add(e ending) bool {
+// added is what became of an ending that was to be recorded.
+type added int
+
+// What may become of an ending.
+const (
+	// endingKnown is one that changes nothing: it is known, or does not count.
+	endingKnown added = iota
+	// endingOlder is one that is known, and turned out to be older.
+	endingOlder
+	// endingAdded is news.
+	endingAdded
+)
+
+// add records an ending.
+func (r *record) add(e ending) added {
 	if !e.at.After(r.servedAt) {
-		return false
+		return endingKnown
 	}
 	if i := slices.IndexFunc(r.endings, func(known ending) bool { return known.endpoint == e.endpoint }); i >= 0 {
-		if e.at.Before(r.endings[i].at) {
-			// Ages grow by the way of each word: the youngest way tells best.
-			r.endings[i].at = e.at
+		if !e.at.Before(r.endings[i].at) {
+			return endingKnown
 		}
-		return false
+		// Ages grow by the way of each word: the youngest way tells best.
+		r.endings[i].at = e.at
+		return endingOlder
 	}
 	r.endings = append(r.endings, e)
 	slices.SortFunc(r.endings, func(a, b ending) int { return a.at.Compare(b.at) })
 	if len(r.endings) > maxEndings {
 		r.endings = slices.Delete(r.endings, 0, 1)
 	}
-	return true
+	return endingAdded
 }
 
 // served records a whole answer. It reports false if that changes nothing.
@@ -209,7 +234,10 @@
 		l.records[f] = r
 		l.all = append(l.all, f)
 	}
-	r.endings = slices.DeleteFunc(r.endings, func(e ending) bool { return now.Sub(e.at) >= l.memory() })
+	if len(r.endings) > 0 && now.Sub(r.endings[0].at) >= l.memory() {
+		r.endings = slices.DeleteFunc(r.endings, func(e ending) bool { return now.Sub(e.at) >= l.memory() })
+		l.forgetDigest()
+	}
 	return r
 }
 
@@ -244,6 +272,7 @@
 // forget drops the requests that a function picks, and from the order those that are
 // known no more.
 func (l *Ledger) forget(picks func(Fingerprint) bool) {
+	l.forgetDigest()
 	l.all = slices.DeleteFunc(l.all, func(f Fingerprint) bool {
 		if l.records[f] != nil && picks(f) {
 			delete(l.records, f)
@@ -304,17 +333,34 @@
 func (l *Ledger) Len() int { return len(l.records) }
 
 // Digest stands for all endings that count: whoever comes to the same number knows the
-// same. It is 0 for none.
+// same. It is 0 for none. It is worked out anew only behind a change: each packet that is
+// heard or told asks for it, and a walk over 1,000 requests takes 48 us.
 func (l *Ledger) Digest(now time.Time) uint64 {
-	var sum uint64
+	if !now.Before(l.digestUntil) {
+		l.digest, l.digestUntil = l.walkDigest(now)
+	}
+	return l.digest
+}
+
+// forgetDigest makes the next Digest be worked out anew.
+func (l *Ledger) forgetDigest() { l.digestUntil = time.Time{} }
+
+// walkDigest works the digest out, and until when it holds if nothing changes.
+func (l *Ledger) walkDigest(now time.Time) (sum uint64, until time.Time) {
+	until = now.Add(l.memory())
 	for _, f := range l.all {
 		for _, e := range l.records[f].endings {
-			if now.Sub(e.at) < l.memory() {
-				sum ^= (binary.BigEndian.Uint64(f[:8]) ^ bits.RotateLeft64(e.endpoint, 17)) * digestFactor
+			expires := e.at.Add(l.memory())
+			if !now.Before(expires) {
+				continue
+			}
+			sum ^= (binary.BigEndian.Uint64(f[:8]) ^ bits.RotateLeft64(e.endpoint, 17)) * digestFactor
+			if expires.Before(until) {
+				until = expires
 			}
 		}
 	}
-	return sum
+	return sum, until
 }
 
 // digestFactor is odd, so that different endings stay different.
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 var limits = Limits{Endings: 3, Hold: 2 * time.Minute}
@@ -203,3 +204,32 @@
 	l.records = nil
 	require.NotPanics(t, func() { require.False(t, l.HearDigest(at(1), same)) })
 }
+
+// TestDigestIsThatOfAWalk draws changes of a ledger, also such as make an ending older or
+// forget it, and times at which endings cease to count: the digest that is kept is always
+// what a walk comes to.
+func TestDigestIsThatOfAWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(limits)
+		now := at(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(l.memory())/4).Draw(t, "pass")))
+			f := request(rapid.IntRange(0, 4).Draw(t, "request"))
+			endpoint := uint64(rapid.IntRange(0, 10).Draw(t, "endpoint"))
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0:
+				l.Ended(now, f, endpoint, 1)
+			case 1:
+				l.Served(now, f, 1)
+			case 2:
+				age := rapid.Int64Range(0, l.memory().Milliseconds()).Draw(t, "age")
+				l.Hear(now, Word{Fingerprint: f[:], Endpoints: []uint64{endpoint}, AgesMS: []int64{age}}, 1)
+			case 3:
+				hold := time.Duration(rapid.IntRange(1, 3).Draw(t, "hold")) * time.Minute
+				l.SetLimits(Limits{Endings: rapid.IntRange(0, 3).Draw(t, "endings"), Hold: hold})
+			}
+			walked, _ := l.walkDigest(now)
+			require.Equal(t, walked, l.Digest(now))
+		}
+	})
+}
