Accounts in the settings: keys, priority and allowance; the allowances' core

Cause: allowances hold over all instances together, also over those that are cut off.

Also: a token that two callers have is a fault in checked settings, and nobody's elsewhere.

Conclusion: shares told are kept; equal shares stay for deployments where nobody adds up.

--- /dev/null
+++ b/allowance/usage.go
@@ -0,0 +1,100 @@
+package allowance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// Mark stands for an account in what instances tell each other. With 1,000 accounts two
+// have the same one in fewer than 1 of 10^13 deployments.
+type Mark uint64
+
+// MarkOf returns the mark of an account.
+func MarkOf(account string) Mark { return Mark(xxhash.Sum64String(account)) }
+
+// Adder stands for the process that adds up, among all that ever run.
+type Adder uint64
+
+// AdderOf returns what stands for a process.
+func AdderOf(process string) Adder { return Adder(xxhash.Sum64String(process)) }
+
+// Usage is what one process has been asked for by an account and has admitted, in the unit
+// of the account's allowance, since it first heard the process that adds up now. What was
+// admitted and has not run is taken off again.
+type Usage struct {
+	_                 struct{} `cbor:",toarray"`
+	Account           Mark
+	Offered, Admitted int64
+}
+
+// UsageBytes bounds the encoding of a Usage.
+const UsageBytes = 1 + 3*9
+
+// Word tells which share of what an account asks can be admitted.
+type Word struct {
+	_       struct{} `cbor:",toarray"`
+	Account Mark
+	// Permille is the share in thousandths, 1000 for all.
+	Permille int64
+	// Level is what the account may have at once, Rate what is admitted of it a second.
+	Level, Rate int64
+}
+
+// WordBytes bounds the encoding of a Word.
+const WordBytes = 1 + 4*9
+
+// wholeShare is the share of an account below its limit.
+const wholeShare = 1000
+
+// Limits holds the allowance of each account that has one.
+type Limits map[Mark]settings.Allowance
+
+// LimitsOf returns the limits that settings give.
+func LimitsOf(t *settings.Tree) Limits {
+	limits := Limits{}
+	for name, caller := range t.Callers {
+		if caller.Allowance != nil {
+			limits[MarkOf(name)] = *caller.Allowance
+		}
+	}
+	return limits
+}
+
+// Tolerance is by how much the sum of all instances may exceed the limits for moments:
+// Over times what the rate and the burst allow in Window, and Slack besides.
+type Tolerance struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+// Parts of the tolerance. The rest is for what is on its way: requests that are admitted
+// before a word comes that they must not be.
+const (
+	// partOfBurst goes on top of the burst: an account whose requests are large beside its
+	// limit would else be refused where it is within it.
+	partOfBurst = 0.1
+	// partWithoutWord is for all instances together that have heard no word.
+	partWithoutWord = 0.2
+)
+
+// all is by how much the limits of an account may be exceeded in a window.
+func (t Tolerance) all(a settings.Allowance) float64 {
+	return t.Over*(a.PerSecond*t.Window.Seconds()+a.Burst) + t.Slack
+}
+
+// burst is what an account may have at once.
+func (t Tolerance) burst(a settings.Allowance) float64 { return a.Burst + partOfBurst*t.all(a) }
+
+// even is what each of so many instances may admit at once without a word, and evenRate
+// what it may go on to admit a second when it knows nothing else.
+func (t Tolerance) even(a settings.Allowance, instances int) float64 {
+	return partWithoutWord * t.all(a) / float64(max(instances, 1))
+}
+
+func (t Tolerance) evenRate(a settings.Allowance, instances int) float64 {
+	return partWithoutWord * t.Over * a.PerSecond / float64(max(instances, 1))
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"maps"
@@ -38,7 +39,7 @@
 
 // Check returns every fault of the tree, in the order of their paths.
 func Check(t *Tree) []Problem {
-	c := checker{tree: t, names: map[string]string{}, units: map[string]bool{}}
+	c := checker{tree: t, names: map[string]string{}, units: map[string]bool{}, keys: map[[sha256.Size]byte]string{}}
 	c.root()
 	for _, name := range slices.Sorted(maps.Keys(t.Pools)) {
 		c.pool("/pools/"+jsonc.EscapePointer(name), t.Pools[name])
@@ -57,7 +58,9 @@
 	// names maps every unit and service name to the path that defines it.
 	names map[string]string
 	// units are the names of models, adapters and versions.
-	units    map[string]bool
+	units map[string]bool
+	// keys maps the hash of every token to the path that defines it.
+	keys     map[[sha256.Size]byte]string
 	problems []Problem
 }
 
@@ -218,9 +221,20 @@
 		return
 	}
 	for i, h := range caller.TokenSHA256 {
-		if raw, err := hex.DecodeString(h); err != nil || len(raw) != 32 {
-			c.add(fmt.Sprintf("%s/tokenSHA256/%d", path, i), "must be 64 hex digits")
+		at := fmt.Sprintf("%s/tokenSHA256/%d", path, i)
+		key, err := parseKey(h)
+		if err != nil {
+			c.add(at, "must be 64 hex digits")
+			continue
 		}
+		if first, taken := c.keys[key]; taken {
+			c.add(at, "is already at %s: a token stands for one caller", first)
+			continue
+		}
+		c.keys[key] = at
+	}
+	if caller.Allowance != nil {
+		c.allowance(path+"/allowance", *caller.Allowance)
 	}
 	for i, s := range caller.Services {
 		if _, known := c.names[s]; s != AllServices && !known {
@@ -229,6 +243,21 @@
 	}
 }
 
+func (c *checker) allowance(path string, a Allowance) {
+	if a.Unit != CountRequests && a.Unit != CountTokens {
+		c.add(path+"/unit", "must be %q or %q", CountRequests, CountTokens)
+	}
+	if a.PerSecond <= 0 {
+		c.add(path+"/perSecond", "must be above 0")
+	}
+	if a.Burst < 0 {
+		c.add(path+"/burst", "must not be negative")
+	}
+	if a.PlainTokens < 0 || a.Unit == CountTokens && a.PlainTokens == 0 {
+		c.add(path+"/plainTokens", "must be above 0 where tokens are counted")
+	}
+}
+
 func (c *checker) policy(path string, p Policy) {
 	positive := func(field string, v *int64) {
 		if v != nil && *v <= 0 {
--- /dev/null
+++ b/settings/keys.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"maps"
+	"slices"
+)
+
+// HashToken returns a caller's token as Caller.TokenSHA256 holds it: settings, memory and
+// logs hold no token.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+var errKeyLength = errors.New("not a SHA-256")
+
+// parseKey reads an entry of Caller.TokenSHA256.
+func parseKey(text string) (key [sha256.Size]byte, err error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return key, err
+	}
+	if len(raw) != len(key) {
+		return key, errKeyLength
+	}
+	return [sha256.Size]byte(raw), nil
+}
+
+// sharedKeys returns the keys that more than one caller has.
+func sharedKeys(t *Tree) [][sha256.Size]byte {
+	owner := map[[sha256.Size]byte]string{}
+	var shared [][sha256.Size]byte
+	for _, name := range slices.Sorted(maps.Keys(t.Callers)) {
+		for _, text := range t.Callers[name].TokenSHA256 {
+			key, err := parseKey(text)
+			if err != nil {
+				continue
+			}
+			if first, taken := owner[key]; taken && first != name {
+				shared = append(shared, key)
+			}
+			owner[key] = name
+		}
+	}
+	return shared
+}
--- a/settings/route.go
+++ b/settings/route.go
@@ -9,6 +9,8 @@
 // Edge is the callers' side of a deployment whose callers are told apart by
 // host and path.
 type Edge struct {
+	// Keyed tells that requests need a token, but on public routes.
+	Keyed  bool
 	Routes []Route
 	Limits EdgeLimits
 }
@@ -30,6 +32,8 @@
 	PathPrefix string
 	// Streaming tells that answers are event streams.
 	Streaming bool
+	// Public tells that requests need no token.
+	Public bool
 	// Shares are the pools that serve the route, by weight.
 	Shares []RouteShare
 	Policy Effective
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -143,4 +143,42 @@
 	TokenSHA256 []string `json:"tokenSHA256"`
 	// Services lists the services and models that the caller may use.
 	Services []string `json:"services"`
+	// Priority goes before that of what is asked for; nil leaves it as it is.
+	Priority *int `json:"priority,omitempty"`
+	// Allowance bounds what the caller may ask of all instances together; nil sets no
+	// bound.
+	Allowance *Allowance `json:"allowance,omitempty"`
+}
+
+// AllowanceUnit is what an allowance counts.
+type AllowanceUnit string
+
+// Units of an allowance.
+const (
+	// CountRequests counts each request as one.
+	CountRequests AllowanceUnit = "requests"
+	// CountTokens counts the tokens of the prompt and the most that may be generated.
+	CountTokens AllowanceUnit = "tokens"
+)
+
+// Allowance is what a caller may ask of all instances together.
+type Allowance struct {
+	Unit AllowanceUnit `json:"unit"`
+	// PerSecond is the rate that may be kept up, Burst what may come at once besides.
+	PerSecond float64 `json:"perSecond"`
+	Burst     float64 `json:"burst"`
+	// PlainTokens is what a request counts in tokens that does not tell its own.
+	PlainTokens int64 `json:"plainTokens,omitempty"`
+}
+
+// Cost is what a request counts that tells so many tokens, 0 for none.
+func (a Allowance) Cost(tokens int64) float64 {
+	switch {
+	case a.Unit != CountTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return float64(a.PlainTokens)
+	}
 }
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"maps"
 	"slices"
-	"strings"
 )
 
 // VersionSeparator joins a model's name and a version's in a unit's name.
@@ -46,18 +46,15 @@
 	Units    map[string]Unit
 	Targets  map[string]Target
 	// Routes finds requests that are told apart by host and path.
-	Routes  RouteTable
-	callers map[string]callerEntry
-}
-
-type callerEntry struct {
-	name     string
-	services map[string]bool
+	Routes RouteTable
+	// callers finds a caller by the SHA-256 of its token: the time that a look-up takes
+	// tells of the hash alone, from which no token can be found.
+	callers map[[sha256.Size]byte]Identity
 }
 
 // NewCatalog resolves a tree that Check accepts.
 func NewCatalog(t *Tree) *Catalog {
-	c := &Catalog{Tree: t, Units: map[string]Unit{}, Targets: map[string]Target{}, callers: map[string]callerEntry{}}
+	c := &Catalog{Tree: t, Units: map[string]Unit{}, Targets: map[string]Target{}, callers: map[[sha256.Size]byte]Identity{}}
 	root := Node{Path: "/policy", Policy: t.Policy}
 	for poolName, pool := range t.Pools {
 		chain := []Node{root, {Path: "/pools/" + poolName + "/policy", Policy: pool.Policy}}
@@ -71,6 +68,10 @@
 	for name, caller := range t.Callers {
 		c.addCaller(name, caller)
 	}
+	for _, key := range sharedKeys(t) {
+		// It would stand for one caller here and for another there.
+		delete(c.callers, key)
+	}
 	if t.Edge != nil {
 		c.Routes = NewRouteTable(t.Edge.Routes)
 	}
@@ -117,15 +118,21 @@
 	for _, s := range caller.Services {
 		allowed[s] = true
 	}
-	for _, hash := range caller.TokenSHA256 {
-		c.callers[strings.ToLower(hash)] = callerEntry{name: name, services: allowed}
+	who := Identity{Name: name, Priority: caller.Priority, Allowance: caller.Allowance, services: allowed}
+	for _, text := range caller.TokenSHA256 {
+		if key, err := parseKey(text); err == nil {
+			c.callers[key] = who
+		}
 	}
 }
 
-// Identity is an authenticated caller.
+// Identity is an authenticated caller. The zero value is nobody.
 type Identity struct {
-	Name     string
-	services map[string]bool
+	Name string
+	// Priority and Allowance are as the settings give them; nil for none.
+	Priority  *int
+	Allowance *Allowance
+	services  map[string]bool
 }
 
 // May tells whether the caller may use the service or unit of that name.
@@ -133,10 +140,19 @@
 	return i.services[AllServices] || i.services[name]
 }
 
-// Caller returns the caller whose token has the given lower-case hex SHA-256.
-func (c *Catalog) Caller(tokenSHA256 string) (Identity, bool) {
-	e, ok := c.callers[tokenSHA256]
-	return Identity{Name: e.name, services: e.services}, ok
+// maxTokenBytes bounds a token; longer ones are nobody's. It keeps the copy that is
+// hashed off the heap.
+const maxTokenBytes = 512
+
+// Caller returns the caller whose token it is.
+func (c *Catalog) Caller(token string) (Identity, bool) {
+	var text [maxTokenBytes]byte
+	if len(token) > len(text) {
+		return Identity{}, false
+	}
+	n := copy(text[:], token)
+	who, known := c.callers[sha256.Sum256(text[:n])]
+	return who, known
 }
 
 // UnitNames returns the names of all units in order.
