Keys, allowances and the age of the right to keys on the platform

The holder of the lease answers asks for freshness with one small packet to each that asked, and tells the shares of the allowances; an instance that nobody answers asks the store itself at half of the bound. Past the bound requests with a key get 503 not_run and the instance calls itself not ready; public routes go on.

Checks that changed: the template's test fills sections in as well.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -30,11 +30,73 @@
 	// inForce tells whether no instance is known to have newer settings; nil means that
 	// nobody knows.
 	inForce func() bool
-	events  *ring.Ring[event]
-	link    *storeLink
-	log     logr.Logger
+	// confirmed is told that a call to the store, made at a moment, has shown a revision to
+	// be the newest; nil tells nobody. now stamps the calls.
+	confirmed func(asked time.Time, revision int64)
+	now       func() time.Time
+	events    *ring.Ring[event]
+	link      *storeLink
+	log       logr.Logger
+
+	// version is where the watch stands in the store, and newest the newest revision that
+	// was found; refused is set while what was found last cannot be used.
+	version atomic.Pointer[string]
+	newest  atomic.Int64
+	refused atomic.Bool
+}
+
+// shown tells that all that the store had acknowledged when a call was made has been found.
+func (d *configDuty) shown(asked time.Time) {
+	if d.confirmed == nil || asked.IsZero() || d.refused.Load() {
+		return
+	}
+	d.confirmed(asked, d.newest.Load())
+}
+
+// askStore asks the store whether there are newer settings, by the smallest call.
+func (d *configDuty) askStore(ctx context.Context) {
+	version := d.version.Load()
+	if version == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askStoreTime)
+	defer cancel()
+	var changes batch
+	options := store.WatchOptions{Wait: time.Millisecond, Now: d.now}
+	err := d.client.Watch(ctx, d.kind, *version, options, func(e store.Event) {
+		if e.Type != store.EventBookmark {
+			changes.add(e)
+			return
+		}
+		for _, e := range changes.take() {
+			d.found(ctx, e.Object)
+		}
+		d.shown(e.AskedAt)
+		cancel()
+	})
+	if store.IsExpired(err) {
+		err = d.askWhole(ctx)
+	}
+	if err != nil && ctx.Err() == nil {
+		d.log.V(1).Info("settings not confirmed", "error", err.Error())
+	}
 }
 
+// askWhole reads the settings, where the store no longer knows what has changed.
+func (d *configDuty) askWhole(ctx context.Context) error {
+	asked := d.now()
+	o, err := d.client.Get(ctx, d.kind, d.name)
+	if err != nil {
+		return err
+	}
+	d.found(ctx, o)
+	d.shown(asked)
+	return nil
+}
+
+// askStoreTime bounds a call of askStore: a slow store needs up to 0.4 s.
+const askStoreTime = 700 * time.Millisecond
+
 // confirm reads the settings when another instance is known to have newer ones:
 // a watch may have broken unnoticed.
 func (d *configDuty) confirm(ctx context.Context) {
@@ -79,24 +141,28 @@
 	// Settings that a new process begins with are never old ones: all instances may have
 	// ended right after newer ones were acknowledged.
 	behind := func() bool { return listed.Load() && d.behind() }
-	options := store.WatchOptions{Behind: behind, Confirmed: func() { d.link.confirmed(d.kind) }}
+	options := store.WatchOptions{Behind: behind, Confirmed: func() { d.link.confirmed(d.kind) }, Now: d.now}
 	var changes batch
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
 			changes.take()
 			listed.Store(true)
+			d.version.Store(&l.ResourceVersion)
 			for _, o := range l.Items {
 				d.found(ctx, o)
 			}
+			d.shown(l.AskedAt)
 		},
 		func(e store.Event) {
 			switch e.Type {
 			case store.EventBookmark:
 				d.link.heard()
+				d.version.Store(&e.Object.Metadata.ResourceVersion)
 				for _, e := range changes.take() {
 					d.found(ctx, e.Object)
 				}
+				d.shown(e.AskedAt)
 				if e.Behind && d.inForce != nil {
 					// There is nothing to ask for until another instance has newer ones.
 					wait.While(ctx, untilTold, func() bool { return d.behind() && d.inForce() })
@@ -116,10 +182,17 @@
 		return
 	}
 	accepted, err := d.decode(o)
+	d.refused.Store(err != nil)
 	if err != nil {
 		d.log.Error(err, "settings refused", "version", o.Metadata.ResourceVersion)
 		return
 	}
+	for {
+		known := d.newest.Load()
+		if accepted.Entry.Revision <= known || d.newest.CompareAndSwap(known, accepted.Entry.Revision) {
+			break
+		}
+	}
 	_ = d.events.Put(ctx, settingsAccepted{accepted})
 }
 
--- a/daemon/fresh.go
+++ b/daemon/fresh.go
@@ -14,6 +14,16 @@
 	SettingsMS int `json:"settingsMS"`
 	// ContactMS is how long a node may take to find back to a store that was away.
 	ContactMS int `json:"contactMS"`
+	// RevokedMS is how soon an account's key that is taken away must be refused, also by a
+	// node that hears nothing of it; 0 means as soon as accepted settings are in force.
+	RevokedMS int `json:"revokedMS"`
+}
+
+// keysAge is the age up to which a node may go by the keys in its settings. The rest is
+// for clocks that go at different speeds.
+func (f NodeFresh) keysAge() time.Duration {
+	const used = 0.9
+	return time.Duration(used * float64(milliseconds(f.RevokedMS)))
 }
 
 // What passes until news is in force at an instance whose watches are behind, the
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -29,6 +29,10 @@
 	refusals *pipeline.Refusals
 	// quarantine is told what the others say of requests that end endpoints.
 	quarantine *quarantine.Keeper
+	// rights is asked by others whether they may go by their settings' keys, and answered.
+	rights *keyRights
+	// allowances is told what accounts have asked of the others.
+	allowances *allowances
 	log        logr.Logger
 	now        func() time.Time
 
@@ -212,7 +216,11 @@
 			// An earlier process of this instance; its packets were late.
 			continue
 		}
+		if p.From != m.instance && m.rights.heard(p, m.process) {
+			continue
+		}
 		if m.board.Receive(m.now(), p) {
+			m.allowances.heard(p)
 			m.news(p)
 		}
 	}
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -32,7 +32,7 @@
 // hubPause is the time between two words, so that they leave the link to callers.
 func (m *mesh) hubPause() time.Duration {
 	sum, _ := m.sums()
-	packets := 1 + len(sum)/maxTotals
+	packets := 2 + len(sum)/maxTotals
 	bytes := float64(packets * peer.MaxPacketBytes * m.size())
 	pause := time.Duration(bytes / (m.linkBytes * hubLinkShare) * float64(time.Second))
 	return min(max(pause, hubTick), hubSlow)
@@ -58,6 +58,17 @@
 		passed = nil
 	}
 	m.tellEndings(max(n, 1))
+	m.tellAllowances(max(n, 1))
+}
+
+// tellAllowances tells all instances what accounts may have.
+func (m *mesh) tellAllowances(instances int) {
+	for _, p := range m.allowances.packets() {
+		p.Instances, p.Revision, p.EndingsDigest = instances, m.revision(), m.quarantine.Digest()
+		p = m.stamp(p)
+		m.send(p, m.addresses())
+		m.allowances.heard(p)
+	}
 }
 
 // tellEndings tells all instances of a large fleet which requests end endpoints.
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -50,6 +50,8 @@
 	}
 	p.EndingsDigest = m.quarantine.Digest()
 	if len(to) > 0 {
+		p.Ask = m.rights.ask()
+		m.allowances.tell(&p, roomIn(p))
 		p.Endings = m.quarantine.Words(m.room(p))
 	}
 	m.send(p, to)
@@ -69,6 +71,11 @@
 	if !m.quarantine.Tells() {
 		return 0
 	}
+	return roomIn(p)
+}
+
+// roomIn is how many bytes a packet has room for in one more field.
+func roomIn(p peer.Packet) int {
 	data, err := peer.EncodePacket(p)
 	if err != nil {
 		return 0
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/authority"
 	"github.com/eiderspring/eiderspring/clock"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
@@ -44,7 +45,7 @@
 	MembersKind  store.Kind
 	DecodeMember func(store.Object) (membership.Member, error)
 	// Callers returns the callers' dialect over the settings in force.
-	Callers func(catalog func() *settings.Catalog) pipeline.Dialect
+	Callers func(catalog func() *settings.Catalog, auth pipeline.Authenticator) pipeline.Dialect
 	// Endpoints is the endpoints' dialect.
 	Endpoints engine.Dialect
 	// Controls returns what orders engines about, in the name of an instance.
@@ -79,6 +80,10 @@
 	// quarantine holds back requests that end endpoints; held are those that it is to
 	// keep in the store.
 	quarantine *quarantine.Keeper
+	// rights is the node's right to go by the keys of accounts, allowances what accounts may
+	// ask of all nodes.
+	rights     *keyRights
+	allowances *allowances
 	held       *ring.Ring[quarantine.Word]
 	// control carries reports and orders, apart from callers' requests.
 	control  *engine.Client
@@ -144,6 +149,8 @@
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	})
 	n.mesh = n.newMesh()
+	n.vars.Set("keys_age_ms", expvar.Func(func() any { return n.rights.ageMS() }))
+	n.vars.Set("allowances", expvar.Func(func() any { return n.allowances.stats(n.catalog.Load()) }))
 	if err := n.listen(); err != nil {
 		n.Kill()
 		return nil, err
@@ -170,6 +177,12 @@
 	n.retries.SetLimits(n.retrySettings.Load().limits(instances))
 }
 
+// counted is told how many instances are listed.
+func (n *Node) counted(instances int) {
+	n.shareRetries(instances)
+	n.allowances.local.SetInstances(instances)
+}
+
 func (n *Node) newMesh() *mesh {
 	host, _, err := net.SplitHostPort(n.cfg.Callers)
 	if err != nil {
@@ -177,7 +190,14 @@
 		host = ""
 	}
 	address, process := net.JoinHostPort(host, strconv.Itoa(n.cfg.PeerPorts[0])), rand.Text()
+	holds := func() bool { return n.placers.holds() }
+	n.rights = &keyRights{
+		keeper: authority.NewKeeper(n.cfg.Fresh.keysAge()), now: n.now, exact: n.clock.Exact, revision: n.revision, answers: holds,
+		send: func(p peer.Packet, to []string) { n.mesh.send(n.mesh.stamp(p), to) }, log: n.log,
+	}
+	n.allowances = newAllowances(n.cfg.Allowances, process, holds, n.now)
 	return &mesh{
+		rights: n.rights, allowances: n.allowances,
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, quarantine: n.quarantine, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
@@ -192,8 +212,8 @@
 		self:     presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
 		revision: n.revision, newer: make(chan struct{}, 1), withdrawn: map[string]withdrawal{},
 		endpointsLeave: func(leaving []endpointStart) { _ = n.events.Put(n.work, endpointsWithdrawn{leaving}) },
-		holds:          func() bool { return n.placers.holds() },
-		counted:        n.shareRetries,
+		holds:          holds,
+		counted:        n.counted,
 		linkBytes:      n.cfg.Limits.LinkMbps * bytesPerMbit,
 		totals:         totals{holderLost: n.cfg.Fresh.holderLost()},
 	}
@@ -222,12 +242,12 @@
 func (n *Node) holder() string { return n.cfg.Instance + "/" + n.mesh.process }
 
 func (n *Node) listen() error {
-	dialect := n.ports.Callers(n.catalog.Load)
+	dialect := n.ports.Callers(n.catalog.Load, pipeline.Authenticator{Current: n.rights.current})
 	handler := pipeline.New(pipeline.Config{
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
-		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine,
+		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local,
 	})
 	n.overdue = handler.EndOverdue
 	for _, s := range []struct {
@@ -267,7 +287,12 @@
 
 // Ready tells whether the node takes callers.
 func (n *Node) Ready() bool {
-	return n.catalog.Load() != nil && len(n.router.View().Pools) > 0 && n.stopping.Load() == nil
+	c := n.catalog.Load()
+	if c == nil || len(n.router.View().Pools) == 0 || n.stopping.Load() != nil {
+		return false
+	}
+	// Callers with keys are refused here while the keys cannot be gone by.
+	return !c.Tree.Edge.Keyed || n.rights.current(c.Revision)
 }
 
 // CallersAddr, ReadinessAddr and OperatorsAddr are where the node listens.
@@ -322,7 +347,9 @@
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
 		newer: n.mesh.newer, behind: n.settingsMayBeBehind, inForce: n.mesh.settingsInForce, events: n.events, link: n.link, log: n.log,
+		confirmed: n.rights.confirmed, now: n.now,
 	}
+	keys := func(ctx context.Context) { n.rights.keep(ctx, n.cfg.Fresh.keysAge(), config.askStore) }
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
@@ -335,7 +362,7 @@
 		log: n.log, timeOfDay: time.Now,
 	}
 	for _, run := range []func(context.Context){
-		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write,
+		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write, keys,
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
@@ -355,6 +382,7 @@
 func (n *Node) adopt(a *revision.Accepted) *settings.Catalog {
 	c := settings.NewCatalog(a.Tree)
 	c.Revision = a.Entry.Revision
+	n.allowances.adopt(a.Tree)
 	n.catalog.Store(c)
 	n.log.V(1).Info("settings", "routes", len(a.Tree.Edge.Routes), "pools", len(a.Tree.Pools))
 	return c
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -26,7 +26,9 @@
 	Retries  NodeRetry  `json:"retries"`
 	Orders   NodeOrders `json:"orders"`
 	Fresh    NodeFresh  `json:"fresh"`
-	Limits   NodeLimits `json:"limits"`
+	// Allowances bounds by how much accounts may exceed their allowances for moments.
+	Allowances AllowanceConfig `json:"allowances"`
+	Limits     NodeLimits      `json:"limits"`
 	// Quarantine bounds what requests that end endpoints may do.
 	Quarantine QuarantineConfig `json:"quarantine"`
 }
@@ -77,6 +79,7 @@
 		Orders:  NodeOrders{LeaseMS: 3000, RateWindowS: 5, RateOver: 1},
 		Fresh:   NodeFresh{LeavingMS: 2000, SettingsMS: 2000, ContactMS: 3000},
 
+		Allowances: AllowanceConfig{WindowS: 8, Over: 0.1},
 		Quarantine: defaultQuarantine(),
 		Limits: NodeLimits{
 			HeaderBytes: 64 << 10, ReadMS: 15_000, QueueRequests: 1024, QueueBytes: 32 << 20, GraceMS: 8_000, CPUShare: 1, CoreSpeed: 1, LinkMbps: 1000,
@@ -114,10 +117,13 @@
 		{"limits/cpuShare", cfg.Limits.CPUShare}, {"limits/coreSpeed", cfg.Limits.CoreSpeed}, {"limits/linkMbps", cfg.Limits.LinkMbps}, {"orders/leaseMS", float64(cfg.Orders.LeaseMS)},
 		{"fresh/leavingMS", float64(cfg.Fresh.LeavingMS)}, {"fresh/settingsMS", float64(cfg.Fresh.SettingsMS)}, {"fresh/contactMS", float64(cfg.Fresh.ContactMS)},
 		{"orders/rateWindowS", cfg.Orders.RateWindowS}, {"orders/rateOver", cfg.Orders.RateOver},
+		{"allowances/windowS", cfg.Allowances.WindowS},
 	} {
 		c.positive("/"+bound.path, bound.n)
 	}
-	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack} {
+	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack,
+		"/allowances/over": cfg.Allowances.Over, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
+	} {
 		if n < 0 {
 			c.add(path, "must not be negative")
 		}
--- a/daemon/nodeconfig_test.go
+++ b/daemon/nodeconfig_test.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"maps"
 	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -11,9 +13,33 @@
 // gap is a gap of the platform's template: a name, and whether JSON is wanted.
 var gap = regexp.MustCompile(`\{\{([a-zA-Z.]+)(\|json)?\}\}`)
 
+// section is a part of the template that stands if a value is true or given.
+var section = regexp.MustCompile(`(?s)\{\{#([a-zA-Z.]+)\}\}(.*?)\{\{/[a-zA-Z.]+\}\}`)
+
 // TestTemplateGivesAValidConfiguration fills deploy/node.jsonc in as the platform
 // does, with values of its pages.
 func TestTemplateGivesAValidConfiguration(t *testing.T) {
+	cfg := fillTemplate(t, nil)
+	require.Equal(t, "edge-1", cfg.Instance)
+	require.Equal(t, 8000, cfg.Limits.GraceMS)
+	require.Equal(t, "http://10.200.1.7:8142", cfg.ObjectStore)
+	require.InDelta(t, 0.4, cfg.Limits.CPUShare, 1e-9)
+	require.Zero(t, cfg.Fresh.RevokedMS)
+	require.Equal(t, DefaultNodeConfig().Allowances, cfg.Allowances)
+}
+
+// TestTemplateTakesTheBoundsOfAccounts fills it in for a deployment with accounts.
+func TestTemplateTakesTheBoundsOfAccounts(t *testing.T) {
+	cfg := fillTemplate(t, map[string]string{
+		"bounds.strictRevoke": "true", "bounds.revokeMs": "5000",
+		"bounds.quotaWindowS": "8", "bounds.quotaOver": "0.1", "bounds.quotaSlack": "17000",
+	})
+	require.Equal(t, 4500*time.Millisecond, cfg.Fresh.keysAge())
+	require.Equal(t, AllowanceConfig{WindowS: 8, Over: 0.1, Slack: 17000}, cfg.Allowances)
+}
+
+func fillTemplate(t *testing.T, more map[string]string) NodeConfig {
+	t.Helper()
 	template, err := os.ReadFile("../deploy/node.jsonc")
 	require.NoError(t, err)
 	values := map[string]string{
@@ -23,7 +49,15 @@
 		"bounds.ceilingWindowS": "5", "bounds.ceilingOver": "1.1", "bounds.drainMs": "2000", "bounds.configMs": "3000", "bounds.contactMs": "3000",
 		"bounds.graceS": "8", "limits.cpuShare": "0.4", "limits.cores": "1", "limits.linkMbps": "200",
 	}
-	text := gap.ReplaceAllStringFunc(string(template), func(g string) string {
+	maps.Copy(values, more)
+	given := section.ReplaceAllStringFunc(string(template), func(s string) string {
+		parts := section.FindStringSubmatch(s)
+		if _, known := values[parts[1]]; !known {
+			return ""
+		}
+		return parts[2]
+	})
+	text := gap.ReplaceAllStringFunc(given, func(g string) string {
 		name := gap.FindStringSubmatch(g)[1]
 		value, known := values[name]
 		require.True(t, known, "a gap that this test does not fill: %s", name)
@@ -31,10 +65,7 @@
 	})
 	cfg, err := ParseNodeConfig("node.jsonc", []byte(text))
 	require.NoError(t, err)
-	require.Equal(t, "edge-1", cfg.Instance)
-	require.Equal(t, 8000, cfg.Limits.GraceMS)
-	require.Equal(t, "http://10.200.1.7:8142", cfg.ObjectStore)
-	require.InDelta(t, 0.4, cfg.Limits.CPUShare, 1e-9)
+	return cfg
 }
 
 func TestNodeBoundsAreChecked(t *testing.T) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -41,6 +41,8 @@
 	// goes to the endpoint; Header is what the instance itself adds.
 	Caller, Header http.Header
 	Body           []byte
+	// Account names whose request it is, for endpoints that are told; empty for nobody.
+	Account string
 	// Priority orders requests at the endpoint; higher goes first.
 	Priority int
 	// Resume asks to continue a stream behind the event ResumeAfter.
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/quarantine"
 )
 
@@ -68,6 +69,19 @@
 	Endings []quarantine.Word `cbor:"22,keyasint,omitempty"`
 	// EndingsDigest stands for all that the sender knows of them.
 	EndingsDigest uint64 `cbor:"23,keyasint,omitempty"`
+	// Ask is a token that the instance which places units answers with Echo, to the process
+	// EchoTo, once it knows that revision Confirmed of the settings was the newest after it
+	// had heard the Ask. Such an answer tells nothing else.
+	Ask       uint64 `cbor:"24,keyasint,omitempty"`
+	Echo      uint64 `cbor:"25,keyasint,omitempty"`
+	EchoTo    string `cbor:"26,keyasint,omitempty"`
+	Confirmed int64  `cbor:"27,keyasint,omitempty"`
+	// Usage is what accounts have asked of the sender, for the process UsageFor.
+	Usage    []allowance.Usage `cbor:"28,keyasint,omitempty"`
+	UsageFor allowance.Adder   `cbor:"29,keyasint,omitempty"`
+	// Allowances tells, with Instances, what accounts may have, by the process Adder.
+	Allowances []allowance.Word `cbor:"30,keyasint,omitempty"`
+	Adder      allowance.Adder  `cbor:"31,keyasint,omitempty"`
 }
 
 // EndpointLoad is what one instance has under way at an endpoint.
--- a/pipeline/authenticate.go
+++ b/pipeline/authenticate.go
@@ -2,23 +2,57 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
 	"github.com/eiderspring/eiderspring/settings"
 )
 
-// authenticate finds the caller by the hash of its bearer token and checks
-// that it may use what it asks for.
+// Authenticator finds out whose request it is by its bearer token.
+type Authenticator struct {
+	// Current tells whether the callers' tokens in settings of a revision may still be
+	// gone by: an instance that does not hear of tokens that were taken away must not let
+	// their holders in. Nil means always.
+	Current func(revision int64) bool
+}
+
+// Identify returns whose token the request carries. Where no token is needed, one that is
+// unknown, or cannot be gone by now, is nobody's.
+func (a Authenticator) Identify(r *http.Request, catalog *settings.Catalog, needed bool) (settings.Identity, error) {
+	who, err := a.find(r, catalog)
+	if err != nil && !needed {
+		return settings.Identity{}, nil
+	}
+	return who, err
+}
+
+const bearer = "Bearer "
+
+func (a Authenticator) find(r *http.Request, catalog *settings.Catalog) (settings.Identity, error) {
+	fields := r.Header["Authorization"]
+	if len(fields) != 1 || len(fields[0]) < len(bearer) || !strings.EqualFold(fields[0][:len(bearer)], bearer) {
+		return settings.Identity{}, &AuthError{Status: http.StatusUnauthorized, Reason: "one bearer token is needed"}
+	}
+	if a.Current != nil && !a.Current(catalog.Revision) {
+		return settings.Identity{}, &StaleError{}
+	}
+	who, known := catalog.Caller(fields[0][len(bearer):])
+	if !known {
+		return settings.Identity{}, &AuthError{Status: http.StatusUnauthorized, Reason: "the token is not known"}
+	}
+	return who, nil
+}
+
+// authenticate finds the caller by its bearer token and checks that it may use what it
+// asks for.
 type authenticate struct {
+	Authenticator
 	catalog func() *settings.Catalog
 }
 
 // Process implements Filter.
 func (a authenticate) Process(_ context.Context, x *Exchange) error {
-	caller, err := a.identify(x.Request)
+	caller, err := a.Identify(x.Request, a.catalog(), true)
 	if err != nil {
 		return err
 	}
@@ -28,16 +62,3 @@
 	x.Caller = caller
 	return nil
 }
-
-func (a authenticate) identify(r *http.Request) (settings.Identity, error) {
-	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !found {
-		return settings.Identity{}, &AuthError{Status: http.StatusUnauthorized, Reason: "a bearer token is needed"}
-	}
-	sum := sha256.Sum256([]byte(token))
-	caller, known := a.catalog().Caller(hex.EncodeToString(sum[:]))
-	if !known {
-		return settings.Identity{}, &AuthError{Status: http.StatusUnauthorized, Reason: "the token is not known"}
-	}
-	return caller, nil
-}
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -90,7 +90,7 @@
 	out := engine.Attempt{
 		ID: a.ID, Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
 		Method: x.Call.Method, Path: x.Call.Path, Host: x.Call.Host, Caller: x.Request.Header, Body: x.Call.Body,
-		Priority: x.rank(), Resume: x.reached, ResumeAfter: x.offset,
+		Account: x.Caller.Name, Priority: x.rank(), Resume: x.reached, ResumeAfter: x.offset,
 	}
 	return out
 }
--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -22,7 +22,9 @@
 
 // NotRun tells whether the answer promises that the request has not run, and says when
 // to return.
-func (a Answer) NotRun() bool { return a.Code == CodeNotRun || a.Code == CodeQuarantined }
+func (a Answer) NotRun() bool {
+	return a.Code == CodeNotRun || a.Code == CodeQuarantined || a.Code == CodeAllowance
+}
 
 // Failure is an error of a filter. It says what became of the request and
 // what to tell the caller.
@@ -45,6 +47,8 @@
 	// CodeQuarantined says that the request has not run, and will not for a while, as it
 	// ended the endpoints that ran it before.
 	CodeQuarantined = "request_quarantined"
+	// CodeAllowance says that the request has not run, as its caller's allowance is used up.
+	CodeAllowance = "allowance_exceeded"
 	// CodeOutcomeUnknown says that the request may have run.
 	CodeOutcomeUnknown = "outcome_unknown"
 )
@@ -86,6 +90,37 @@
 	return Answer{Status: e.Status, Code: code, Message: e.Reason, Field: "Authorization"}
 }
 
+// StaleError is a request with a token that this instance cannot go by now, as it does not
+// hear of tokens that were taken away. No endpoint has started it.
+type StaleError struct{}
+
+func (e *StaleError) Error() string            { return "authenticate: the settings are not known to be current" }
+func (e *StaleError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// Answer implements Failure. Another instance may know.
+func (e *StaleError) Answer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: e.Error(), RetryAfter: spread(staleRetryAfter)}
+}
+
+// staleRetryAfter is for a caller whose token is not gone by here: another instance can be
+// reached at once, and if none knows better, the callers come back spread.
+const staleRetryAfter = 100 * time.Millisecond
+
+// AllowanceError is a request beyond its caller's allowance. No endpoint has started it.
+type AllowanceError struct {
+	Account string
+	// RetryAfter is when there may be room again.
+	RetryAfter time.Duration
+}
+
+func (e *AllowanceError) Error() string            { return "allowance: that of " + e.Account + " is used up" }
+func (e *AllowanceError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// Answer implements Failure.
+func (e *AllowanceError) Answer() Answer {
+	return Answer{Status: http.StatusTooManyRequests, Code: CodeAllowance, Message: e.Error(), RetryAfter: e.RetryAfter}
+}
+
 // ResolveError is a name that stands for nothing.
 type ResolveError struct{ Name string }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -70,6 +70,9 @@
 	Bytes      int64
 	Replayed   bool
 
+	// charged is what the request counts against its caller's allowance.
+	charged float64
+
 	// flight is the request's entry among those in progress.
 	flight quarantine.Flight
 	// overdue is set once its deadline has passed while its timer stood still.
@@ -112,6 +115,19 @@
 	return names
 }
 
+// applyPriority puts the caller's priority before that of what is asked for.
+func (x *Exchange) applyPriority() {
+	if p := x.Caller.Priority; p != nil {
+		x.Target.Policy.Priority = *p
+	}
+}
+
+// Identified records whose request it is, once Target is known.
+func (x *Exchange) Identified(who settings.Identity) {
+	x.Caller = who
+	x.applyPriority()
+}
+
 // from is the address that the request came from, without its port. A caller may have
 // several, so it identifies nobody.
 func (x *Exchange) from() string {
--- a/pipeline/openai.go
+++ b/pipeline/openai.go
@@ -103,12 +103,12 @@
 
 // listModels answers with what the caller may use.
 func (d *OpenAI) listModels(w http.ResponseWriter, r *http.Request) {
-	caller, err := d.auth.identify(r)
+	catalog := d.catalog()
+	caller, err := d.auth.Identify(r, catalog, true)
 	if err != nil {
 		d.Refuse(w, classify(err).Answer())
 		return
 	}
-	catalog := d.catalog()
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for _, name := range slices.Sorted(maps.Keys(catalog.Targets)) {
 		if caller.May(name) {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/outcome"
 	"github.com/eiderspring/eiderspring/quarantine"
@@ -52,6 +53,8 @@
 	Retries *RetryBudgets
 	// Quarantine holds back requests that end endpoints; nil holds none.
 	Quarantine *quarantine.Keeper
+	// Allowances bounds what accounts may ask; nil bounds nothing.
+	Allowances *allowance.Local
 }
 
 // Pipeline serves callers. It is an http.Handler.
@@ -89,7 +92,7 @@
 			route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
-		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now},
+		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, allowances: cfg.Allowances},
 		retries: cfg.Retries,
 		breaks:  &breaks{keeper: cfg.Quarantine, listens: cfg.Engine.Listens, log: cfg.Log, waiting: map[*routing.Endpoint][]broken{}},
 	}
@@ -123,6 +126,9 @@
 	if err := run(ctx, p.prepare, x); err != nil {
 		return err
 	}
+	if err := p.allow(x); err != nil {
+		return err
+	}
 	x.Fingerprint = quarantine.FingerprintOf(x.Caller.Name, x.Call.Method, x.Request.RequestURI, x.Call.Body)
 	if !x.Target.Policy.Repeatable && x.Call.Key != "" {
 		// A claimed request goes on without its caller, who may ask again.
@@ -139,6 +145,21 @@
 	return x.reason(p.attempts(ctx, x))
 }
 
+// allow counts a request against its caller's allowance.
+func (p *Pipeline) allow(x *Exchange) error {
+	limit := x.Caller.Allowance
+	if limit == nil {
+		return nil
+	}
+	cost := limit.Cost(x.Call.PromptTokens + x.Call.OutputTokens)
+	admitted, retryAfter := p.cfg.Allowances.Admit(p.cfg.Now(), x.Caller.Name, cost)
+	if !admitted {
+		return &AllowanceError{Account: x.Caller.Name, RetryAfter: spread(retryAfter)}
+	}
+	x.charged = cost
+	return nil
+}
+
 // attempts makes attempts until one succeeds or another makes no sense.
 func (p *Pipeline) attempts(ctx context.Context, x *Exchange) error {
 	if err := (claimKey{claims: p.cfg.Claims}).Process(ctx, x); err != nil {
--- a/pipeline/resolve.go
+++ b/pipeline/resolve.go
@@ -18,8 +18,9 @@
 		return &ResolveError{Name: x.Call.Name}
 	}
 	x.Target = target
+	x.applyPriority()
 	if !x.Call.Plain {
-		x.Call.Body = x.Call.fields.rewrite(x.Call.Body, target.Unit, target.Policy.Priority)
+		x.Call.Body = x.Call.fields.rewrite(x.Call.Body, target.Unit, x.Target.Policy.Priority)
 	}
 	return nil
 }
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/outcome"
 )
 
@@ -25,6 +26,8 @@
 	log     logr.Logger
 	metrics *Metrics
 	now     func() time.Time
+	// allowances gets back what a request counted that has not run.
+	allowances *allowance.Local
 }
 
 // claimTimeout bounds the writes that end a claim.
@@ -42,6 +45,9 @@
 			x.Outcome = outcome.Unknown
 		}
 	}
+	if x.Outcome == outcome.NotRun && x.charged > 0 {
+		f.allowances.Refund(f.now(), x.Caller.Name, x.charged)
+	}
 	f.endClaim(ctx, x)
 	f.report(x, err)
 	if failure != nil {
--- a/store/client.go
+++ b/store/client.go
@@ -52,6 +52,16 @@
 	// changes: what the handler knows then was current a moment ago. Nil tells
 	// nobody.
 	Confirmed func()
+	// Now stamps when calls are made, in Event.AskedAt and List.AskedAt; nil stamps none.
+	Now func() time.Time
+}
+
+// Stamp is when a call is made.
+func (o WatchOptions) Stamp() time.Time {
+	if o.Now == nil {
+		return time.Time{}
+	}
+	return o.Now()
 }
 
 // MayBeBehind tells whether changes may come late now.
--- a/store/object.go
+++ b/store/object.go
@@ -79,6 +79,8 @@
 type List struct {
 	ResourceVersion string
 	Items           []Object
+	// AskedAt is when a Reflector asked for the list, zero if it may be behind.
+	AskedAt time.Time
 }
 
 // EventType says what happened to an object.
@@ -99,4 +101,8 @@
 	Object Object    `json:"object"`
 	// Behind tells that the answer which brought the event may be seconds old.
 	Behind bool `json:"-"`
+	// AskedAt is when the call was made that brought the event, zero where it may be behind
+	// or its watch is not made of calls. All that the store had acknowledged by then has come
+	// with the bookmark behind the call's changes.
+	AskedAt time.Time `json:"-"`
 }
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -126,6 +126,8 @@
 			return l, true, err
 		}
 	}
+	asked := r.options.Stamp()
 	l, err = r.client.List(ctx, r.kind)
+	l.AskedAt = asked
 	return l, false, err
 }
