A store that comes back from a copy: versions, leases, members and rights belong to an era

Change: every answer's era is read; an answer of an earlier one is none; versions carry their era, so that a condition or a watch of another era ends at once; a holder whose era changed holds nothing, and the lease is taken only when nobody can hold it by the era before; epochs grow with the era and, behind the first, with the record's revision; members that are known to leave or to have gone stay so; settings never go back; what the store shows proves no right to keys for 3 s; presence, the datagrams' key and held requests are written again; the others are told in every packet.

--- /dev/null
+++ b/daemon/eras.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// eraSettle is for how long behind the beginning of an era the store may lack settings that
+// it had acknowledged: their operator writes them again.
+const eraSettle = 3 * time.Second
+
+// eraBegan is told that the store has come back from a copy some seconds old. Watches begin
+// anew by themselves, as do leases; what else rests on what the store has acknowledged is
+// seen to here.
+func (n *Node) eraBegan(era int64) {
+	n.vars.Add("store_eras", 1)
+	n.log.Info("store came back from a copy", "era", era)
+	n.link.copied()
+	n.rights.doubt(eraSettle)
+	select {
+	case n.eraBegun <- struct{}{}:
+	default:
+	}
+	n.mesh.hurry()
+}
+
+// renew writes again, in each new era, what this node keeps in the store.
+func (n *Node) renew(ctx context.Context, entries *entriesDuty) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.eraBegun:
+		}
+		_ = entries.inputs.Put(ctx, membership.StoreCopied{})
+		// All nodes do so at once.
+		wait.For(ctx, jitter(presencePause))
+		n.presence.run(ctx)
+		for _, w := range n.quarantine.HeldWords() {
+			_ = n.held.Put(ctx, w)
+		}
+	}
+}
--- a/daemon/keyrights.go
+++ b/daemon/keyrights.go
@@ -27,6 +27,8 @@
 
 	mu     sync.Mutex
 	echoes authority.Echoes
+	// doubtful is until when what the store shows proves nothing.
+	doubtful time.Time
 }
 
 // current tells whether keys in the settings of a revision may be gone by.
@@ -72,9 +74,23 @@
 	return r.keeper.Ask(r.now())
 }
 
+// doubt takes what the store shows for no proof, for so long: it may lack settings that it
+// had acknowledged before it came back from a copy.
+func (r *keyRights) doubt(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubtful = r.now().Add(d)
+}
+
 // confirmed notes that a call to the store, begun at a moment, has shown a revision to be
 // the newest, and answers those who asked before.
 func (r *keyRights) confirmed(begun time.Time, revision int64) {
+	r.mu.Lock()
+	doubtful := begun.Before(r.doubtful)
+	r.mu.Unlock()
+	if doubtful {
+		return
+	}
 	r.keeper.Confirmed(begun, revision)
 	if !r.answers() {
 		return
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/eiderspring/eiderspring/quarantine"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/store"
 )
 
 // mesh tells the other instances what this one has under way and is asked for,
@@ -31,6 +32,8 @@
 	quarantine *quarantine.Keeper
 	// rights is asked by others whether they may go by their settings' keys, and answered.
 	rights *keyRights
+	// eras follows the store's eras, of which others may hear first; nil where none tells.
+	eras *store.Eras
 	// allowances is told what accounts have asked of the others.
 	allowances *allowances
 	log        logr.Logger
@@ -85,8 +88,11 @@
 
 	// mu guards the rest.
 	mu sync.Mutex
-	// sealer and datagrams are nil until the key is known.
+	// key, sealer and datagrams are nil until the key is known; opener is sealer for those
+	// that receive.
+	key       []byte
 	sealer    *peer.Sealer
+	opener    atomic.Pointer[peer.Sealer]
 	datagrams peer.Datagrams
 	// listed holds the entries of instances in the store, told where each that
 	// was heard lately says that it receives packets.
@@ -148,20 +154,27 @@
 	bytesPerMbit = 1e6 / 8
 )
 
-// open begins to listen, once the key is known.
+// open begins to listen, once the key is known, or goes on with another key. Packets sealed
+// with the one before are still read: not all instances change at the same moment.
 func (m *mesh) open(key []byte) error {
-	sealer, err := peer.NewSealer([][]byte{key})
-	if err != nil {
-		return err
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	keys := [][]byte{key}
+	if m.key != nil {
+		keys = append(keys, m.key)
 	}
-	datagrams, err := peer.ListenUDP(m.address, func(sealed []byte) { m.receive(sealer, sealed) })
+	sealer, err := peer.NewSealer(keys)
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.sealer, m.datagrams = sealer, datagrams
-	return nil
+	m.key, m.sealer = key, sealer
+	m.opener.Store(sealer)
+	if m.datagrams != nil {
+		m.log.Info("datagrams' key changed")
+		return nil
+	}
+	m.datagrams, err = peer.ListenUDP(m.address, m.receive)
+	return err
 }
 
 func (m *mesh) close() {
@@ -173,8 +186,8 @@
 }
 
 // receive is called on the datagrams' event loop.
-func (m *mesh) receive(sealer *peer.Sealer, sealed []byte) {
-	plain, err := sealer.Open(sealed)
+func (m *mesh) receive(sealed []byte) {
+	plain, err := m.opener.Load().Open(sealed)
 	if err != nil {
 		m.log.V(1).Info("datagram dropped", "error", err.Error())
 		return
@@ -216,6 +229,9 @@
 			// An earlier process of this instance; its packets were late.
 			continue
 		}
+		if p.Era > 0 {
+			m.eras.Saw(p.Era)
+		}
 		if p.From != m.instance && m.rights.heard(p, m.process) {
 			continue
 		}
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -155,6 +155,7 @@
 	defer m.mu.Unlock()
 	m.seq++
 	p.Version, p.From, p.Process, p.Address, p.Seq = peer.PacketVersion, m.instance, m.process, m.address, m.seq
+	p.Era = m.eras.Newest()
 	return p
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -86,8 +86,11 @@
 	allowances *allowances
 	held       *ring.Ring[quarantine.Word]
 	// control carries reports and orders, apart from callers' requests.
-	control  *engine.Client
-	mesh     *mesh
+	control *engine.Client
+	mesh    *mesh
+	// eras follows the store's eras; eraBegun is told when one has begun.
+	eras     *store.Eras
+	eraBegun chan struct{}
 	placers  *placers
 	presence *presenceDuty
 	events   *ring.Ring[event]
@@ -128,7 +131,9 @@
 		events:  ring.New[event](eventsCapacity, ring.Block),
 		wakes:   ring.New[time.Duration](wakesCapacity, ring.DropOldest),
 		held:    ring.New[quarantine.Word](holdsWaiting, ring.DropOldest),
+		eras:    &store.Eras{}, eraBegun: make(chan struct{}, 1),
 	}
+	n.eras.OnBegin(n.eraBegan)
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.clock = clock.New(clock.System(), func(slept time.Duration) { _ = n.wakes.Put(n.work, slept) })
 	n.now = n.clock.Now
@@ -197,7 +202,7 @@
 	}
 	n.allowances = newAllowances(n.cfg.Allowances, process, holds, n.now)
 	return &mesh{
-		rights: n.rights, allowances: n.allowances,
+		rights: n.rights, allowances: n.allowances, eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, quarantine: n.quarantine, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
@@ -329,10 +334,10 @@
 	n.vars.Set("queue_length", expvar.Func(func() any { return n.gates.Len() }))
 	n.vars.Set("endpoints_age_ms", expvar.Func(func() any { return n.endpointsAgeMS() }))
 	n.vars.Set("settings_revision", expvar.Func(func() any { return n.revision() }))
-	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Asked: n.link.asked, Answered: n.link.answered, Transport: n.storeCalls})
+	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Asked: n.link.asked, Answered: n.link.answered, Transport: n.storeCalls, Eras: n.eras})
 	n.placers = &placers{
 		ctx: n.work, cfg: n.cfg.Orders, instance: n.cfg.Instance, holder: n.holder(), client: objects, log: n.log, now: n.clock.Exact, done: &n.done,
-		controls: n.ports.Controls(n.control, n.cfg.Instance), campaigns: n.campaigns, place: n.mesh.place, running: map[string]*placer{},
+		controls: n.ports.Controls(n.control, n.cfg.Instance), campaigns: n.campaigns, place: n.mesh.place, running: map[string]*placer{}, era: n.eras.Newest,
 	}
 	n.presence = &presenceDuty{
 		client: objects, writer: store.NewWriter(objects), instance: n.cfg.Instance, link: n.link, log: n.log,
@@ -349,7 +354,6 @@
 		newer: n.mesh.newer, behind: n.settingsMayBeBehind, inForce: n.mesh.settingsInForce, events: n.events, link: n.link, log: n.log,
 		confirmed: n.rights.confirmed, now: n.now,
 	}
-	keys := func(ctx context.Context) { n.rights.keep(ctx, n.cfg.Fresh.keysAge(), config.askStore) }
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
 		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
@@ -361,8 +365,10 @@
 		client: objects, keeper: n.quarantine, words: n.held, isolated: n.mesh.isolated, memory: n.cfg.Quarantine.limits().Memory(),
 		log: n.log, timeOfDay: time.Now,
 	}
+	renew := func(ctx context.Context) { n.renew(ctx, entries) }
+	keys := func(ctx context.Context) { n.rights.keep(ctx, n.cfg.Fresh.keysAge(), config.askStore) }
 	for _, run := range []func(context.Context){
-		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write, keys,
+		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write, keys, renew,
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -198,6 +198,8 @@
 	// it may hold already.
 	campaigns func(pool string, held bool) bool
 	place     func([]peer.Placement)
+	// era returns the store's newest era.
+	era func() int64
 
 	mu      sync.Mutex
 	running map[string]*placer
@@ -295,7 +297,7 @@
 		}),
 	}
 	d.runner = lease.NewRunner(lease.RunnerConfig{
-		Name: "cell-" + pool, Client: p.client, Now: p.now, Changed: d.leaseChanged, Tick: leaseLook,
+		Name: "cell-" + pool, Client: p.client, Now: p.now, Changed: d.leaseChanged, Tick: leaseLook, Era: p.era,
 		Campaign: func() bool {
 			_, held := d.runner.Hold()
 			return p.campaigns(pool, held)
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	randv2 "math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,6 +46,11 @@
 	// nil says that it is gone.
 	opened func(key []byte) error
 	found  func(instance string, p *presence)
+	// running is held while run is under way, which happens again in each era of the store.
+	running sync.Mutex
+	// ownKey is the datagrams' key that is in use: a store that has come back from a copy
+	// may have lost it. run alone uses it.
+	ownKey []byte
 	// known are the instances whose entries are there; the watch alone uses it.
 	known map[string]bool
 }
@@ -55,6 +62,8 @@
 const presencePause = 500 * time.Millisecond
 
 func (d *presenceDuty) run(ctx context.Context) {
+	d.running.Lock()
+	defer d.running.Unlock()
 	// The others are to know of this instance before one of them campaigns.
 	d.until(ctx, "presence", d.register)
 	d.until(ctx, "key", d.key)
@@ -100,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	if bytes.Equal(key, d.ownKey) {
+		return nil
+	}
+	d.ownKey = key
 	return d.opened(key)
 }
 
@@ -112,9 +125,12 @@
 }
 
 func (d *presenceDuty) makeKey(ctx context.Context) (store.Object, error) {
-	key := make([]byte, peer.KeyBytes)
-	if _, err := rand.Read(key); err != nil {
-		return store.Object{}, err
+	key := d.ownKey
+	if key == nil {
+		key = make([]byte, peer.KeyBytes)
+		if _, err := rand.Read(key); err != nil {
+			return store.Object{}, err
+		}
 	}
 	o, err := store.NewObject(store.KindPeerKey, peerKeyName, peerKey{Key: hex.EncodeToString(key)})
 	if err != nil {
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -59,6 +59,15 @@
 	l.answeredAt, l.askedAt, l.failing = now, time.Time{}, false
 }
 
+// copied notes that the store has come back from a copy: what it shows is settled only
+// behind the time that members take to write their entries again.
+func (l *storeLink) copied() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.returnedAt = l.now()
+	clear(l.confirmedAt)
+}
+
 // returned is since when the store has answered without a break, whatever the
 // call: a watch that began while it was away may hang long after its return.
 func (l *storeLink) returned() time.Time {
--- /dev/null
+++ b/lease/era_test.go
@@ -0,0 +1,226 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/commit"
+)
+
+// copiedStore is an object API with one lease object that comes back from copies of itself.
+// Its versions are numbers that are given out again.
+type copiedStore struct {
+	era     int64
+	version int
+	record  Record
+	copy    *copiedStore
+}
+
+// eraWorld is several machines before such a store. They share a clock; their calls take
+// effect, and are answered, at any later time.
+type eraWorld struct {
+	random *rand.Rand
+	now    time.Time
+	store  copiedStore
+	nodes  []*eraNode
+	// epochs is who has acquired each epoch.
+	epochs map[int64]int
+	// blind machines are told no era, and compare versions across eras.
+	blind bool
+}
+
+type eraNode struct {
+	machine *Machine
+	era     int64
+	calls   []*eraCall
+	// handsOver is set from a write that hands the lease over.
+	handsOver bool
+}
+
+// eraCall is a call under way: first it takes effect, later its answer comes.
+type eraCall struct {
+	action Action
+	// readIn is the era in which the condition of a write was read.
+	readIn int64
+	done   bool
+	era    int64
+	event  Event
+}
+
+func newEraWorld(seed uint64) *eraWorld {
+	w := &eraWorld{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), epochs: map[int64]int{}}
+	w.store.era = 1
+	for i := range 3 {
+		w.nodes = append(w.nodes, &eraNode{machine: NewMachine(NewConfig(fmt.Sprintf("node-%d", i)))})
+	}
+	return w
+}
+
+func (w *eraWorld) step(i int, e Event) error {
+	n := w.nodes[i]
+	for _, a := range n.machine.Step(w.now, e) {
+		switch a := a.(type) {
+		case Acquired:
+			if owner, taken := w.epochs[a.Epoch]; taken && owner != i {
+				return fmt.Errorf("epoch %d acquired by nodes %d and %d", a.Epoch, owner, i)
+			}
+			w.epochs[a.Epoch] = i
+			n.handsOver = false
+		case Read, Write:
+			if write, ok := a.(Write); ok && write.Record.Holder == "" {
+				n.handsOver = true
+			}
+			n.calls = append(n.calls, &eraCall{action: a, readIn: n.era})
+		}
+	}
+	return w.oneHolds()
+}
+
+// oneHolds tells whether two machines hold the lease now, or one that holds it has an epoch
+// below another's: endpoints obey it no more.
+func (w *eraWorld) oneHolds() error {
+	holder := -1
+	for i, n := range w.nodes {
+		epoch, held := n.machine.Held(w.now)
+		if !held || n.handsOver {
+			// Who hands over may hold the lease until the answer comes: whoever takes it from
+			// there waits with its first order.
+			continue
+		}
+		for other, owner := range w.epochs {
+			if owner != i && other > epoch {
+				return fmt.Errorf("node %d holds epoch %d behind %d", i, epoch, other)
+			}
+		}
+		if holder >= 0 {
+			return fmt.Errorf("nodes %d and %d hold the lease", holder, i)
+		}
+		holder = i
+	}
+	return nil
+}
+
+// effect lets a call take effect at the store.
+func (w *eraWorld) effect(c *eraCall) {
+	s := &w.store
+	c.done, c.era = true, s.era
+	write, isWrite := c.action.(Write)
+	switch {
+	case !isWrite && s.version == 0:
+		c.event = Missing{}
+	case !isWrite:
+		c.event = Seen{Record: s.record, Version: w.versionOf(s.version), Revision: int64(s.version)}
+	case write.Version != "" && write.Version != w.asRead(c.readIn, s.version) || write.Version == "" && s.version > 0:
+		c.event = Wrote{Result: commit.Conflict}
+	default:
+		s.version++
+		s.record = write.Record
+		c.event = Wrote{Result: commit.Done, Version: w.versionOf(s.version), Revision: int64(s.version)}
+		if !w.blind && write.Version != "" && c.readIn != s.era {
+			// The client sees that it met another era than its condition.
+			c.event = Wrote{Result: commit.Unknown}
+		}
+	}
+}
+
+func (w *eraWorld) versionOf(version int) string { return w.asRead(w.store.era, version) }
+
+// asRead is a version as it was told in an era. The store itself compares the number alone.
+func (w *eraWorld) asRead(era int64, version int) string {
+	if w.blind {
+		era = 0
+	}
+	return fmt.Sprintf("%d/%d", era, version)
+}
+
+// answer delivers what became of a call.
+func (w *eraWorld) answer(i int, c *eraCall) error {
+	n := w.nodes[i]
+	if w.random.IntN(6) == 0 || !w.blind && c.era < n.era {
+		// Lost, or of an earlier era than is known.
+		c.event = Tick{}
+		if _, wrote := c.action.(Write); wrote {
+			c.event = Wrote{Result: commit.Unknown}
+		}
+	}
+	if !w.blind && c.era > n.era {
+		n.era = c.era
+		if err := w.step(i, EraIs{Era: c.era}); err != nil {
+			return err
+		}
+	}
+	return w.step(i, c.event)
+}
+
+// turn does one thing that may happen.
+func (w *eraWorld) turn() error {
+	i := w.random.IntN(len(w.nodes))
+	n := w.nodes[i]
+	switch w.random.IntN(10) {
+	case 0, 1, 2:
+		w.now = w.now.Add(time.Duration(1+w.random.IntN(1500)) * time.Millisecond)
+		return w.step(i, Campaign{Want: w.random.IntN(8) > 0})
+	case 3, 4, 5:
+		for _, c := range n.calls {
+			if !c.done {
+				w.effect(c)
+				break
+			}
+		}
+	case 6, 7, 8:
+		if len(n.calls) > 0 && n.calls[0].done {
+			c := n.calls[0]
+			n.calls = n.calls[1:]
+			return w.answer(i, c)
+		}
+	case 9:
+		switch {
+		case w.store.copy == nil || w.random.IntN(3) > 0:
+			c := w.store
+			c.copy = nil
+			w.store.copy = &c
+		case w.random.IntN(2) == 0:
+			back := *w.store.copy
+			back.era = w.store.era + 1
+			w.store = back
+		}
+	}
+	return nil
+}
+
+func (w *eraWorld) run(steps int) error {
+	for range steps {
+		if err := w.turn(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TestOneHoldsAcrossEras lets the store come back from copies at any moment, between any two
+// of the machines' calls.
+func TestOneHoldsAcrossEras(t *testing.T) {
+	acquired := 0
+	for seed := range uint64(3000) {
+		w := newEraWorld(seed)
+		require.NoError(t, w.run(400), "seed %d", seed)
+		acquired += len(w.epochs)
+	}
+	require.Greater(t, acquired, 3000, "the lease is taken")
+}
+
+// TestMachinesThatHearOfNoEraAreCaught shows that the judge above can fail.
+func TestMachinesThatHearOfNoEraAreCaught(t *testing.T) {
+	for seed := range uint64(3000) {
+		w := newEraWorld(seed)
+		w.blind = true
+		if w.run(400) != nil {
+			return
+		}
+	}
+	t.Fatal("no schedule catches it")
+}
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -14,9 +14,10 @@
 	cfg  Config
 	want bool
 
-	// known is the newest record seen, at version, last changed at changedAt.
+	// known is the newest record seen, at version and revision, last changed at changedAt.
 	known     Record
 	version   string
+	revision  int64
 	exists    bool
 	seen      bool
 	changedAt time.Time
@@ -32,6 +33,8 @@
 	// writing is the write under way, sent at sentAt.
 	writing *Write
 	sentAt  time.Time
+	// abandoned is set for a write under way that was made for an earlier era.
+	abandoned bool
 	// doubtful is set after a write of unknown fate: only what is read next
 	// tells what is stored. doubtSince is when the first such write was sent;
 	// what is read may be its effect and no later one's.
@@ -40,6 +43,11 @@
 	// lateWrite is set while a write of unknown fate may still land.
 	lateWrite bool
 	readAt    time.Time
+
+	// era is that of the store. Until settledAt another instance may hold the lease by what
+	// the store acknowledged in the era before.
+	era       int64
+	settledAt time.Time
 }
 
 // readEvery is the time between reads while the record is not known. A
@@ -71,11 +79,55 @@
 		m.doubtful = false
 	case Wrote:
 		actions = m.wrote(now, e)
+	case EraIs:
+		actions = m.eraIs(now, e.Era)
 	}
 	actions = append(actions, m.lapse(now)...)
 	return append(actions, m.act(now)...)
 }
 
+// eraIs notes the store's era. In a new one nothing holds that the store acknowledged
+// before: the lease is lost, and taken again only when whoever holds it by what was
+// acknowledged then can hold it no more.
+func (m *Machine) eraIs(now time.Time, era int64) []Action {
+	if era <= m.era {
+		return nil
+	}
+	m.era = era
+	if era <= firstEra {
+		return nil
+	}
+	m.settledAt = now.Add(m.cfg.Duration + m.cfg.Drift)
+	m.exists, m.seen, m.doubtful, m.lateWrite, m.revision = false, false, false, false, 0
+	m.readAt = time.Time{}
+	if m.writing != nil {
+		// Whichever era it meets, it shows as what is read.
+		m.abandoned = true
+	}
+	return m.lose()
+}
+
+// firstEra is that of a store which has never come back from a copy.
+const firstEra = 1
+
+// eraEpochs is how many epochs an era has: those of a later one are above all that endpoints
+// have seen in earlier ones, also where the copy shows a lower one.
+const eraEpochs = 1 << 32
+
+// nextEpoch is the epoch of the next acquisition. Behind the first era it also grows with the
+// record's revision: a write of an earlier era may land late, where its revision is given
+// out again, and set the epoch back.
+func (m *Machine) nextEpoch() int64 {
+	if m.era <= firstEra {
+		return m.known.Epoch + 1
+	}
+	return max(m.known.Epoch, m.eraBase()+m.revision) + 1
+}
+
+// eraBase is below all epochs of the era, and not below those of the eras before: a record of
+// our own with one of these is a write of an earlier era that has landed late.
+func (m *Machine) eraBase() int64 { return max(m.era-firstEra, 0) * eraEpochs }
+
 // observe takes a record that was read. A record that changed restarts the
 // wait of a challenger. After a write of unknown fate it tells whether the
 // write took effect, and the validity counts from when the write was sent.
@@ -85,7 +137,7 @@
 		m.changedAt = now
 		defer func() { m.lateWrite = false }()
 	}
-	m.known, m.version, m.exists, m.seen, m.readAt = s.Record, s.Version, true, true, now
+	m.known, m.version, m.revision, m.exists, m.seen, m.readAt = s.Record, s.Version, s.Revision, true, true, now
 	if m.writing != nil {
 		return nil
 	}
@@ -100,7 +152,7 @@
 	switch {
 	case m.held && (!mine || s.Record.Epoch != m.epoch):
 		return m.lose()
-	case mine && wasDoubtful && changed:
+	case mine && wasDoubtful && changed && s.Record.Epoch > m.eraBase():
 		return m.hold(s.Record.Epoch, m.doubtSince)
 	default:
 		return nil
@@ -113,9 +165,13 @@
 	if sent == nil {
 		return nil
 	}
+	if m.abandoned {
+		m.abandoned = false
+		return nil
+	}
 	switch w.Result {
 	case commit.Done:
-		m.known, m.version, m.exists, m.seen, m.changedAt = sent.Record, w.Version, true, true, now
+		m.known, m.version, m.revision, m.exists, m.seen, m.changedAt = sent.Record, w.Version, w.Revision, true, true, now
 		m.doubtful, m.lateWrite = false, false
 		if sent.Record.Holder == "" {
 			return m.lose()
@@ -175,7 +231,7 @@
 		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.epoch, Renewals: m.known.Renewals + 1})
 	case m.want && !m.held && m.free(now):
 		m.lapsed = m.exists && m.known.Holder != ""
-		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.known.Epoch + 1})
+		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.nextEpoch()})
 	case m.want && !m.held:
 		return m.read(now, m.cfg.RenewEvery)
 	default:
@@ -185,6 +241,9 @@
 
 // free tells whether the lease may be taken.
 func (m *Machine) free(now time.Time) bool {
+	if now.Before(m.settledAt) {
+		return false
+	}
 	if !m.exists || m.known.Holder == "" {
 		return true
 	}
--- a/lease/record.go
+++ b/lease/record.go
@@ -48,6 +48,9 @@
 type Seen struct {
 	Record  Record
 	Version string
+	// Revision grows with every change of the record within an era; 0 where the store has no
+	// eras.
+	Revision int64
 }
 
 // Missing says that there is no record.
@@ -56,10 +59,15 @@
 // Wrote is the end of a Write.
 type Wrote struct {
 	Result commit.Result
-	// Version is the new resource version if the write took effect.
-	Version string
+	// Version is the new resource version if the write took effect, Revision as in Seen.
+	Version  string
+	Revision int64
 }
 
+// EraIs tells the era of the store, before what is read or written in it. Each begins when
+// the store comes back from a copy some seconds old: what it acknowledged since is gone.
+type EraIs struct{ Era int64 }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -70,6 +78,7 @@
 func (Seen) isEvent()     {}
 func (Missing) isEvent()  {}
 func (Wrote) isEvent()    {}
+func (EraIs) isEvent()    {}
 func (Tick) isEvent()     {}
 func (Campaign) isEvent() {}
 
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -22,6 +22,9 @@
 	campaign func() bool
 	tick     time.Duration
 	hold     atomic.Pointer[Hold]
+	// era returns the store's era, which the machine knows as toldEra.
+	era     func() int64
+	toldEra int64
 }
 
 // Hold is a lease that is held until a moment of this instance's clock.
@@ -43,6 +46,8 @@
 	Campaign func() bool
 	// Tick is the time between looks at the lease; 0 means the default.
 	Tick time.Duration
+	// Era returns the store's newest era; nil for a store that has none.
+	Era func() int64
 }
 
 // NewRunner returns a runner; Run starts it.
@@ -50,8 +55,11 @@
 	if cfg.Tick == 0 {
 		cfg.Tick = tickEvery
 	}
+	if cfg.Era == nil {
+		cfg.Era = func() int64 { return 0 }
+	}
 	return &Runner{
-		tick: cfg.Tick,
+		tick: cfg.Tick, era: cfg.Era,
 		name: cfg.Name, machine: NewMachine(cfg.Lease), client: cfg.Client,
 		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign,
 	}
@@ -104,6 +112,19 @@
 
 // step runs an event and all that follows from it.
 func (r *Runner) step(ctx context.Context, e Event) {
+	if era := r.era(); era != r.toldEra {
+		// What was read or written may be of the era before.
+		r.toldEra = era
+		r.carryOut(ctx, EraIs{Era: era})
+		switch e.(type) {
+		case Seen, Missing:
+			return
+		}
+	}
+	r.carryOut(ctx, e)
+}
+
+func (r *Runner) carryOut(ctx context.Context, e Event) {
 	actions := r.machine.Step(r.now(), e)
 	r.note()
 	for _, a := range actions {
@@ -129,7 +150,7 @@
 	if err != nil || json.Unmarshal(o.Spec, &record) != nil {
 		return nil
 	}
-	return Seen{Record: record, Version: o.Metadata.ResourceVersion}
+	return Seen{Record: record, Version: o.Metadata.ResourceVersion, Revision: store.RevisionOf(o.Metadata.ResourceVersion)}
 }
 
 // write does not resolve a lost answer itself: the machine reads again.
@@ -140,5 +161,5 @@
 	}
 	o.Metadata.ResourceVersion = w.Version
 	version, result := store.Put(ctx, r.client, o)
-	return Wrote{Result: result, Version: version}
+	return Wrote{Result: result, Version: version, Revision: store.RevisionOf(version)}
 }
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -27,6 +27,10 @@
 // without a break, on whatever connection; zero means since this answer.
 type StoreHeard struct{ Since time.Time }
 
+// StoreCopied says that the store has come back from a copy some seconds old: entries are
+// as they were then until their members write them again.
+type StoreCopied struct{}
+
 // EntriesTick lets time pass.
 type EntriesTick struct{}
 
@@ -34,6 +38,7 @@
 func (EntriesChanged) isEntryEvent() {}
 func (StoreLost) isEntryEvent()      {}
 func (StoreHeard) isEntryEvent()     {}
+func (StoreCopied) isEntryEvent()    {}
 func (EntriesTick) isEntryEvent()    {}
 
 // ReturnGrace is how long after the store's return an entry that lapsed while
@@ -58,11 +63,26 @@
 	lost    bool
 	// returnedAt is when the store was last back after it was lost.
 	returnedAt time.Time
+	// dropped holds when members have gone lately, and ended what is known to have ended, or
+	// to leave, although a copy of the store may show it as live.
+	dropped map[string]time.Time
+	ended   map[string]ending
+}
+
+// ending is the end of a member's start that is known.
+type ending struct {
+	incarnation string
+	state       State
+	at          time.Time
 }
 
+// endedTime is for how long the end of a member counts against what a copy of the store
+// shows: some seconds until the copy was made, and until entries lapse that nobody writes.
+const endedTime = 30 * time.Second
+
 // NewEntries returns an empty set.
 func NewEntries() *Entries {
-	return &Entries{members: map[string]Member{}, missing: map[string]time.Time{}}
+	return &Entries{members: map[string]Member{}, missing: map[string]time.Time{}, dropped: map[string]time.Time{}, ended: map[string]ending{}}
 }
 
 // Step applies an event. It returns the list and whether it has changed.
@@ -77,6 +97,8 @@
 		s.lost = true
 	case StoreHeard:
 		s.heard(now, e.Since)
+	case StoreCopied:
+		s.copied(now)
 	}
 	changed = s.expire(now) || changed
 	if !changed {
@@ -98,6 +120,40 @@
 	}
 }
 
+// copied notes what is known to have ended, and leaves members the time to write again what
+// the copy lacks.
+func (s *Entries) copied(now time.Time) {
+	s.lost, s.returnedAt = false, now
+	for name, m := range s.members {
+		if m.State == Leaving {
+			s.ended[name] = ending{incarnation: m.Incarnation, state: Leaving, at: now}
+		}
+	}
+	for name, at := range s.dropped {
+		if now.Sub(at) < endedTime {
+			s.ended[name] = ending{state: Gone, at: now}
+		}
+	}
+}
+
+// corrected is an entry less what a copy of the store shows although it has ended. It
+// reports false for an entry that says nothing.
+func (s *Entries) corrected(now time.Time, m Member) (Member, bool) {
+	e, known := s.ended[m.Name]
+	switch {
+	case !known || m.State != Live:
+		return m, true
+	case now.Sub(e.at) >= endedTime, e.state == Leaving && e.incarnation != m.Incarnation:
+		delete(s.ended, m.Name)
+		return m, true
+	case e.state == Gone:
+		return m, false
+	default:
+		m.State = Leaving
+		return m, true
+	}
+}
+
 // Waiting tells whether entries are missing that may come back.
 func (s *Entries) Waiting() bool { return len(s.missing) > 0 }
 
@@ -107,7 +163,7 @@
 	changed := s.version == 0
 	for _, m := range members {
 		present[m.Name] = true
-		changed = s.put(m) || changed
+		changed = s.put(now, m) || changed
 	}
 	for name := range s.members {
 		if !present[name] {
@@ -132,7 +188,7 @@
 		case c.Member == nil:
 			changed = s.remove(now, c.Name) || changed
 		default:
-			changed = s.put(*c.Member) || changed
+			changed = s.put(now, *c.Member) || changed
 		}
 	}
 	return changed
@@ -140,7 +196,12 @@
 
 // put takes an entry. One that a former start of the member wrote comes late, and
 // says nothing; one that does not tell its start is of the one that is known.
-func (s *Entries) put(m Member) bool {
+func (s *Entries) put(now time.Time, m Member) bool {
+	m, says := s.corrected(now, m)
+	if !says {
+		return false
+	}
+	delete(s.dropped, m.Name)
 	known, listed := s.members[m.Name]
 	if listed && known.outdates(m) {
 		return false
@@ -167,7 +228,7 @@
 		}
 		return false
 	}
-	s.drop(name)
+	s.drop(now, name)
 	return true
 }
 
@@ -177,7 +238,13 @@
 	return s.lost || !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < ReturnGrace
 }
 
-func (s *Entries) drop(name string) {
+func (s *Entries) drop(now time.Time, name string) {
+	for dropped, at := range s.dropped {
+		if now.Sub(at) >= endedTime {
+			delete(s.dropped, dropped)
+		}
+	}
+	s.dropped[name] = now
 	delete(s.members, name)
 	delete(s.missing, name)
 }
@@ -189,7 +256,7 @@
 	}
 	changed := false
 	for name := range s.missing {
-		s.drop(name)
+		s.drop(now, name)
 		changed = true
 	}
 	return changed
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -260,6 +260,16 @@
 	return k.ledger.Words(k.now(), room)
 }
 
+// HeldWords returns what is known of the requests that are held back now.
+func (k *Keeper) HeldWords() []Word {
+	if k == nil {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.HeldWords(k.now())
+}
+
 // SetLimits replaces the limits. With none held, all requests are released.
 func (k *Keeper) SetLimits(l Limits) {
 	if k == nil {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -329,6 +329,17 @@
 	return n
 }
 
+// HeldWords returns what is known of the requests that are held back now.
+func (l *Ledger) HeldWords(now time.Time) []Word {
+	var words []Word
+	for _, f := range l.all {
+		if l.Held(now, f) > 0 {
+			words = append(words, l.records[f].word(now, f))
+		}
+	}
+	return words
+}
+
 // Len returns how many requests are known.
 func (l *Ledger) Len() int { return len(l.records) }
 
--- a/store/caller.go
+++ b/store/caller.go
@@ -24,6 +24,8 @@
 	Behind bool
 	// Hold is how long the store may hold the call before it answers.
 	Hold time.Duration
+	// Era, unless nil, is set to the era of a whole answer.
+	Era *int64
 }
 
 // key is what the call is counted under.
@@ -48,6 +50,8 @@
 	phase    func() string
 	asked    func(hold time.Duration)
 	answered func()
+	eras     *Eras
+	eraOf    func(http.Header) int64
 	http     *http.Client
 }
 
@@ -75,7 +79,10 @@
 	if cfg.Phase == nil {
 		cfg.Phase = func() string { return "" }
 	}
-	return &Caller{timeout: cfg.CallTimeout, calls: cfg.Calls, phase: cfg.Phase, asked: cfg.Asked, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
+	if cfg.EraOf == nil {
+		cfg.EraOf = func(http.Header) int64 { return 0 }
+	}
+	return &Caller{eras: cfg.Eras, eraOf: cfg.EraOf, timeout: cfg.CallTimeout, calls: cfg.Calls, phase: cfg.Phase, asked: cfg.Asked, answered: cfg.Answered, http: &http.Client{Transport: cfg.Transport}}
 }
 
 // Call makes a call within the caller's timeout and decodes the answer into
@@ -133,6 +140,14 @@
 	if err != nil {
 		return nil, &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
 	}
+	era := c.eraOf(resp.Header)
+	if era > 0 && !c.eras.Saw(era) {
+		resp.Body.Close()
+		return nil, &UnansweredError{Kind: call.Kind, Name: call.Name, Err: ErrEarlierEra}
+	}
+	if call.Era != nil {
+		*call.Era = era
+	}
 	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests {
 		c.answered()
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -98,6 +98,9 @@
 	// Answered is told of each answer by which the store shows that it serves
 	// this instance; nil tells nobody.
 	Answered func()
+	// Eras follows the store's eras; nil where it has none. EraOf reads the era of an answer.
+	Eras  *Eras
+	EraOf func(http.Header) int64
 	// Transport carries the calls; nil means a transport of the client's own.
 	Transport http.RoundTripper
 }
--- a/store/errors.go
+++ b/store/errors.go
@@ -69,6 +69,16 @@
 	return errors.As(err, &e)
 }
 
+// ExpiredError is the error of a watch from a version that is not kept.
+func ExpiredError(kind Kind) error {
+	return &StatusError{Code: http.StatusGone, Kind: kind, Message: ErrEarlierEra.Error()}
+}
+
+// ConflictError is the error of a write whose condition cannot hold.
+func ConflictError(kind Kind, name string) error {
+	return &StatusError{Code: http.StatusConflict, Kind: kind, Name: name, Message: ErrEarlierEra.Error()}
+}
+
 func hasStatus(err error, code int) bool {
 	var e *StatusError
 	return errors.As(err, &e) && e.Code == code
