--- a/allowance/local.go
+++ b/allowance/local.go
@@ -223,13 +223,22 @@
 	}
 	a.bucket = min(a.bucket+rate*now.Sub(a.bucketAt).Seconds(), most)
 	a.bucketAt = now
-	if a.bucket < cost {
+	if a.bucket < l.needed(cost, most) {
 		return false
 	}
 	a.bucket -= cost
 	return true
 }
 
+// needed is what a bucket must hold for a request to be admitted. An even part may be smaller
+// than any request: one is admitted then when the part is whole, and paid for later.
+func (l *Local) needed(cost, most float64) float64 {
+	if l.even {
+		return min(cost, most)
+	}
+	return cost
+}
+
 // take counts what is admitted, or given back.
 func (a *localAccount) take(now time.Time, cost float64) {
 	a.decay(now)
--- a/allowance/simulation_test.go
+++ b/allowance/simulation_test.go
@@ -406,3 +406,17 @@
 		l.Admit(now, account, 2400)
 	}
 }
+
+// TestEvenPartAdmitsAtLeastOneRequest has an allowance whose even part is below one request.
+func TestEvenPartAdmitsAtLeastOneRequest(t *testing.T) {
+	l := NewEven()
+	l.SetInstances(6)
+	l.SetLimits(Limits{MarkOf(account): {Unit: settings.CountRequests, PerSecond: 3, Burst: 3}})
+	admitted := 0
+	for i := range 100 {
+		if ok, _ := l.Admit(time.Unix(1000, 0).Add(time.Duration(i)*200*time.Millisecond), account, 1); ok {
+			admitted++
+		}
+	}
+	require.InDelta(t, 10, admitted, 1, "a sixth of 3 a second, over 20 s")
+}
--- /dev/null
+++ b/daemon/allowances_test.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/allowance"
+	"github.com/eiderspring/eiderspring/authority"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+func limitedTree() *settings.Tree {
+	return &settings.Tree{Callers: map[string]*settings.Caller{
+		"desk": {Allowance: &settings.Allowance{Unit: settings.CountRequests, PerSecond: 10, Burst: 10}},
+	}}
+}
+
+// fleetOfTwo is an instance that adds up and one that does not.
+func fleetOfTwo(now func() time.Time) (adder, other *allowances) {
+	c := AllowanceConfig{WindowS: 8, Over: 0.1}
+	adder = newAllowances(c, "p1", func() bool { return true }, now)
+	other = newAllowances(c, "p2", func() bool { return false }, now)
+	for _, a := range []*allowances{adder, other} {
+		a.local.SetInstances(2)
+		a.adopt(limitedTree())
+	}
+	return adder, other
+}
+
+// exchange carries the adder's words to both, and what both have been asked to the adder.
+func exchange(adder, other *allowances) {
+	for _, p := range adder.packets() {
+		p.Instances = 2
+		adder.heard(p)
+		other.heard(p)
+	}
+	for name, a := range map[string]*allowances{"a": adder, "b": other} {
+		p := peer.Packet{From: name, Process: "p" + name}
+		a.tell(&p, peer.MaxPacketBytes)
+		adder.heard(p)
+	}
+}
+
+// TestSharesReachTheOthers lets callers of one instance use up what both may admit.
+func TestSharesReachTheOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	adder, other := fleetOfTwo(func() time.Time { return now })
+	for range 40 {
+		exchange(adder, other)
+		for range 30 {
+			adder.local.Admit(now, "desk", 1)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	exchange(adder, other)
+	admitted := 0
+	for range 100 {
+		if ok, _ := other.local.Admit(now, "desk", 1); ok {
+			admitted++
+		}
+	}
+	require.Less(t, admitted, 20, "the other instance goes by the share of all")
+	stats := adder.stats(&settings.Catalog{Tree: limitedTree()})
+	require.EqualValues(t, 40*30, stats.Accounts["desk"].Offered)
+	require.Positive(t, stats.Rejected)
+}
+
+// TestWordsOfAllowancesFitADatagram has more accounts than one packet tells.
+func TestWordsOfAllowancesFitADatagram(t *testing.T) {
+	var words []allowance.Word
+	for i := range maxWords {
+		words = append(words, allowance.Word{Account: allowance.Mark(1<<63 + uint64(i)), Permille: 999, Level: -1 << 40, Rate: 1 << 40})
+	}
+	p := peer.Packet{
+		Version: peer.PacketVersion, From: "edge-hall-outremeuse-12", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Address: "10.200.100.100:17380",
+		Seq: 1 << 40, Revision: 1 << 30, Instances: 390, EndingsDigest: 1 << 63, Adder: 1 << 63, Era: 1 << 20, Allowances: words,
+	}
+	data, err := peer.EncodePacket(p)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), peer.MaxPacketBytes)
+	back, err := peer.DecodePacket(data)
+	require.NoError(t, err)
+	require.Equal(t, words, back.Allowances)
+}
+
+// TestHolderAnswersWhoMayGoByKeys asks, lets the store confirm, and carries the answer back.
+func TestHolderAnswersWhoMayGoByKeys(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	rights := func(answers bool, sent *[]peer.Packet) *keyRights {
+		return &keyRights{
+			keeper: authority.NewKeeper(4 * time.Second), now: clock, exact: clock, revision: func() int64 { return 7 }, log: logr.Discard(),
+			answers: func() bool { return answers }, send: func(p peer.Packet, _ []string) { *sent = append(*sent, p) },
+		}
+	}
+	var sent []peer.Packet
+	holder, other := rights(true, &sent), rights(false, &sent)
+	require.False(t, other.current(7))
+	ask := peer.Packet{From: "b", Process: "pb", Address: "addr", Ask: other.ask(), Revision: 7}
+	require.NotZero(t, ask.Ask)
+	now = now.Add(time.Second)
+	require.False(t, holder.heard(ask, "pa"))
+	holder.confirmed(now.Add(-time.Millisecond), 7)
+	require.Empty(t, sent, "the call began before the ask was heard")
+	holder.confirmed(now.Add(time.Millisecond), 7)
+	require.Len(t, sent, 1)
+	require.True(t, other.heard(sent[0], "another process"))
+	require.False(t, other.current(7))
+	require.True(t, other.heard(sent[0], "pb"))
+	require.True(t, other.current(7))
+	now = now.Add(3 * time.Second)
+	require.False(t, other.current(7), "it counts from the ask")
+
+	holder.doubt(eraSettle)
+	holder.confirmed(now, 7)
+	age, known := holder.keeper.Age(now, 7)
+	require.True(t, known)
+	require.Greater(t, age, 2*time.Second, "the store has come back from a copy: what it shows proves nothing yet")
+}
+
+// TestRightIsAskedOfTheStoreIfNobodyAnswers lets half of the bound pass.
+func TestRightIsAskedOfTheStoreIfNobodyAnswers(t *testing.T) {
+	r := &keyRights{
+		keeper: authority.NewKeeper(time.Second), now: time.Now, exact: time.Now, revision: func() int64 { return 7 }, log: logr.Discard(),
+		answers: func() bool { return false },
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 30*time.Second)
+	defer stop()
+	asked := 0
+	r.keep(ctx, time.Second, func(context.Context) {
+		asked++
+		r.confirmed(time.Now(), 7)
+		if asked == 2 {
+			stop()
+		}
+	})
+	require.Equal(t, 2, asked)
+	require.True(t, r.current(7))
+}
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/claim"
 	"github.com/eiderspring/eiderspring/clock"
 	"github.com/eiderspring/eiderspring/engine"
@@ -66,6 +67,8 @@
 	gates   *pipeline.Gates
 	// quarantine holds back requests that end endpoints.
 	quarantine *quarantine.Keeper
+	// allowances is this instance's even part of the callers' allowances.
+	allowances *allowance.Local
 	events     *ring.Ring[event]
 	catalog    atomic.Pointer[settings.Catalog]
 	current    atomic.Pointer[revision.Accepted]
@@ -114,7 +117,7 @@
 		cfg: cfg, deps: deps, exact: exact, wakes: wakes, log: deps.Log.WithValues("instance", cfg.Instance), vars: new(expvar.Map).Init(),
 		engine: engine.NewClient(engine.Config{Dial: deps.Dial}),
 		router: routing.NewRouter(routing.Policies()[cfg.RoutingPolicy], randv2.Float64),
-		events: ring.New[event](eventsCapacity, ring.Block), process: rand.Text(),
+		events: ring.New[event](eventsCapacity, ring.Block), process: rand.Text(), allowances: allowance.NewEven(),
 	}
 	i.gates = pipeline.NewGates(admission.Limits{Waiters: cfg.Limits.QueueRequests, Bytes: cfg.Limits.QueueBytes}, deps.Now)
 	i.control = engine.NewClient(engine.Config{Dial: i.counted("engine_control")})
@@ -149,7 +152,8 @@
 	}
 	i.asking = peer.NewStreamClient(identity)
 	i.peers = &peersDuty{
-		gossip: peer.NewGossip(peer.GossipConfig{Name: i.cfg.Instance, Process: i.process}), sealer: sealer,
+		counted: i.allowances.SetInstances,
+		gossip:  peer.NewGossip(peer.GossipConfig{Name: i.cfg.Instance, Process: i.process}), sealer: sealer,
 		events: ring.New[peer.Event](peerEvents, ring.DropOldest), wanted: ring.New[wanted](wantedCapacity, ring.DropOldest),
 		heard: i.heard, quarantine: i.quarantine, log: i.log, now: i.deps.Now,
 		leaving:  func(name string) { _ = i.events.Put(i.work, instanceLeaving{name}) },
@@ -186,6 +190,7 @@
 func (i *Instance) adopt(a *revision.Accepted) *settings.Catalog {
 	previous := i.current.Load()
 	c := settings.NewCatalog(a.Tree)
+	i.allowances.SetLimits(allowance.LimitsOf(a.Tree))
 	i.catalog.Store(c)
 	i.current.Store(a)
 	if previous == nil || !slices.Equal(previous.Tree.PeerKeys, a.Tree.PeerKeys) {
@@ -230,7 +235,7 @@
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
 		Claims: claim.NewKeeper(i.claimAsker(i.claims), i.deps.Now),
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
-		FailureDomain: i.cfg.FailureDomain, Quarantine: i.quarantine,
+		FailureDomain: i.cfg.FailureDomain, Quarantine: i.quarantine, Allowances: i.allowances,
 	})
 	i.overdue = handler.EndOverdue
 	i.callers = i.server(i.closing(i.guard(dialect, dialect.WithModels(handler))))
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -28,6 +28,8 @@
 	now       func() time.Time
 	// leaving is told of instances that make a planned stop.
 	leaving func(name string)
+	// counted is told how many instances are live; nil tells nobody.
+	counted func(n int)
 	// askList is told of a newer version of the platform's list that another instance
 	// has.
 	askList func(version int64)
@@ -181,5 +183,8 @@
 		}
 	}
 	d.addresses.Store(&addresses)
+	if d.counted != nil {
+		d.counted(len(live))
+	}
 	_ = d.events.Put(context.Background(), peer.Live{Names: live})
 }
--- /dev/null
+++ b/settings/keys_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkCaller is what finding an account by its key costs, with thousands of keys.
+func BenchmarkCaller(b *testing.B) {
+	t := &Tree{Callers: map[string]*Caller{}}
+	for i := range 2000 {
+		name := strconv.Itoa(i)
+		t.Callers[name] = &Caller{TokenSHA256: []string{HashToken("first" + name), HashToken("second" + name)}}
+	}
+	c := NewCatalog(t)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, known := c.Caller("second1234"); !known {
+			b.Fatal("unknown")
+		}
+	}
+}
+
+func TestCallerIsFoundByItsToken(t *testing.T) {
+	c := NewCatalog(&Tree{Callers: map[string]*Caller{"desk": {TokenSHA256: []string{HashToken("a"), HashToken("b")}}, "none": {}}})
+	for _, token := range []string{"a", "b"} {
+		who, known := c.Caller(token)
+		require.True(t, known)
+		require.Equal(t, "desk", who.Name)
+	}
+	_, known := c.Caller("c")
+	require.False(t, known)
+	_, known = c.Caller("")
+	require.False(t, known)
+}
