Requests for plain services are shared out over their endpoints, and queue there

Instances took an endpoint with a place that seemed free by what was told 0.1 to 0.4 s ago; whenever only one had, all 90 sent to it: of the requests of one second 268, 3 and 3, or 242, 1 and 256, went to the three endpoints, which have 6 places and a queue of 24 each. They served 137 a second of nominally 288.

Change: plain services have a policy of their own: in proportion to told room, where two rounds wait at most.

--- a/routing/filters.go
+++ b/routing/filters.go
@@ -81,6 +81,16 @@
 	return float64(e.Own()+e.Others().Running) < places && !e.saidFull(r.Now)
 }
 
+// queueFilter keeps endpoints whose queue is short, by what all instances tell: where the
+// requests ahead take so many rounds of the endpoint's places at most.
+type queueFilter struct{ rounds float64 }
+
+func (queueFilter) Name() string { return "queue" }
+func (f queueFilter) Keep(r *Request, e *Endpoint) bool {
+	places := float64(max(1, e.Concurrency))
+	return float64(e.Own()+e.Others().Running) < f.rounds*places && !e.saidFull(r.Now)
+}
+
 // headroomFilter keeps endpoints whose estimated load leaves room. Instances
 // that see the same report must not fill that room together, so between two
 // reports each takes no more than its share of it, with slack for a balancer
--- a/routing/pickers.go
+++ b/routing/pickers.go
@@ -49,4 +49,24 @@
 	return candidates[a]
 }
 
+// shareOutPicker takes each candidate as often as its score is of the sum. Instances that
+// know much the same of a few endpoints, some tenths of a second late, share their requests
+// out between them, where picking the better one would send all to it together.
+type shareOutPicker struct{}
+
+func (shareOutPicker) Name() string { return "share-out" }
+func (shareOutPicker) Pick(candidates []Scored, random func() float64) Scored {
+	sum := 0.0
+	for _, c := range candidates {
+		sum += c.Score
+	}
+	left := random() * sum
+	for _, c := range candidates {
+		if left -= c.Score; left < 0 {
+			return c
+		}
+	}
+	return candidates[len(candidates)-1]
+}
+
 func index(random func() float64, n int) int { return int(random() * float64(n)) }
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -41,6 +41,9 @@
 	// it 60 (TestPromptsOfABurstPauseNoStreams).
 	timelyPauseShare = 0.7
 	timelyLateShare  = 0.75
+	// plainRounds lets requests queue at plain endpoints, which serve them in turn, for two
+	// rounds behind those that run.
+	plainRounds = 3.0
 )
 
 // Policies returns the policies by name.
@@ -63,6 +66,12 @@
 				timelyFilter{firstShare: timelyFirstShare, gapShare: timelyGapShare}, pauseFilter{share: timelyPauseShare}),
 			Scorers: []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
 			Picker:  twoChoicesPicker{},
+			Plain: &Policy{
+				Name:    PolicyTimely,
+				Filters: append(slices.Clip(base), queueFilter{rounds: plainRounds}),
+				Scorers: []WeightedScorer{{toldScorer{}, 1}},
+				Picker:  shareOutPicker{},
+			},
 		},
 	}
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -70,4 +70,14 @@
 	Filters []Filter
 	Scorers []WeightedScorer
 	Picker  Picker
+	// Plain is the policy for services that are no models; nil means this one.
+	Plain *Policy
+}
+
+// of returns the policy for a request.
+func (p *Policy) of(r *Request) *Policy {
+	if r.Unit == "" && p.Plain != nil {
+		return p.Plain
+	}
+	return p
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -72,7 +72,7 @@
 	if len(scored) == 0 {
 		return Decision{}, whyNone(req, candidates)
 	}
-	chosen := r.policy.Picker.Pick(scored, r.random)
+	chosen := r.policy.of(req).Picker.Pick(scored, r.random)
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
 		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
@@ -116,7 +116,7 @@
 			continue
 		}
 		s := Scored{Endpoint: e}
-		for _, w := range r.policy.Scorers {
+		for _, w := range r.policy.of(req).Scorers {
 			s.Score += w.Weight * w.Scorer.Score(req, e)
 		}
 		if e.Ejected(req.Now) {
@@ -132,7 +132,7 @@
 }
 
 func (r *Router) keep(req *Request, e *Endpoint) bool {
-	for _, f := range r.policy.Filters {
+	for _, f := range r.policy.of(req).Filters {
 		if !f.Keep(req, e) {
 			return false
 		}
--- a/routing/scorers.go
+++ b/routing/scorers.go
@@ -23,6 +23,14 @@
 	return 1 / (1 + float64(load)/float64(max(1, concurrency)))
 }
 
+// toldScorer rates by what all instances tell that they have at the endpoint.
+type toldScorer struct{}
+
+func (toldScorer) Name() string { return "told" }
+func (toldScorer) Score(_ *Request, e *Endpoint) float64 {
+	return room(e.Own()+e.Others().Running, e.Concurrency)
+}
+
 // soonestScorer prefers the endpoint that is expected to give the first token
 // soonest.
 type soonestScorer struct{}
