Plain services are shared out where many instances share them only

Change: sharing out above 16 instances, where everybody no longer tells everybody; the number is that of the entries in the store. Below, nothing differs from before.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -186,6 +186,7 @@
 func (n *Node) counted(instances int) {
 	n.shareRetries(instances)
 	n.allowances.local.SetInstances(instances)
+	n.router.SetInstances(instances)
 }
 
 func (n *Node) newMesh() *mesh {
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -44,6 +44,10 @@
 	// plainRounds lets requests queue at plain endpoints, which serve them in turn, for two
 	// rounds behind those that run.
 	plainRounds = 3.0
+	// plainAbove is up to how many instances know each other's requests so soon, and have so
+	// large a part of all themselves, that the endpoint with the fewest is the best: six
+	// instances lost 0.06 of a day's worth by sharing out.
+	plainAbove = 16
 )
 
 // Policies returns the policies by name.
@@ -64,8 +68,9 @@
 			Name: PolicyTimely,
 			Filters: append(slices.Clip(base), slotFilter{lateShare: timelyLateShare},
 				timelyFilter{firstShare: timelyFirstShare, gapShare: timelyGapShare}, pauseFilter{share: timelyPauseShare}),
-			Scorers: []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
-			Picker:  twoChoicesPicker{},
+			Scorers:    []WeightedScorer{{soonestScorer{}, soonestWeight}, {domainScorer{}, nearWeight}},
+			Picker:     twoChoicesPicker{},
+			PlainAbove: plainAbove,
 			Plain: &Policy{
 				Name:    PolicyTimely,
 				Filters: append(slices.Clip(base), queueFilter{rounds: plainRounds}),
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -70,13 +70,15 @@
 	Filters []Filter
 	Scorers []WeightedScorer
 	Picker  Picker
-	// Plain is the policy for services that are no models; nil means this one.
-	Plain *Policy
+	// Plain is the policy for services that are no models, where more than PlainAbove
+	// instances share their endpoints; nil means this one.
+	Plain      *Policy
+	PlainAbove int
 }
 
 // of returns the policy for a request.
 func (p *Policy) of(r *Request) *Policy {
-	if r.Unit == "" && p.Plain != nil {
+	if r.Unit == "" && p.Plain != nil && r.Instances > p.PlainAbove {
 		return p.Plain
 	}
 	return p
--- a/routing/router.go
+++ b/routing/router.go
@@ -43,8 +43,13 @@
 	random func() float64
 	view   atomic.Pointer[View]
 	paces  paces
+	// instances is how many share the endpoints, where the view does not tell.
+	instances atomic.Int64
 }
 
+// SetInstances says how many instances share the endpoints, where the view does not tell.
+func (r *Router) SetInstances(n int) { r.instances.Store(int64(n)) }
+
 // NewRouter returns a router with an empty view. random returns numbers in
 // [0,1) and must be safe for concurrent use.
 func NewRouter(p Policy, random func() float64) *Router {
@@ -62,7 +67,7 @@
 // Pick chooses an endpoint and reserves a place at it; Release gives it back.
 func (r *Router) Pick(req *Request) (Decision, error) {
 	view := r.view.Load()
-	req.Instances = view.Instances
+	req.Instances = max(view.Instances, int(r.instances.Load()))
 	req.Work = r.paces.work(req.model(), req.PromptTokens)
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
