Where all instances have started together, one adds up before there is a holder of the lease

Also found: the adder did not count what it admitted itself, as its own packet goes to nobody.

Change: instances that have never heard an adder say so to the strongest they know; once eight of ten do, it stands in, and gives way to the first holder of the lease. A new adder takes over by what accounts had exceeded their limits. Words of allowances tell nothing of the lease.

Tried: the same after any loss of the adder. In virtual time, with an account that asks for 4.2 times its limit in that moment, the bound broke in most schedules by up to 12 in 100, as what was admitted around two changes within 3 s is counted by neither; not kept. There instances go on with their parts, which refuses some that are within their limits.

--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -16,8 +16,11 @@
 	// that each account begins with nothing.
 	began     time.Time
 	tolerance Tolerance
-	limits    Limits
-	accounts  map[Mark]*ledgerAccount
+	// owed is by how much accounts had exceeded their limits by the words of the process that
+	// added up before.
+	owed     map[Mark]float64
+	limits   Limits
+	accounts map[Mark]*ledgerAccount
 	// heardAt is when each instance was last heard.
 	heardAt map[string]time.Time
 }
@@ -74,6 +77,15 @@
 	return &Ledger{began: now, tolerance: t, accounts: map[Mark]*ledgerAccount{}, heardAt: map[string]time.Time{}}
 }
 
+// Learn takes over what accounts have exceeded their limits by, from the last words of the
+// process that added up before.
+func (l *Ledger) Learn(words []Word) {
+	l.owed = make(map[Mark]float64, len(words))
+	for _, w := range words {
+		l.owed[w.Account] = float64(max(-w.Level, 0))
+	}
+}
+
 // SetLimits replaces the limits: a level above a new burst is lost.
 func (l *Ledger) SetLimits(limits Limits) {
 	l.limits = limits
@@ -90,7 +102,7 @@
 func (l *Ledger) account(now time.Time, mark Mark, limit settings.Allowance) *ledgerAccount {
 	a := l.accounts[mark]
 	if a == nil {
-		level := min(limit.PerSecond*now.Sub(l.began).Seconds(), l.tolerance.burst(limit))
+		level := min(limit.PerSecond*now.Sub(l.began).Seconds(), l.tolerance.burst(limit)) - l.owed[mark]
 		a = &ledgerAccount{level: level, at: now, offeredTime: offeredTime(limit, l.tolerance), by: map[string]*teller{}}
 		l.accounts[mark] = a
 	}
--- a/allowance/local.go
+++ b/allowance/local.go
@@ -170,7 +170,7 @@
 
 func (l *Local) admits(now time.Time, a *localAccount, limit settings.Allowance, cost float64) bool {
 	switch {
-	case !a.hears(now) && l.adder != 0 && now.Sub(l.adderAt) < wordTime:
+	case !a.hears(now) && l.adder != 0 && now.Sub(l.adderAt) < wordTime && !a.short(now):
 		// The adder tells of accounts that have drawn on their allowance.
 		a.word, a.heardAt, a.sinceWord = Word{Account: a.usage.Account, Permille: wholeShare, Level: int64(limit.Burst)}, now, 0
 	case !a.hears(now):
@@ -188,6 +188,12 @@
 	return a.sinceWord < room+l.tolerance.even(limit, l.instances)
 }
 
+// short tells whether the account was near its limit by the last word, of another process
+// that added up.
+func (a *localAccount) short(now time.Time) bool {
+	return !a.heardAt.IsZero() && now.Sub(a.heardAt) < wordTime+ownTime && a.word.Permille < wholeShare
+}
+
 // hears tells whether a word counts.
 func (a *localAccount) hears(now time.Time) bool {
 	return !a.heardAt.IsZero() && now.Sub(a.heardAt) < wordTime
@@ -322,6 +328,26 @@
 	l.adder = 0
 }
 
+// Orphan tells whether this process has never heard one that adds up.
+func (l *Local) Orphan() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.adder == 0
+}
+
+// Known returns the last words, for the ledger of an instance that is to add up.
+func (l *Local) Known(now time.Time) []Word {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var words []Word
+	for _, a := range l.accounts {
+		if !a.heardAt.IsZero() && now.Sub(a.heardAt) < wordTime+ownTime {
+			words = append(words, a.word)
+		}
+	}
+	return words
+}
+
 // Usage returns up to so many usages that have changed since they were told often enough,
 // and the process that they are for.
 func (l *Local) Usage(most int) ([]Usage, Adder) {
--- a/daemon/allowances.go
+++ b/daemon/allowances.go
@@ -33,9 +33,11 @@
 	local     *allowance.Local
 	tolerance allowance.Tolerance
 	process   string
-	// adds tells whether this instance is to add up.
-	adds func() bool
-	now  func() time.Time
+	// holds tells whether this instance holds the lease, and so is to add up; listed returns
+	// how many instances there are.
+	holds  func() bool
+	listed func() int
+	now    func() time.Time
 
 	mu     sync.Mutex
 	limits allowance.Limits
@@ -44,11 +46,21 @@
 	ledger *allowance.Ledger
 	adder  allowance.Adder
 	reign  int
+	// orphans holds when each instance last told that it had never heard an adder; standsIn
+	// is set while this one adds up for them, until a holder of the lease does.
+	orphans  map[string]time.Time
+	standsIn bool
+	// adderAddress is where the process that adds up receives packets, heard at adderAt.
+	adderAddress string
+	adderAt      time.Time
 }
 
-func newAllowances(c AllowanceConfig, process string, adds func() bool, now func() time.Time) *allowances {
+func newAllowances(c AllowanceConfig, process string, holds func() bool, listed func() int, now func() time.Time) *allowances {
 	t := c.tolerance()
-	return &allowances{local: allowance.NewLocal(t, rand.Float64), tolerance: t, process: process, adds: adds, now: now}
+	return &allowances{
+		local: allowance.NewLocal(t, rand.Float64), tolerance: t, process: process, holds: holds, listed: listed, now: now,
+		orphans: map[string]time.Time{},
+	}
 }
 
 // adopt takes the allowances of settings.
@@ -74,6 +86,7 @@
 	if a == nil {
 		return
 	}
+	p.Orphan = a.orphan()
 	p.Usage, p.UsageFor = a.local.Usage(min(maxUsages, room/allowance.UsageBytes))
 }
 
@@ -82,8 +95,8 @@
 	if a == nil {
 		return
 	}
-	if len(p.Allowances) > 0 || p.Adder != 0 {
-		a.local.Hear(a.now(), p.Adder, p.Allowances)
+	if p.Adder != 0 {
+		a.heardAdder(p)
 		return
 	}
 	if len(p.Placements) > 0 || p.Instances > 0 {
@@ -91,6 +104,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if p.Orphan {
+		a.orphans[p.From] = a.now()
+	}
 	if a.ledger == nil {
 		return
 	}
@@ -101,6 +117,65 @@
 	a.ledger.Heard(a.now(), p.From, p.Process, usage)
 }
 
+// heardAdder takes the words of a process that adds up. One that stands in gives way.
+func (a *allowances) heardAdder(p peer.Packet) {
+	a.local.Hear(a.now(), p.Adder, p.Allowances)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.adderAddress, a.adderAt = p.Address, a.now()
+	if p.Process != a.process {
+		a.standsIn = false
+	}
+}
+
+// orphan tells whether this instance has never heard a process that adds up, and needs one.
+func (a *allowances) orphan() bool {
+	a.mu.Lock()
+	needed := len(a.limits) > 0
+	a.mu.Unlock()
+	return needed && a.local.Orphan()
+}
+
+// adderHeard is for how long the address of the process that adds up counts.
+const adderHeard = 1500 * time.Millisecond
+
+// address is where the process that adds up receives packets, empty if none was heard lately.
+func (a *allowances) address() string {
+	if a == nil {
+		return ""
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.adderAddress == "" || a.now().Sub(a.adderAt) >= adderHeard {
+		return ""
+	}
+	return a.adderAddress
+}
+
+// mostOrphans is the part of the instances that must never have heard an adder for one to
+// stand in before there is a holder of the lease: all have started together. Others would go
+// on with their parts of the limits, which one that stands in knows nothing of.
+const mostOrphans = 0.8
+
+// adds tells whether this instance is to add up; mu must be held.
+func (a *allowances) adds(now time.Time) bool {
+	if a.holds() {
+		a.standsIn = false
+		return true
+	}
+	if a.standsIn {
+		return true
+	}
+	orphans := 0
+	for _, at := range a.orphans {
+		if now.Sub(at) < adderHeard {
+			orphans++
+		}
+	}
+	a.standsIn = orphans > 0 && float64(orphans) >= mostOrphans*float64(a.listed()) && a.local.Orphan()
+	return a.standsIn
+}
+
 // packets returns what is to be told to all, while this instance adds up.
 func (a *allowances) packets() []peer.Packet {
 	if a == nil {
@@ -108,19 +183,17 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.adds() {
+	now := a.now()
+	if len(a.limits) == 0 || !a.adds(now) {
 		a.ledger = nil
 		return nil
 	}
-	if len(a.limits) == 0 {
-		return nil
-	}
-	now := a.now()
 	if a.ledger == nil {
 		a.reign++
 		a.adder = allowance.AdderOf(fmt.Sprint(a.process, "/", a.reign))
 		a.ledger = allowance.NewLedger(now, a.tolerance)
 		a.ledger.SetLimits(a.limits)
+		a.ledger.Learn(a.local.Known(now))
 	}
 	words, told := a.ledger.Words(now)
 	if !told {
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -58,13 +58,12 @@
 		passed = nil
 	}
 	m.tellEndings(max(n, 1))
-	m.tellAllowances(max(n, 1))
 }
 
-// tellAllowances tells all instances what accounts may have.
-func (m *mesh) tellAllowances(instances int) {
+// tellAllowances tells all instances what accounts may have, if this one adds up.
+func (m *mesh) tellAllowances() {
 	for _, p := range m.allowances.packets() {
-		p.Instances, p.Revision, p.EndingsDigest = instances, m.revision(), m.quarantine.Digest()
+		p.Revision, p.EndingsDigest = m.revision(), m.quarantine.Digest()
 		p = m.stamp(p)
 		m.send(p, m.addresses())
 		m.allowances.heard(p)
@@ -82,6 +81,23 @@
 	}
 }
 
+// strongest is where the strongest of the known instances receives packets, which all that
+// know the same agree on; nowhere if that is this one.
+func (m *mesh) strongest() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	best, cores, address := m.instance, m.self.Cores, ""
+	for name, p := range m.listed {
+		if name != m.instance && (p.Cores > cores || p.Cores == cores && name < best) {
+			best, cores, address = name, p.Cores, p.Datagrams
+		}
+	}
+	if address == "" {
+		return nil
+	}
+	return []string{address}
+}
+
 // replaced returns the endpoints at whose addresses others have answered.
 func (m *mesh) replaced() []endpointStart {
 	var starts []endpointStart
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -48,17 +48,26 @@
 		// While there is no hub, news of requests that end endpoints goes straight to all.
 		to = m.addresses()
 	}
+	if address := m.allowances.address(); len(to) == 0 && address != "" && address != m.address {
+		to = []string{address}
+	}
+	if len(to) == 0 && m.allowances != nil && m.allowances.orphan() {
+		to = m.strongest()
+	}
 	p.EndingsDigest = m.quarantine.Digest()
-	if len(to) > 0 {
+	if len(to) > 0 || m.allowances.address() == m.address {
 		p.Ask = m.rights.ask()
 		m.allowances.tell(&p, roomIn(p))
 		p.Endings = m.quarantine.Words(m.room(p))
 	}
 	m.send(p, to)
 	_ = m.inputs.Put(ctx, p)
-	if m.holds() && m.now().Sub(m.hubAt) >= m.hubPause() {
+	if m.now().Sub(m.hubAt) >= m.hubPause() {
 		m.hubAt = m.now()
-		m.tellSum()
+		if m.holds() {
+			m.tellSum()
+		}
+		m.tellAllowances()
 	}
 	m.flushPlacements()
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -201,7 +201,7 @@
 		keeper: authority.NewKeeper(n.cfg.Fresh.keysAge()), now: n.now, exact: n.clock.Exact, revision: n.revision, answers: holds,
 		send: func(p peer.Packet, to []string) { n.mesh.send(n.mesh.stamp(p), to) }, log: n.log,
 	}
-	n.allowances = newAllowances(n.cfg.Allowances, process, holds, n.now)
+	n.allowances = newAllowances(n.cfg.Allowances, process, holds, func() int { return n.mesh.size() }, n.now)
 	return &mesh{
 		rights: n.rights, allowances: n.allowances, eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -82,6 +82,8 @@
 	// Allowances tells, with Instances, what accounts may have, by the process Adder.
 	Allowances []allowance.Word `cbor:"30,keyasint,omitempty"`
 	Adder      allowance.Adder  `cbor:"31,keyasint,omitempty"`
+	// Orphan tells that the sender has never heard a process that adds up.
+	Orphan bool `cbor:"33,keyasint,omitempty"`
 	// Era is the newest era of the store that the sender has seen.
 	Era int64 `cbor:"32,keyasint,omitempty"`
 }
