Several instances are told that nobody adds up; of two that stand in one gives way

Change: four are told; all go by the smallest adder, a holder's is always smaller than that of one that stands in. Tests: TestOneOfTwoThatStandInGivesWay, TestStrongestAreAskedToStandIn.

--- a/daemon/allowances.go
+++ b/daemon/allowances.go
@@ -123,7 +123,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.adderAddress, a.adderAt = p.Address, a.now()
-	if p.Process != a.process {
+	if p.Adder < a.adder {
 		a.standsIn = false
 	}
 }
@@ -152,6 +152,14 @@
 	return a.adderAddress
 }
 
+// newAdder returns what stands for this process from now on.
+func (a *allowances) newAdder(reign string) allowance.Adder {
+	if a.standsIn {
+		return allowance.StandInOf(reign)
+	}
+	return allowance.AdderOf(reign)
+}
+
 // mostOrphans is the part of the instances that must never have heard an adder for one to
 // stand in before there is a holder of the lease: all have started together. Others would go
 // on with their parts of the limits, which one that stands in knows nothing of.
@@ -190,7 +198,7 @@
 	}
 	if a.ledger == nil {
 		a.reign++
-		a.adder = allowance.AdderOf(fmt.Sprint(a.process, "/", a.reign))
+		a.adder = a.newAdder(fmt.Sprint(a.process, "/", a.reign))
 		a.ledger = allowance.NewLedger(now, a.tolerance)
 		a.ledger.SetLimits(a.limits)
 		a.ledger.Learn(a.local.Known(now))
--- a/daemon/allowances_test.go
+++ b/daemon/allowances_test.go
@@ -172,7 +172,6 @@
 		words = other.packets()
 	}
 	require.NotEmpty(t, words)
-	words[0].Process = "p2"
 	strong.heard(words[0])
 	require.Empty(t, strong.packets(), "the holder of the lease adds up now")
 }
@@ -187,3 +186,37 @@
 	}
 	require.Empty(t, a.packets())
 }
+
+// TestOneOfTwoThatStandInGivesWay lets two instances be told that nobody adds up.
+func TestOneOfTwoThatStandInGivesWay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	make := func(process string) *allowances {
+		a := newAllowances(AllowanceConfig{WindowS: 8, Over: 0.1}, process, func() bool { return false }, func() int { return 2 }, func() time.Time { return now })
+		a.adopt(limitedTree())
+		for _, from := range []string{"a", "b"} {
+			a.heard(peer.Packet{From: from, Process: from, Orphan: true})
+		}
+		a.packets()
+		for _, from := range []string{"a", "b"} {
+			a.heard(peer.Packet{From: from, Process: from, Orphan: true})
+		}
+		return a
+	}
+	first, second := make("p1"), make("p2")
+	one, two := first.packets(), second.packets()
+	require.NotEmpty(t, one)
+	require.NotEmpty(t, two)
+	first.heard(two[0])
+	second.heard(one[0])
+	require.NotEqual(t, len(first.packets()) == 0, len(second.packets()) == 0, "one goes on")
+}
+
+// TestStrongestAreAskedToStandIn knows a machine that is gone among them.
+func TestStrongestAreAskedToStandIn(t *testing.T) {
+	m := &mesh{instance: "d", now: time.Now, listed: map[string]presence{}, counted: func(int) {}}
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		m.find(name, &presence{Datagrams: name, Cores: 0.8})
+	}
+	m.find("weak", &presence{Datagrams: "weak", Cores: 0.2})
+	require.Equal(t, []string{"a", "b", "c"}, m.strongest())
+}
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -81,21 +82,26 @@
 	}
 }
 
-// strongest is where the strongest of the known instances receives packets, which all that
-// know the same agree on; nowhere if that is this one.
+// standIns is how many instances are told that nobody adds up: entries of some may be those
+// of machines that are gone.
+const standIns = 4
+
+// strongest is where the strongest of the known instances receive packets, but for this one.
+// All that know the same agree on them.
 func (m *mesh) strongest() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	best, cores, address := m.instance, m.self.Cores, ""
-	for name, p := range m.listed {
-		if name != m.instance && (p.Cores > cores || p.Cores == cores && name < best) {
-			best, cores, address = name, p.Cores, p.Datagrams
+	names := slices.Collect(maps.Keys(m.listed))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(m.listed[b].Cores, m.listed[a].Cores), cmp.Compare(a, b))
+	})
+	var addresses []string
+	for _, name := range names[:min(len(names), standIns)] {
+		if name != m.instance {
+			addresses = append(addresses, m.listed[name].Datagrams)
 		}
 	}
-	if address == "" {
-		return nil
-	}
-	return []string{address}
+	return addresses
 }
 
 // replaced returns the endpoints at whose addresses others have answered.
