Soak: a store that comes back from a copy

Cause: the drill was played against one node only. Change: the stand-in keeps copies of itself (platform/fake/copy.go), tells its era, and comes back from one 3 s old on the fault store-copied; the operator writes again. Kept schedules draw from their own lists, unchanged.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -102,9 +102,13 @@
 				mux.HandleFunc("POST /control/mode/"+path, func(http.ResponseWriter, *http.Request) { store.SetMode(mode) })
 			}
 			mux.HandleFunc("POST /control/forget", func(http.ResponseWriter, *http.Request) { store.Forget() })
+			store.SetEra(1)
+			copies := fake.NewCopies(store, soak.CopyAge)
+			mux.HandleFunc("POST /control/copied", func(http.ResponseWriter, *http.Request) { copies.ComeBack() })
 			go func() {
 				for range time.Tick(soak.EntryEvery / 3) {
 					store.Lapse(soak.EntryLapse)
+					copies.Take()
 				}
 			}()
 			return trace.Wrap(http.ListenAndServe(c.String("listen"), mux))
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,6 +40,9 @@
 	StoreLosing   Action = "store-losing"
 	StoreSilent   Action = "store-silent"
 	StoreForget   Action = "store-forget"
+	// StoreCopied lets the store come back from a copy some seconds old; the operator and
+	// the endpoints write again what they wrote since.
+	StoreCopied Action = "store-copied"
 	// LinkDelay, LinkSilence, LinkOneWay and LinkReset disturb a link's proxy. LinkMute
 	// silences the connections that are open, for good; new ones work.
 	LinkDelay   Action = "link-delay"
@@ -113,8 +116,11 @@
 // fourthActions are those with requests that end endpoints.
 var fourthActions = slices.Concat(thirdActions, []Action{CrashingRequest, CrashingRequest})
 
+// fifthActions are those with a store that comes back from a copy.
+var fifthActions = slices.Concat(fourthActions, []Action{StoreCopied, StoreCopied})
+
 // actions is the list that schedules are drawn from.
-var actions = fourthActions
+var actions = fifthActions
 
 // Draw makes the schedule of a seed.
 func Draw(seed uint64, size Size) []Fault { return draw(seed, size, actions) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -147,6 +147,9 @@
 		s.tellStore("mode/up")
 	case StoreForget:
 		s.tellStore("forget")
+	case StoreCopied:
+		s.tellStore("copied")
+		r.rewrite()
 	case ForeignEntry:
 		s.spoilEntries(f.Target)
 	case CrashingRequest:
@@ -247,6 +250,15 @@
 	}
 }
 
+// rewrite writes the configuration again that the store may have lost.
+func (r *run) rewrite() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.site.write(); err != nil {
+		r.broken = append(r.broken, "configuration not written again: "+err.Error())
+	}
+}
+
 // eventually tells whether a condition comes true within calmPatience.
 func eventually(condition func() bool) bool {
 	for end := time.Now().Add(calmPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/soak/site.go
+++ b/soak/site.go
@@ -205,6 +205,11 @@
 // configure writes the next configuration and waits until the store has it.
 func (s *Site) configure() error {
 	s.version++
+	return s.write()
+}
+
+// write writes the newest configuration.
+func (s *Site) write() error {
 	routes := fake.StandardRoutes()
 	for i := range routes {
 		routes[i].TimeoutMS = 6000
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -18,6 +18,8 @@
 	// old an entry gets.
 	EntryEvery = 300 * time.Millisecond
 	EntryLapse = 1200 * time.Millisecond
+	// CopyAge is how old the copy is from which the store comes back.
+	CopyAge = 3 * time.Second
 	// DrainTime is how long a worker that leaves still serves: well beyond the time
 	// in which instances must stop to use it, so that what comes late is seen.
 	DrainTime = 4500 * time.Millisecond
