--- a/daemon/allowances_test.go
+++ b/daemon/allowances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/authority"
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
 )
 
@@ -220,3 +222,72 @@
 	m.find("weak", &presence{Datagrams: "weak", Cores: 0.2})
 	require.Equal(t, []string{"a", "b", "c"}, m.strongest())
 }
+
+// countedLink counts what is sent, and keeps what had been sent when the last packet went out
+// that tells of allowances.
+type countedLink struct {
+	sealer       *peer.Sealer
+	sent, behind int
+}
+
+func (l *countedLink) Send(_ string, sealed []byte) {
+	l.sent += len(sealed)
+	plain, err := l.sealer.Open(sealed)
+	if err != nil {
+		// The same packet goes to many; only the first is taken.
+		return
+	}
+	if p, err := peer.DecodePacket(plain); err == nil && p.Adder != 0 {
+		l.behind = l.sent
+	}
+}
+
+func (l *countedLink) Close() {}
+
+// secondsUntilTold is how long a link of 200 Mbit/s takes for what the holder of the lease
+// sends until its words of allowances are out.
+func secondsUntilTold(t *testing.T, instances, endpoints int) float64 {
+	t.Helper()
+	key := make([]byte, peer.KeyBytes)
+	sealer, err := peer.NewSealer([][]byte{key})
+	require.NoError(t, err)
+	opener, err := peer.NewSealer([][]byte{key})
+	require.NoError(t, err)
+	now := func() time.Time { return time.Unix(1000, 0) }
+	holds := func() bool { return true }
+	a := newAllowances(AllowanceConfig{WindowS: 8, Over: 0.1}, "p", holds, func() int { return instances }, now)
+	a.adopt(limitedTree())
+	link := &countedLink{sealer: opener}
+	m := &mesh{
+		instance: "holder", process: "p", now: now, listed: map[string]presence{}, counted: func(int) {}, allowances: a,
+		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], func() float64 { return 0 }), holds: holds,
+		revision: func() int64 { return 1 }, current: holds, sealer: sealer, datagrams: link, log: logr.Discard(), told: map[string]string{},
+	}
+	for i := range instances {
+		name := fmt.Sprintf("edge-%03d", i)
+		m.find(name, &presence{Datagrams: name})
+	}
+	for i := range endpoints {
+		m.sum = append(m.sum, peer.EndpointLoad{Endpoint: fmt.Sprintf("i-%010x", i), Running: 40, Prompt: 90_000})
+	}
+	m.tellSum()
+	m.tellAllowances()
+	require.NotZero(t, link.behind)
+	const linkBytes = 200 * bytesPerMbit
+	return float64(link.behind) / linkBytes
+}
+
+// mostUntilTold is half of the time for which a word counts, in seconds: instances go without
+// a word, and refuse what is within the limits, if two in a row come too late.
+const mostUntilTold = 0.45
+
+// TestAllowancesAreToldInTimeAtTheTarget has the sizes of the two-year target.
+func TestAllowancesAreToldInTimeAtTheTarget(t *testing.T) {
+	require.LessOrEqual(t, secondsUntilTold(t, 390, 720), mostUntilTold)
+}
+
+// TestAllowancesAreToldInTimeInTheSweep has those of the sweep's largest day, which is to
+// serve at least 0.7 of what the one at 30 instances serves.
+func TestAllowancesAreToldInTimeInTheSweep(t *testing.T) {
+	require.LessOrEqual(t, secondsUntilTold(t, 300, 3000), mostUntilTold)
+}
