--- a/daemon/allowances_test.go
+++ b/daemon/allowances_test.go
@@ -151,12 +151,12 @@
 	now := time.Unix(1000, 0)
 	holds := false
 	two := func() int { return 2 }
-	make := func(process string, holds func() bool) *allowances {
+	begun := func(process string, holds func() bool) *allowances {
 		a := newAllowances(AllowanceConfig{WindowS: 8, Over: 0.1}, process, holds, two, func() time.Time { return now })
 		a.adopt(limitedTree())
 		return a
 	}
-	strong, other := make("p1", func() bool { return false }), make("p2", func() bool { return holds })
+	strong, other := begun("p1", func() bool { return false }), begun("p2", func() bool { return holds })
 	require.Empty(t, strong.packets(), "nobody needs it yet")
 	exchange(strong, other)
 	now = now.Add(100 * time.Millisecond)
@@ -192,7 +192,7 @@
 // TestOneOfTwoThatStandInGivesWay lets two instances be told that nobody adds up.
 func TestOneOfTwoThatStandInGivesWay(t *testing.T) {
 	now := time.Unix(1000, 0)
-	make := func(process string) *allowances {
+	begun := func(process string) *allowances {
 		a := newAllowances(AllowanceConfig{WindowS: 8, Over: 0.1}, process, func() bool { return false }, func() int { return 2 }, func() time.Time { return now })
 		a.adopt(limitedTree())
 		for _, from := range []string{"a", "b"} {
@@ -204,7 +204,7 @@
 		}
 		return a
 	}
-	first, second := make("p1"), make("p2")
+	first, second := begun("p1"), begun("p2")
 	one, two := first.packets(), second.packets()
 	require.NotEmpty(t, one)
 	require.NotEmpty(t, two)
