Limits that endpoints name are read and logged

Cause: the logs of the incident do not tell whether an instance had heard the limit. Change: the dialect reads it, with refusals too; permit.Local records what an endpoint said last; one line at each change. No decision uses it yet. A word that is no number of requests a second is logged once and says nothing.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -22,6 +22,7 @@
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/quarantine"
 	"github.com/eiderspring/eiderspring/revision"
@@ -84,7 +85,9 @@
 	// ask of all nodes.
 	rights     *keyRights
 	allowances *allowances
-	held       *ring.Ring[quarantine.Word]
+	// permits holds the limits that endpoints name for all nodes.
+	permits *permit.Local
+	held    *ring.Ring[quarantine.Word]
 	// control carries reports and orders, apart from callers' requests.
 	control *engine.Client
 	mesh    *mesh
@@ -153,6 +156,7 @@
 	n.storeCalls = newInterruptible(&http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	})
+	n.permits = permit.NewLocal()
 	n.mesh = n.newMesh()
 	n.vars.Set("keys_age_ms", expvar.Func(func() any { return n.rights.ageMS() }))
 	n.vars.Set("allowances", expvar.Func(func() any { return n.allowances.stats(n.catalog.Load()) }))
@@ -253,7 +257,7 @@
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
-		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local,
+		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits,
 	})
 	n.overdue = handler.EndOverdue
 	for _, s := range []struct {
--- a/engine/client.go
+++ b/engine/client.go
@@ -138,7 +138,8 @@
 	if errors.As(err, &refused) {
 		drainBody(resp)
 		return &NotStartedError{
-			Endpoint: endpoint, Busy: refused.Busy, NotResident: refused.NotResident, Replaced: refused.Replaced, Err: &refused.RefusalError,
+			Endpoint: endpoint, Busy: refused.Busy, NotResident: refused.NotResident, Replaced: refused.Replaced,
+			Head: resp.Header, Err: &refused.RefusalError,
 		}
 	}
 	d.abandon()
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -31,6 +31,9 @@
 	// Load reads the load that an endpoint tells with an answer, the answered
 	// request included; false means that it tells none.
 	Load(h http.Header) (running, waiting int, ok bool)
+	// Limit reads the limit that an endpoint names with an answer. The error is a
+	// *LimitError.
+	Limit(h http.Header) (Limit, error)
 }
 
 // RefusedError is an endpoint's word that it has not run an attempt.
@@ -106,6 +109,9 @@
 // Load implements Dialect: engines tell it when asked.
 func (OpenAI) Load(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
 
+// Limit implements Dialect: engines name none.
+func (OpenAI) Limit(http.Header) (Limit, error) { return Limit{}, nil }
+
 // Cancel tells the endpoint that nobody waits for an attempt any more.
 func (c *Client) Cancel(ctx context.Context, a Attempt) error {
 	word, needed := c.dialect.Cancel(a)
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -1,6 +1,9 @@
 package engine
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // NotStartedError is proof that an attempt did not start at the endpoint: no
 // byte of it was sent, or the endpoint refused it as a whole.
@@ -15,7 +18,9 @@
 	// Replaced is set when another incarnation answers at the endpoint's address:
 	// the one that was meant is gone.
 	Replaced bool
-	Err      error
+	// Head is that of the endpoint's refusal; nil if none came.
+	Head http.Header
+	Err  error
 }
 
 // Error names the endpoint and the cause.
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -16,6 +16,7 @@
 	client  *engine.Client
 	retries *RetryBudgets
 	router  *routing.Router
+	limits  limits
 	now     func() time.Time
 }
 
@@ -25,6 +26,7 @@
 	resp, err := f.client.Do(ctx, x.engineAttempt())
 	var notStarted *engine.NotStartedError
 	if errors.As(err, &notStarted) {
+		f.limits.refused(a.Decision.Endpoint, notStarted.Head)
 		a.NotStarted, a.Unsent = true, notStarted.Unsent
 		return &DispatchError{NotStarted: true, Err: err}
 	}
@@ -37,6 +39,7 @@
 	}
 	a.Decision.Answered()
 	f.noteLoad(x, resp)
+	f.limits.answered(a.Decision, resp)
 	if f.better(x, resp) {
 		resp.Body.Close()
 		return &DispatchError{Err: &FailedAnswerError{Status: resp.StatusCode}}
--- /dev/null
+++ b/pipeline/limits.go
@@ -0,0 +1,52 @@
+package pipeline
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/permit"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// limits takes the limits that endpoints name with their answers.
+type limits struct {
+	client  *engine.Client
+	permits *permit.Local
+	log     logr.Logger
+	now     func() time.Time
+}
+
+// answered takes the head of an answer that is passed on.
+func (f limits) answered(d routing.Decision, resp *http.Response) {
+	if f.named(d.Endpoint, resp.Header) || resp.StatusCode >= http.StatusMultipleChoices {
+		return
+	}
+	if f.permits.Unlimited(f.now(), d.Endpoint.Start(), d.At) {
+		f.log.Info("endpoint limit ended", "endpoint", d.Endpoint.Name, "by", "its answer")
+	}
+}
+
+// refused takes the head of an endpoint's refusal. One without a limit does not end it: an
+// endpoint may refuse before it looks at what it takes.
+func (f limits) refused(e *routing.Endpoint, head http.Header) { f.named(e, head) }
+
+// named reports whether the head says anything of a limit.
+func (f limits) named(e *routing.Endpoint, head http.Header) bool {
+	told, err := f.client.ToldLimit(head)
+	if err != nil {
+		if e.LimitUnreadable() {
+			f.log.Error(err, "endpoint limit", "endpoint", e.Name)
+		}
+		return true
+	}
+	if !told.Named {
+		return false
+	}
+	if f.permits.Named(f.now(), e.Start(), told.PerSecond) {
+		f.log.Info("endpoint limit", "endpoint", e.Name, "per_second", told.PerSecond, "by", "its answer")
+	}
+	return true
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -14,6 +14,7 @@
 	"github.com/eiderspring/eiderspring/allowance"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/outcome"
+	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/quarantine"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
@@ -55,6 +56,8 @@
 	Quarantine *quarantine.Keeper
 	// Allowances bounds what accounts may ask; nil bounds nothing.
 	Allowances *allowance.Local
+	// Permits is told the limits that endpoints name; nil tells nobody.
+	Permits *permit.Local
 }
 
 // Pipeline serves callers. It is an http.Handler.
@@ -83,13 +86,14 @@
 	if cfg.EndpointsAgeMS == nil {
 		cfg.EndpointsAgeMS = func() int64 { return 0 }
 	}
+	limits := limits{client: cfg.Engine, permits: cfg.Permits, log: cfg.Log, now: cfg.Now}
 	return &Pipeline{
 		cfg:       cfg,
 		deadlines: deadlines{now: cfg.Now, ends: map[*Exchange]context.CancelFunc{}},
 		prepare:   cfg.Dialect.Prepare(),
 		attempt: []Filter{
 			admit{gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, unreachable: cfg.Unreachable, refusals: cfg.Refusals, now: cfg.Now},
-			route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, now: cfg.Now},
+			route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS}, dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, limits: limits, now: cfg.Now},
 			relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
 		},
 		settle:  settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, allowances: cfg.Allowances},
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/eiderspring/eiderspring/permit"
 )
 
 // Load is the last that is known of an endpoint's load.
@@ -51,11 +53,22 @@
 	// unreachedUntil and fullUntil are, in the same form, until when an endpoint is
 	// not asked to which no connection could be opened, or that said it was full.
 	unreachedUntil, fullUntil atomic.Int64
+	// limitUnreadable is set once the endpoint has named a limit that cannot be read.
+	limitUnreadable atomic.Bool
 	// missing holds until when, in Unix nanoseconds, each unit that the endpoint
 	// said it does not hold is not asked for there.
 	missing sync.Map
 }
 
+// Start identifies this start of the endpoint in what it says of itself.
+func (e *Endpoint) Start() permit.Endpoint {
+	return permit.Endpoint{Name: e.Name, StartedAtMS: e.StartedAtMS}
+}
+
+// LimitUnreadable records that the endpoint has named a limit that cannot be read, and
+// reports whether it is the first one.
+func (e *Endpoint) LimitUnreadable() bool { return !e.limitUnreadable.Swap(true) }
+
 // Others is what the other instances have under way at an endpoint.
 type Others struct {
 	// Running is requests, Prompt the work of reading the prompts of those that
