A limit that an endpoint names is kept by all instances together

What callers saw: an endpoint in need was given several times what it takes; what it then drops or delays is its callers' loss. Cause: nobody read the limit. Class: a word that one instance hears binds all of them, and the sum is nobody's to keep. Change: permits. One instance of a rendezvous hash issues them for each endpoint from a token bucket at the named rate; who has none sends the request to another replica, or lets it wait. The word is told to all, and ends with an answer that names no limit. Issuers that do not answer are passed over; the next ones, and instances that nobody answers, go on with parts that stay below one and a half times the limit together. Why it holds: no request passes the router without a permit, whatever sent it.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/quarantine"
 	"github.com/eiderspring/eiderspring/ring"
@@ -36,8 +37,10 @@
 	eras *store.Eras
 	// allowances is told what accounts have asked of the others.
 	allowances *allowances
-	log        logr.Logger
-	now        func() time.Time
+	// permits is asked by others for permits, and told what endpoints have said.
+	permits *permits
+	log     logr.Logger
+	now     func() time.Time
 
 	// What others of this instance know: whether it makes a planned stop, the
 	// revision of the settings in force, and whether it places units, and so is
@@ -232,6 +235,9 @@
 		if p.Era > 0 {
 			m.eras.Saw(p.Era)
 		}
+		if p.From != m.instance && m.permits.heard(p) {
+			continue
+		}
 		if p.From != m.instance && m.rights.heard(p, m.process) {
 			continue
 		}
@@ -421,5 +427,42 @@
 	return false
 }
 
+// issuers is what is known of the instances that issue permits. In a small fleet those that
+// are heard count, as entries of some may be those of machines that are gone.
+func (m *mesh) issuers() permit.Fleet {
+	f := permit.Fleet{Alone: m.isolated()}
+	small := m.small()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if small {
+		f.Members = slices.Collect(maps.Keys(m.told))
+	}
+	if len(f.Members) == 0 {
+		f.Members = slices.Collect(maps.Keys(m.listed))
+	}
+	if !slices.Contains(f.Members, m.instance) {
+		f.Members = append(f.Members, m.instance)
+	}
+	f.Known = max(len(m.listed), len(f.Members))
+	return f
+}
+
+// addressOf is where an instance receives packets; empty if it is not known.
+func (m *mesh) addressOf(instance string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address, told := m.told[instance]; told {
+		return address
+	}
+	return m.listed[instance].Datagrams
+}
+
+// tellOne sends a packet to one instance, if it is known where that is.
+func (m *mesh) tellOne(p peer.Packet, instance string) {
+	if address := m.addressOf(instance); address != "" {
+		m.send(m.stamp(p), []string{address})
+	}
+}
+
 // hubSilent is how long ago the instance that places units was heard.
 func (m *mesh) hubSilent() time.Duration { return m.totals.silent(m.now()) }
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -59,6 +59,7 @@
 		passed = nil
 	}
 	m.tellEndings(max(n, 1))
+	m.tellLimits(max(n, 1))
 }
 
 // tellAllowances tells all instances what accounts may have, if this one adds up.
@@ -82,6 +83,18 @@
 	}
 }
 
+// tellLimits tells all instances of a large fleet what endpoints have said of the requests
+// that they take.
+func (m *mesh) tellLimits(instances int) {
+	if m.small() {
+		return
+	}
+	p := m.stamp(peer.Packet{Instances: instances, Revision: m.revision(), EndingsDigest: m.quarantine.Digest()})
+	if p.Limits = m.permits.words(roomIn(p)); len(p.Limits) > 0 {
+		m.send(p, m.addresses())
+	}
+}
+
 // standIns is how many instances are told that nobody adds up: entries of some may be those
 // of machines that are gone.
 const standIns = 4
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -60,6 +60,9 @@
 		m.allowances.tell(&p, roomIn(p))
 		p.Endings = m.quarantine.Words(m.room(p))
 	}
+	if len(to) > 0 {
+		p.Limits = m.permits.words(roomIn(p))
+	}
 	m.send(p, to)
 	_ = m.inputs.Put(ctx, p)
 	if m.now().Sub(m.hubAt) >= m.hubPause() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -22,7 +22,6 @@
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
-	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/quarantine"
 	"github.com/eiderspring/eiderspring/revision"
@@ -86,7 +85,7 @@
 	rights     *keyRights
 	allowances *allowances
 	// permits holds the limits that endpoints name for all nodes.
-	permits *permit.Local
+	permits *permits
 	held    *ring.Ring[quarantine.Word]
 	// control carries reports and orders, apart from callers' requests.
 	control *engine.Client
@@ -156,8 +155,11 @@
 	n.storeCalls = newInterruptible(&http.Transport{
 		DialContext: watchfulDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
 	})
-	n.permits = permit.NewLocal()
+	n.permits = newPermits(cfg.Instance, n.router, log, n.now)
+	n.router.SetPermits(n.permits.local)
 	n.mesh = n.newMesh()
+	n.permits.connect(n.mesh, n.gates.Kick)
+	n.vars.Set("limits", expvar.Func(func() any { return n.permits.stats() }))
 	n.vars.Set("keys_age_ms", expvar.Func(func() any { return n.rights.ageMS() }))
 	n.vars.Set("allowances", expvar.Func(func() any { return n.allowances.stats(n.catalog.Load()) }))
 	if err := n.listen(); err != nil {
@@ -207,7 +209,7 @@
 	}
 	n.allowances = newAllowances(n.cfg.Allowances, process, holds, func() int { return n.mesh.size() }, n.now)
 	return &mesh{
-		rights: n.rights, allowances: n.allowances, eras: n.eras,
+		rights: n.rights, allowances: n.allowances, permits: n.permits, eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, quarantine: n.quarantine, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
@@ -257,7 +259,7 @@
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
-		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits,
+		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits.local,
 	})
 	n.overdue = handler.EndOverdue
 	for _, s := range []struct {
@@ -373,7 +375,7 @@
 	renew := func(ctx context.Context) { n.renew(ctx, entries) }
 	keys := func(ctx context.Context) { n.rights.keep(ctx, n.cfg.Fresh.keysAge(), config.askStore) }
 	for _, run := range []func(context.Context){
-		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write, keys, renew,
+		view.run, config.run, config.confirm, entries.watch, entries.run, n.idle.run, n.kick, n.mesh.run, n.presence.run, n.presence.watch, n.wake, holds.run, holds.write, keys, renew, n.permits.run,
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
--- /dev/null
+++ b/daemon/permits.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/permit"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// permits is a node's part in the limits that endpoints name for all nodes: it asks other
+// instances for permits, and answers them. A nil one does nothing.
+type permits struct {
+	local *permit.Local
+	// wake holds at most one wish for a permit.
+	wake   chan struct{}
+	router *routing.Router
+	// fleet is what is known of the other instances.
+	fleet func() permit.Fleet
+	// tell sends a packet to an instance, by name, answer to an address.
+	tell   func(p peer.Packet, instance string)
+	answer func(p peer.Packet, address string)
+	// kick lets requests go on that waited for a permit.
+	kick func()
+	log  logr.Logger
+	now  func() time.Time
+}
+
+const (
+	// permitTick is the time between two looks at what is to be asked.
+	permitTick = 20 * time.Millisecond
+	// permitForget is the time between two looks at what endpoints are gone.
+	permitForget = 5 * time.Second
+	// maxLimitsShown bounds the limits that the metrics list.
+	maxLimitsShown = 100
+	// maxLimitBytes bounds what one packet tells of limits.
+	maxLimitBytes = 500
+)
+
+func newPermits(instance string, router *routing.Router, log logr.Logger, now func() time.Time) *permits {
+	p := &permits{wake: make(chan struct{}, 1), router: router, log: log, now: now}
+	p.local = permit.NewLocal(instance, rand.Uint64(), p.wanted)
+	return p
+}
+
+// connect joins the part to the link between instances.
+func (p *permits) connect(m *mesh, kick func()) {
+	p.fleet, p.tell, p.kick = m.issuers, m.tellOne, kick
+	p.answer = func(packet peer.Packet, address string) { m.send(m.stamp(packet), []string{address}) }
+}
+
+// wanted is told that a request wants a permit.
+func (p *permits) wanted() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run asks for what is wanted.
+func (p *permits) run(ctx context.Context) {
+	forgotten := p.now()
+	for ctx.Err() == nil {
+		p.await(ctx)
+		p.local.SetFleet(p.fleet())
+		asks, got := p.local.Asks(p.now())
+		for _, a := range asks {
+			p.tell(peer.Packet{PermitAsks: []permit.Ask{a.Ask}, Echo: a.Ask.Seq | 1}, a.To)
+		}
+		if got {
+			p.kick()
+		}
+		if p.now().Sub(forgotten) >= permitForget {
+			forgotten = p.now()
+			p.local.Forget(forgotten, p.listed)
+		}
+	}
+}
+
+// await returns when a permit is wanted, or after a while if one may have been.
+func (p *permits) await(ctx context.Context) {
+	if p.local.Limited() {
+		ctx, cancel := context.WithTimeout(ctx, permitTick)
+		defer cancel()
+		p.awaitWake(ctx)
+		return
+	}
+	p.awaitWake(ctx)
+}
+
+func (p *permits) awaitWake(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-p.wake:
+	}
+}
+
+// listed tells whether an endpoint is listed as it was started.
+func (p *permits) listed(e permit.Endpoint) bool {
+	known := p.router.View().Named[e.Name]
+	return known != nil && known.Start() == e
+}
+
+// heard takes what a packet of another instance asks, answers or tells of limits. It tells
+// whether the packet was an ask or an answer, which tells nothing else.
+func (p *permits) heard(packet peer.Packet) (done bool) {
+	if p == nil {
+		return false
+	}
+	p.local.Met(packet.From, packet.Process)
+	if len(packet.PermitAsks) == 0 && len(packet.Grants) == 0 {
+		p.told(packet)
+		return false
+	}
+	p.grant(packet)
+	for _, g := range packet.Grants {
+		if p.local.Granted(p.now(), packet.From, g) {
+			p.kick()
+		}
+	}
+	return true
+}
+
+// told takes the words of another instance on limits.
+func (p *permits) told(packet peer.Packet) {
+	for _, w := range p.local.Hear(p.now(), packet.Limits) {
+		if w.Ended {
+			p.log.Info("endpoint limit ended", "endpoint", w.Endpoint, "by", packet.From)
+			continue
+		}
+		p.log.Info("endpoint limit", "endpoint", w.Endpoint, "per_second", w.PerSecond, "by", packet.From)
+	}
+}
+
+// grant answers what another instance asks.
+func (p *permits) grant(packet peer.Packet) {
+	var grants []permit.Grant
+	for _, a := range packet.PermitAsks {
+		if g, answered := p.local.Answer(p.now(), a); answered {
+			grants = append(grants, g)
+		}
+	}
+	if len(grants) > 0 {
+		p.answer(peer.Packet{Grants: grants, Echo: grants[0].Seq | 1}, packet.Address)
+	}
+}
+
+// words returns what is to be told of limits, in so many bytes.
+func (p *permits) words(room int) []permit.Word {
+	if p == nil {
+		return nil
+	}
+	return p.local.Words(p.now(), min(room, maxLimitBytes))
+}
+
+// stats returns the limits that are known here.
+func (p *permits) stats() permit.Stats { return p.local.Stats(p.now(), maxLimitsShown) }
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/eiderspring/eiderspring/allowance"
+	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/quarantine"
 )
 
@@ -84,6 +85,12 @@
 	Adder      allowance.Adder  `cbor:"31,keyasint,omitempty"`
 	// Orphan tells that the sender has never heard a process that adds up.
 	Orphan bool `cbor:"33,keyasint,omitempty"`
+	// Limits is what endpoints have said lately of the requests that they take.
+	Limits []permit.Word `cbor:"34,keyasint,omitempty"`
+	// PermitAsks asks for permits, Grants answers. Such a packet tells nothing else, and
+	// has an Echo, by which releases without permits leave it alone.
+	PermitAsks []permit.Ask   `cbor:"35,keyasint,omitempty"`
+	Grants     []permit.Grant `cbor:"36,keyasint,omitempty"`
 	// Era is the newest era of the store that the sender has seen.
 	Era int64 `cbor:"32,keyasint,omitempty"`
 }
--- a/permit/local.go
+++ b/permit/local.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,32 +15,109 @@
 	StartedAtMS int64
 }
 
-// Local is what one instance knows of the limits that endpoints name. It is safe for
-// concurrent use; a nil Local knows of none.
+// Local is what one instance knows of the limits that endpoints name, and its part in
+// keeping them. It is safe for concurrent use; a nil Local knows of none.
 type Local struct {
+	self string
+	// wanted is called when a permit is wanted and none is there; it must not block.
+	wanted func()
 	// limited is how many limits are in force, so that requests need no lock while there
 	// are none.
 	limited atomic.Int64
 
 	mu     sync.Mutex
 	limits map[Endpoint]*limit
+	fleet  Fleet
+	// issuers holds those that have left asks unanswered, met the process of each instance
+	// that was heard.
+	issuers map[string]*issuer
+	met     map[string]string
+	// seq is that of the last ask.
+	seq uint64
+	// taken and issued count permits.
+	taken, issued int64
 }
 
-// limit is what an endpoint has said.
+// limit is what an endpoint has said, and the permits for it.
 type limit struct {
 	// perSecond is what it takes from all instances together; ended is set once it has
 	// answered without a limit.
 	perSecond float64
 	ended     bool
-	// since is when it was first known to name one, saidAt when it last said anything.
+	// since is when it was first known here to name one, saidAt when it last said anything.
 	since, saidAt time.Time
+	// tells is how often that is to be told still.
+	tells int
+	purse purse
+	// buckets are those that this instance issues from, by its rank among the issuers.
+	buckets [mostIssuers]bucket
+	// touchedAt is when anything was last said or asked of the endpoint.
+	touchedAt time.Time
 }
 
-// maxLimits bounds the endpoints that are known to have named one.
-const maxLimits = 4096
+// Fleet is what an instance knows of the others.
+type Fleet struct {
+	// Members are the names of those that may issue, this one included.
+	Members []string
+	// Known is how many there are, those that are not heard included.
+	Known int
+	// Alone is set while others are known and none is heard.
+	Alone bool
+}
+
+// part is the part of a limit that members may issue: all of it only to a majority, as
+// the others may be there and hear each other.
+func (f Fleet) part() float64 {
+	if 2*len(f.Members) > f.Known {
+		return 1
+	}
+	return evenPart * float64(len(f.Members)) / float64(f.Known)
+}
+
+const (
+	// maxLimits bounds the endpoints that are known to have named a limit.
+	maxLimits = 4096
+	// maxMet bounds the instances of which it is known that they were met.
+	maxMet = 4096
+	// forgetAfter is when what an endpoint said is forgotten that is not listed.
+	forgetAfter = 30 * time.Second
+)
+
+// NewLocal returns the part of an instance that has heard nothing. Its asks count up from
+// seq, which differs between the processes of an instance.
+func NewLocal(self string, seq uint64, wanted func()) *Local {
+	return &Local{
+		self: self, seq: seq, wanted: wanted, limits: map[Endpoint]*limit{}, issuers: map[string]*issuer{}, met: map[string]string{},
+		fleet: Fleet{Members: []string{self}, Known: 1},
+	}
+}
 
-// NewLocal returns a Local that has heard nothing.
-func NewLocal() *Local { return &Local{limits: map[Endpoint]*limit{}} }
+// SetFleet replaces what is known of the others.
+func (l *Local) SetFleet(f Fleet) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet = f
+}
+
+// Met notes that an instance was heard. A process that was not heard before knows of no
+// limits: it would find out by requests beyond them.
+func (l *Local) Met(instance, process string) {
+	if !l.Limited() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.met[instance] == process {
+		return
+	}
+	if len(l.met) >= maxMet {
+		clear(l.met)
+	}
+	l.met[instance] = process
+	for _, k := range l.limits {
+		k.tells = max(k.tells, 1)
+	}
+}
 
 // Named records that an answer of the endpoint has named a limit, in requests a second, and
 // reports whether that is news.
@@ -49,14 +127,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.said(now, e, perSecond, false)
+	return l.said(now, now, e, perSecond, false)
 }
 
 // Unlimited records that an answer of the endpoint has named none, to a request that was
 // sent at sentAt, and reports whether that ends a limit. An answer to a request that was
 // sent before the limit was known may be from before it.
 func (l *Local) Unlimited(now time.Time, e Endpoint, sentAt time.Time) bool {
-	if l == nil || l.limited.Load() == 0 {
+	if !l.Limited() {
 		return false
 	}
 	l.mu.Lock()
@@ -65,12 +143,12 @@
 	if known == nil || known.ended || !sentAt.After(known.since) {
 		return false
 	}
-	return l.said(now, e, 0, true)
+	return l.said(now, now, e, 0, true)
 }
 
-// said records what the endpoint said at a moment, and reports whether it is another word
-// than the one before.
-func (l *Local) said(at time.Time, e Endpoint, perSecond float64, ended bool) bool {
+// said records what the endpoint said at a moment, as of now, and reports whether it is
+// another word than the one before.
+func (l *Local) said(at, now time.Time, e Endpoint, perSecond float64, ended bool) bool {
 	known := l.limits[e]
 	if known == nil {
 		if ended || len(l.limits) >= maxLimits {
@@ -81,26 +159,70 @@
 	}
 	news := known.ended != ended || !ended && known.perSecond != perSecond
 	if known.ended && !ended {
-		known.since = at
+		known.since, known.purse, known.buckets = now, purse{}, [mostIssuers]bucket{}
 		l.limited.Add(1)
 	}
 	if !known.ended && ended {
 		l.limited.Add(-1)
 	}
-	known.perSecond, known.ended, known.saidAt = perSecond, ended, at
+	known.perSecond, known.ended, known.saidAt, known.touchedAt = perSecond, ended, at, now
+	if news {
+		known.tells = wordTells
+	}
 	return news
 }
 
-// Limit returns what the endpoint takes a second from all instances; false for no limit.
-func (l *Local) Limit(e Endpoint) (perSecond float64, limited bool) {
-	if l == nil || l.limited.Load() == 0 {
-		return 0, false
+// Limited tells whether any limit is in force.
+func (l *Local) Limited() bool { return l != nil && l.limited.Load() > 0 }
+
+// Forget drops what endpoints have said that are not listed any more.
+func (l *Local) Forget(now time.Time, listed func(Endpoint) bool) {
+	if l == nil {
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[e]
-	if known == nil || known.ended {
-		return 0, false
+	maps.DeleteFunc(l.issuers, func(_ string, i *issuer) bool { return i.missed == 0 && !now.Before(i.passedUntil) })
+	maps.DeleteFunc(l.limits, func(e Endpoint, k *limit) bool {
+		if now.Sub(k.touchedAt) < forgetAfter || listed(e) {
+			return false
+		}
+		if !k.ended {
+			l.limited.Add(-1)
+		}
+		return true
+	})
+}
+
+// LimitStats is an endpoint's limit at one instance, for operators.
+type LimitStats struct {
+	PerSecond float64 `json:"per_second"`
+	// SinceMS is how long it has been known here, in milliseconds.
+	SinceMS int64 `json:"since_ms"`
+	// Taken counts the requests that went there from here with a permit, Issued the
+	// permits that this instance issued, to itself too.
+	Taken  int64 `json:"taken"`
+	Issued int64 `json:"issued"`
+}
+
+// Stats are the limits in force, by endpoint, of so many at most, and the permits used and
+// issued here since the process began.
+type Stats struct {
+	Limits map[string]LimitStats `json:"limits"`
+	Taken  int64                 `json:"taken"`
+	Issued int64                 `json:"issued"`
+}
+
+// Stats returns the state for operators.
+func (l *Local) Stats(now time.Time, most int) Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Stats{Limits: map[string]LimitStats{}, Taken: l.taken, Issued: l.issued}
+	for e, k := range l.limits {
+		if k.ended || len(s.Limits) >= most {
+			continue
+		}
+		s.Limits[e.Name] = LimitStats{PerSecond: k.perSecond, SinceMS: now.Sub(k.since).Milliseconds(), Taken: k.purse.taken, Issued: k.issued()}
 	}
-	return known.perSecond, true
+	return s
 }
--- a/permit/local_test.go
+++ b/permit/local_test.go
@@ -1,6 +1,8 @@
 package permit
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,29 +14,155 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
+func newLocal() *Local { return NewLocal("i1", 0, func() {}) }
+
 func TestWhatAnEndpointSays(t *testing.T) {
-	l, e := NewLocal(), Endpoint{Name: "e1"}
+	l, e := newLocal(), Endpoint{Name: "e1"}
+	require.True(t, l.Ready(at(0), e))
 	require.True(t, l.Named(at(0), e, 1.1))
+	require.False(t, l.Ready(at(0), e), "a permit is needed")
 	require.False(t, l.Named(at(time.Second), e, 1.1), "the same again")
 	require.True(t, l.Named(at(2*time.Second), e, 2))
-	perSecond, limited := l.Limit(e)
-	require.True(t, limited)
-	require.Equal(t, 2.0, perSecond)
-	_, limited = l.Limit(Endpoint{Name: "e1", StartedAtMS: 7})
-	require.False(t, limited, "another start of it")
+	require.Equal(t, 2.0, l.Stats(start, 10).Limits["e1"].PerSecond)
+	require.True(t, l.Ready(at(0), Endpoint{Name: "e1", StartedAtMS: 7}), "another start of it")
 
 	require.False(t, l.Unlimited(at(3*time.Second), e, start), "an answer to a request from before the limit")
 	require.True(t, l.Unlimited(at(3*time.Second), e, at(time.Second)))
 	require.False(t, l.Unlimited(at(4*time.Second), e, at(2*time.Second)), "it has ended")
-	_, limited = l.Limit(e)
-	require.False(t, limited)
+	require.True(t, l.Ready(at(4*time.Second), e))
+	require.False(t, l.Limited())
 	require.True(t, l.Named(at(5*time.Second), e, 2), "it begins again")
 }
 
 func TestLocalThatKnowsNothing(t *testing.T) {
 	var l *Local
-	require.False(t, l.Named(start, Endpoint{Name: "e1"}, 1))
-	require.False(t, l.Unlimited(start, Endpoint{Name: "e1"}, start))
-	_, limited := l.Limit(Endpoint{Name: "e1"})
-	require.False(t, limited)
+	e := Endpoint{Name: "e1"}
+	require.False(t, l.Named(start, e, 1))
+	require.False(t, l.Unlimited(start, e, start))
+	require.True(t, l.Ready(start, e))
+	require.True(t, l.Take(start, e))
+	require.Empty(t, l.Hear(start, []Word{{Endpoint: "e1"}}))
+	require.Empty(t, l.Words(start, 1000))
+}
+
+// TestOnlyNewerWordsCount hears words that were lost on their way for a while, doubled, or
+// in another order.
+func TestOnlyNewerWordsCount(t *testing.T) {
+	l, e := newLocal(), Endpoint{Name: "e1", StartedAtMS: 5}
+	word := func(perSecond float64, ended bool, age time.Duration) []Word {
+		return []Word{{Endpoint: e.Name, StartedAtMS: e.StartedAtMS, PerSecond: perSecond, Ended: ended, AgeMS: age.Milliseconds()}}
+	}
+	require.Empty(t, l.Hear(at(time.Second), word(0, true, 0)), "the end of a limit that nobody knows")
+	require.Len(t, l.Hear(at(time.Second), word(3, false, 100*time.Millisecond)), 1)
+	require.Empty(t, l.Hear(at(time.Second), word(3, false, 100*time.Millisecond)), "doubled")
+	require.Empty(t, l.Hear(at(2*time.Second), word(9, false, 1500*time.Millisecond)), "from before")
+	require.Len(t, l.Hear(at(2*time.Second), word(0, true, 0)), 1)
+	require.Empty(t, l.Hear(at(3*time.Second), word(3, false, 1500*time.Millisecond)), "from before its end")
+	require.True(t, l.Ready(at(3*time.Second), e))
+}
+
+// TestWordSeemsNoNewerOnItsWay has two instances tell each other the same word again and
+// again: it stays as old as it is, so that a newer one is believed.
+func TestWordSeemsNoNewerOnItsWay(t *testing.T) {
+	a, b, e := newLocal(), newLocal(), Endpoint{Name: "e1"}
+	a.Named(start, e, 3)
+	now := start
+	for range 500 {
+		for _, pair := range [][2]*Local{{a, b}, {b, a}} {
+			word := pair[0].limits[e]
+			if word == nil {
+				continue
+			}
+			told := word.word(now, e)
+			now = now.Add(4 * time.Millisecond)
+			pair[1].Hear(now, []Word{told})
+		}
+	}
+	ended := Word{Endpoint: e.Name, Ended: true, AgeMS: now.Sub(at(200 * time.Millisecond)).Milliseconds()}
+	require.Len(t, a.Hear(now, []Word{ended}), 1)
+}
+
+func TestUnsoundWords(t *testing.T) {
+	l := newLocal()
+	for name, w := range map[string]Word{
+		"negative": {Endpoint: "e1", PerSecond: -1}, "no number": {Endpoint: "e1", PerSecond: math.NaN()},
+		"without end": {Endpoint: "e1", PerSecond: math.Inf(1)}, "from the future": {Endpoint: "e1", AgeMS: -5},
+		"long name": {Endpoint: strings.Repeat("e", 300)},
+	} {
+		require.Empty(t, l.Hear(start, []Word{w}), name)
+	}
+	require.False(t, l.Limited())
+	for _, a := range []Ask{{Word: Word{Endpoint: "e1", PerSecond: 1}, Rank: -1}, {Word: Word{Endpoint: "e1", PerSecond: 1}, Rank: mostIssuers}} {
+		_, answered := l.Answer(start, a)
+		require.False(t, answered)
+	}
+}
+
+// TestLimitsAreBounded lets one instance tell of more endpoints than there can be.
+func TestLimitsAreBounded(t *testing.T) {
+	l := newLocal()
+	for i := range 2 * maxLimits {
+		l.Named(start, Endpoint{Name: "e", StartedAtMS: int64(i)}, 1)
+	}
+	require.Len(t, l.limits, maxLimits)
+	l.Forget(at(time.Second), func(Endpoint) bool { return false })
+	require.Len(t, l.limits, maxLimits, "they may be listed yet")
+	l.Forget(at(forgetAfter), func(e Endpoint) bool { return e.StartedAtMS == 3 })
+	require.Len(t, l.limits, 1)
+	require.Equal(t, int64(1), l.limited.Load())
+}
+
+// TestPermitsAreVoidAfterAWhile gets a permit and uses it too late.
+func TestPermitsAreVoidAfterAWhile(t *testing.T) {
+	l, e := newLocal(), Endpoint{Name: "e1"}
+	l.Named(start, e, 10)
+	l.Want(start, e)
+	_, got := l.Asks(start)
+	require.False(t, got, "a bucket begins empty")
+	l.Want(at(time.Second), e)
+	_, got = l.Asks(at(time.Second))
+	require.True(t, got)
+	require.True(t, l.Ready(at(time.Second+permitTime-1), e))
+	require.False(t, l.Ready(at(time.Second+permitTime), e))
+	l.Want(at(3*time.Second), e)
+	_, got = l.Asks(at(3 * time.Second))
+	require.True(t, got)
+	require.True(t, l.Take(at(3*time.Second), e))
+	require.False(t, l.Take(at(3*time.Second), e), "used")
+}
+
+// TestLateAnswerBringsNothing gets the answer to an ask that was given up.
+func TestLateAnswerBringsNothing(t *testing.T) {
+	l, e := newLocal(), Endpoint{Name: "e1"}
+	l.Named(start, e, 10)
+	l.SetFleet(Fleet{Members: []string{"other"}, Known: 1})
+	l.Want(start, e)
+	asks, _ := l.Asks(start)
+	require.Len(t, asks, 1)
+	again, _ := l.Asks(at(answerTime))
+	require.Len(t, again, 1)
+	grant := func(a Addressed) Grant { return Grant{Word: a.Ask.Word, Seq: a.Ask.Seq, N: 1} }
+	require.False(t, l.Granted(at(answerTime), "other", grant(asks[0])))
+	require.False(t, l.Granted(at(answerTime), "third", grant(again[0])))
+	require.True(t, l.Granted(at(answerTime), "other", grant(again[0])))
+	require.False(t, l.Granted(at(answerTime), "other", grant(again[0])), "doubled")
+	require.True(t, l.Take(at(answerTime), e))
+	require.False(t, l.Take(at(answerTime), e))
+}
+
+// TestAnswerTellsThatALimitHasEnded asks an issuer that knows more.
+func TestAnswerTellsThatALimitHasEnded(t *testing.T) {
+	asking, issuing, e := newLocal(), newLocal(), Endpoint{Name: "e1"}
+	for _, l := range []*Local{asking, issuing} {
+		l.Named(start, e, 10)
+	}
+	require.True(t, issuing.Unlimited(at(time.Second), e, at(500*time.Millisecond)))
+	asking.SetFleet(Fleet{Members: []string{"other"}, Known: 1})
+	asking.Want(at(2*time.Second), e)
+	asks, _ := asking.Asks(at(2 * time.Second))
+	require.Len(t, asks, 1)
+	g, answered := issuing.Answer(at(2*time.Second), asks[0].Ask)
+	require.True(t, answered)
+	require.True(t, asking.Granted(at(2*time.Second), "other", g))
+	require.True(t, asking.Ready(at(2*time.Second), e))
 }
--- /dev/null
+++ b/permit/purse.go
@@ -0,0 +1,223 @@
+package permit
+
+import "time"
+
+// purse is the permits that an instance has for an endpoint, and its asks for more.
+type purse struct {
+	// stock is the permits that are left, void at until.
+	stock int64
+	until time.Time
+	taken int64
+	// batch is how many are asked for at once: more while they are used up at once.
+	batch int64
+	// emptyAt is when the last one was taken.
+	emptyAt time.Time
+	// wantAt is when a request last wanted one and found none.
+	wantAt time.Time
+	// askedOf is who has been asked and has not answered yet, at askedAt with seq.
+	askedOf string
+	askedAt time.Time
+	seq     uint64
+	// nextAsk is when to ask again behind an answer without a permit.
+	nextAsk time.Time
+	// even is what an instance goes on with that nobody answers, last needed at evenAt.
+	even   bucket
+	evenAt time.Time
+}
+
+const (
+	// permitTime is when a permit that was not used is void: the issuer counts on fewer
+	// than that many seconds of its rate being on their way.
+	permitTime = time.Second
+	// wantTime is for how long a want counts: requests that wait want again more often.
+	wantTime = 300 * time.Millisecond
+	// leastPause and mostPause bound the time between two asks behind one that brought
+	// nothing; mostPauseEach is the part of the latter for each instance, so that an
+	// issuer is asked no more often in a large fleet.
+	leastPause    = 20 * time.Millisecond
+	mostPause     = 100 * time.Millisecond
+	mostPauseEach = 4 * time.Millisecond
+	// batchTime is how soon behind the last permit of a batch the next one must be wanted
+	// for it to be larger, and mostBatch bounds it.
+	batchTime = 100 * time.Millisecond
+	mostBatch = 256
+	// evenLapse is after how many pauses without need an even part begins anew.
+	evenLapse = 2
+)
+
+// left is how many permits can be used.
+func (p *purse) left(now time.Time) int64 {
+	if !now.Before(p.until) {
+		return 0
+	}
+	return p.stock
+}
+
+// Ready tells whether a request may go to the endpoint now.
+func (l *Local) Ready(now time.Time, e Endpoint) bool {
+	if !l.Limited() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[e]
+	return known == nil || known.ended || known.purse.left(now) > 0
+}
+
+// Take uses a permit for a request that goes to the endpoint; false if there is none. An
+// endpoint without a limit needs none.
+func (l *Local) Take(now time.Time, e Endpoint) bool {
+	if !l.Limited() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[e]
+	if known == nil || known.ended {
+		return true
+	}
+	if known.purse.left(now) == 0 {
+		return false
+	}
+	known.purse.take(now)
+	l.taken++
+	return true
+}
+
+func (p *purse) take(now time.Time) {
+	p.stock--
+	p.taken++
+	if p.stock == 0 {
+		p.emptyAt = now
+	}
+}
+
+// Want records that a request would go to the endpoint if there were a permit.
+func (l *Local) Want(now time.Time, e Endpoint) {
+	l.mu.Lock()
+	known := l.limits[e]
+	if known != nil {
+		known.purse.wantAt = now
+	}
+	l.mu.Unlock()
+	if known != nil {
+		l.wanted()
+	}
+}
+
+// due tells whether it is time to ask.
+func (p *purse) due(now time.Time) bool {
+	return !p.wantAt.IsZero() && now.Sub(p.wantAt) < wantTime && p.left(now) == 0 && !now.Before(p.nextAsk)
+}
+
+// add puts permits in that were asked for at a moment.
+func (p *purse) add(n int64, askedAt time.Time) {
+	p.stock, p.until = n, askedAt.Add(permitTime)
+}
+
+// size is how many permits to ask for: twice as many as the last time where those were
+// used up at once.
+func (p *purse) size(now time.Time) int64 {
+	if p.stock > 0 || p.emptyAt.IsZero() || now.Sub(p.emptyAt) >= batchTime {
+		p.batch = 1
+		return p.batch
+	}
+	p.batch = min(2*p.batch, mostBatch)
+	return p.batch
+}
+
+// Addressed is an ask and whom it is for.
+type Addressed struct {
+	To  string
+	Ask Ask
+}
+
+// Asks returns what is to be asked now, and whether permits have been issued here, where
+// this instance is the issuer itself.
+func (l *Local) Asks(now time.Time) (asks []Addressed, got bool) {
+	if !l.Limited() {
+		return nil, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e, k := range l.limits {
+		p := &k.purse
+		if k.ended || !p.due(now) {
+			continue
+		}
+		if p.askedOf != "" {
+			if now.Sub(p.askedAt) < answerTime {
+				continue
+			}
+			l.missed(now, p.askedOf)
+			p.askedOf = ""
+		}
+		to, rank := l.issuerOf(now, e)
+		if to == "" || to == l.self && l.fleet.Alone {
+			got = l.goOn(now, k) || got
+			continue
+		}
+		if to == l.self {
+			got = l.issueHere(now, k, rank) || got
+			continue
+		}
+		l.seq++
+		p.askedOf, p.askedAt, p.seq = to, now, l.seq
+		asks = append(asks, Addressed{To: to, Ask: Ask{Word: k.word(now, e), Seq: l.seq, Rank: rank, N: p.size(now)}})
+	}
+	return asks, got
+}
+
+// pause is the time until the next ask behind one that brought nothing: about until this
+// instance's even share of the rate is one permit.
+func (l *Local) pause(k *limit) time.Duration {
+	members := l.fleet.Known
+	share := time.Duration(float64(members) / rate(k.perSecond) * float64(time.Second))
+	return min(max(share, leastPause), max(mostPause, mostPauseEach*time.Duration(members)))
+}
+
+// received takes permits, or that there were none, and reports whether there were some.
+func (l *Local) received(now time.Time, k *limit, n int64, askedAt time.Time) bool {
+	if n == 0 {
+		k.purse.nextAsk = now.Add(l.pause(k))
+		return false
+	}
+	k.purse.add(n, askedAt)
+	return true
+}
+
+// issueHere issues permits to this instance itself.
+func (l *Local) issueHere(now time.Time, k *limit, rank int) bool {
+	return l.received(now, k, l.issue(now, k, rank, k.purse.size(now)), now)
+}
+
+// goOn lets an instance go on that no issuer answers.
+func (l *Local) goOn(now time.Time, k *limit) bool {
+	p := &k.purse
+	if now.Sub(p.evenAt) > evenLapse*l.pause(k) {
+		p.even = bucket{}
+	}
+	p.evenAt = now
+	p.even.fill(now, rate(k.perSecond)*evenPart/float64(max(l.fleet.Known, 1)))
+	return l.received(now, k, p.even.take(1), now)
+}
+
+// Granted takes the answer of an issuer, and reports whether it brought permits, or the
+// news that none are needed any more.
+func (l *Local) Granted(now time.Time, from string, g Grant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.issuers, from)
+	l.hear(now, g.Word)
+	known := l.limits[g.Word.start()]
+	if known == nil || known.ended {
+		return true
+	}
+	p := &known.purse
+	if p.askedOf != from || p.seq != g.Seq {
+		// An answer to an ask that was given up.
+		return false
+	}
+	p.askedOf = ""
+	return l.received(now, known, max(g.N, 0), p.askedAt)
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/eiderspring/eiderspring/permit"
 )
 
 // Errors of Router.Pick.
@@ -45,8 +48,14 @@
 	paces  paces
 	// instances is how many share the endpoints, where the view does not tell.
 	instances atomic.Int64
+	// permits keeps the limits that endpoints name; nil where none does.
+	permits *permit.Local
 }
 
+// SetPermits makes the router keep the limits that endpoints name. It is called before the
+// first Pick.
+func (r *Router) SetPermits(p *permit.Local) { r.permits = p }
+
 // SetInstances says how many instances share the endpoints, where the view does not tell.
 func (r *Router) SetInstances(n int) { r.instances.Store(int64(n)) }
 
@@ -74,10 +83,10 @@
 		return Decision{}, ErrNoReplica
 	}
 	scored := r.score(req, candidates)
-	if len(scored) == 0 {
+	chosen, found := r.choose(req, scored)
+	if !found {
 		return Decision{}, whyNone(req, candidates)
 	}
-	chosen := r.policy.of(req).Picker.Pick(scored, r.random)
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
 		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
@@ -89,6 +98,19 @@
 	return d, nil
 }
 
+// choose picks one of the endpoints, with a permit if it names a limit.
+func (r *Router) choose(req *Request, scored []Scored) (chosen Scored, found bool) {
+	for len(scored) > 0 {
+		chosen = r.policy.of(req).Picker.Pick(scored, r.random)
+		if r.permits.Take(req.Now, chosen.Endpoint.Start()) {
+			return chosen, true
+		}
+		// Another request has taken the permit that was there.
+		scored = slices.DeleteFunc(scored, func(s Scored) bool { return s.Endpoint == chosen.Endpoint })
+	}
+	return Scored{}, false
+}
+
 // Answered tells that the prompt of an attempt has been read: its answer has
 // begun.
 func (d *Decision) Answered() {
@@ -142,7 +164,17 @@
 			return false
 		}
 	}
-	return true
+	return r.permitted(req, e)
+}
+
+// permitted tells whether an endpoint that would do takes one more request by the limit
+// that it names for all instances together, and wants a permit if it does not.
+func (r *Router) permitted(req *Request, e *Endpoint) bool {
+	if !r.permits.Limited() || r.permits.Ready(req.Now, e.Start()) {
+		return true
+	}
+	r.permits.Want(req.Now, e.Start())
+	return false
 }
 
 // whyNone tells a full unit from one with no endpoint left to try, and from one
