What binds all instances goes before sums, and sums leave the hub's link room

What callers saw: at 301 instances before 3,000 endpoints accounts within their limits were refused. Cause: in one go the hub sent 125 packets of sums to each instance, 0.84 s of its link, each 0.4 s; words of allowances went last and waited behind them, and the link was asked for twice what it carries. Change: words of allowances, limits and endings go first in each tick. Test: secondsUntilTold had the two calls in the product's former order; it now makes the product's one call and lets the link carry on between ticks, 100 of them, so that what waits from earlier ticks counts too, which is stricter.

--- a/daemon/allowances_test.go
+++ b/daemon/allowances_test.go
@@ -223,29 +223,32 @@
 	require.Equal(t, []string{"a", "b", "c"}, m.strongest())
 }
 
-// countedLink counts what is sent, and keeps what had been sent when the last packet went out
-// that tells of allowances.
+// countedLink counts what waits on a link, and keeps the most that waited when a packet went
+// out that tells of allowances.
 type countedLink struct {
-	sealer       *peer.Sealer
-	sent, behind int
+	sealer          *peer.Sealer
+	waiting, behind int
 }
 
+// drain is what the link carries meanwhile.
+func (l *countedLink) drain(bytes float64) { l.waiting = max(l.waiting-int(bytes), 0) }
+
 func (l *countedLink) Send(_ string, sealed []byte) {
-	l.sent += len(sealed)
+	l.waiting += len(sealed)
 	plain, err := l.sealer.Open(sealed)
 	if err != nil {
 		// The same packet goes to many; only the first is taken.
 		return
 	}
 	if p, err := peer.DecodePacket(plain); err == nil && p.Adder != 0 {
-		l.behind = l.sent
+		l.behind = max(l.behind, l.waiting)
 	}
 }
 
 func (l *countedLink) Close() {}
 
-// secondsUntilTold is how long a link of 200 Mbit/s takes for what the holder of the lease
-// sends until its words of allowances are out.
+// secondsUntilTold is how long the words of allowances wait at most on a link of 200 Mbit/s
+// behind what the holder of the lease has sent before, over some rounds of sums.
 func secondsUntilTold(t *testing.T, instances, endpoints int) float64 {
 	t.Helper()
 	key := make([]byte, peer.KeyBytes)
@@ -262,6 +265,7 @@
 		instance: "holder", process: "p", now: now, listed: map[string]presence{}, counted: func(int) {}, allowances: a,
 		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], func() float64 { return 0 }), holds: holds,
 		revision: func() int64 { return 1 }, current: holds, sealer: sealer, datagrams: link, log: logr.Discard(), told: map[string]string{},
+		linkBytes: 200 * bytesPerMbit,
 	}
 	for i := range instances {
 		name := fmt.Sprintf("edge-%03d", i)
@@ -270,11 +274,12 @@
 	for i := range endpoints {
 		m.sum = append(m.sum, peer.EndpointLoad{Endpoint: fmt.Sprintf("i-%010x", i), Running: 40, Prompt: 90_000})
 	}
-	m.tellSum()
-	m.tellAllowances()
+	for range 100 {
+		m.tellAll()
+		link.drain(m.linkBytes * hubTick.Seconds())
+	}
 	require.NotZero(t, link.behind)
-	const linkBytes = 200 * bytesPerMbit
-	return float64(link.behind) / linkBytes
+	return float64(link.behind) / m.linkBytes
 }
 
 // mostUntilTold is half of the time for which a word counts, in seconds: instances go without
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -65,12 +65,9 @@
 	}
 	m.send(p, to)
 	_ = m.inputs.Put(ctx, p)
-	if m.now().Sub(m.hubAt) >= m.hubPause() {
+	if m.now().Sub(m.hubAt) >= hubTick {
 		m.hubAt = m.now()
-		if m.holds() {
-			m.tellSum()
-		}
-		m.tellAllowances()
+		m.tellAll()
 	}
 	m.flushPlacements()
 }
