What an endpoint's limit cannot serve in time is rejected at once

What callers saw: where all replicas of a unit name limits, requests waited until their target had passed and were rejected then, however many were before them. Change: a request behind more others than those endpoints begin in its time, even if all permits came here, is rejected on arrival; Retry-After says when there may be room, spread. One whose adapter can be loaded beside its model at an endpoint without a limit waits, as before: the placement loads it there for those who wait.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -39,6 +39,9 @@
 // waiter itself, or waiters of lower rank that made room.
 func (q *Queue) Arrive(w *Waiter) []Refusal {
 	var refused []Refusal
+	if w.Bounded && q.ahead(w) > w.MostAhead {
+		return append(refused, Refusal{Waiter: w, Reason: ReasonTooMany})
+	}
 	for q.count+1 > q.limits.Waiters || q.bytes+w.Bytes > q.limits.Bytes {
 		last := q.last()
 		if last == nil || compare(w, last) >= 0 {
@@ -102,6 +105,12 @@
 	return refused
 }
 
+// ahead is how many waiters for the same unit go before w.
+func (q *Queue) ahead(w *Waiter) int {
+	i, _ := slices.BinarySearchFunc(q.units[w.Unit], w, compare)
+	return i
+}
+
 func (q *Queue) insert(w *Waiter) {
 	list := q.units[w.Unit]
 	i, _ := slices.BinarySearchFunc(list, w, compare)
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -25,7 +25,8 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var ms, priority, startBy, bytes, n int
 			var id, unit string
-			var late bool
+			var late, bounded bool
+			var mostAhead int
 			d.ScanArgs(t, "at", &ms)
 			var b strings.Builder
 			show := func(refused []Refusal) {
@@ -41,7 +42,12 @@
 				d.ScanArgs(t, "start-by", &startBy)
 				d.MaybeScanArgs(t, "bytes", &bytes)
 				d.MaybeScanArgs(t, "late", &late)
-				show(q.Arrive(&Waiter{ID: id, Unit: unit, Priority: priority, Late: late, Arrived: at(ms), StartBy: at(startBy), Bytes: bytes}))
+				bounded = d.HasArg("most-ahead")
+				d.MaybeScanArgs(t, "most-ahead", &mostAhead)
+				show(q.Arrive(&Waiter{
+					ID: id, Unit: unit, Priority: priority, Late: late, Arrived: at(ms), StartBy: at(startBy), Bytes: bytes,
+					Bounded: bounded, MostAhead: mostAhead,
+				}))
 			case "offer":
 				d.ScanArgs(t, "unit", &unit)
 				d.ScanArgs(t, "places", &n)
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -21,6 +21,10 @@
 	// token, or the deadline for a request that may wait.
 	StartBy time.Time
 	Bytes   int
+	// Bounded is set if so few places come free until StartBy that the request can have
+	// one only with at most MostAhead others before it.
+	Bounded   bool
+	MostAhead int
 }
 
 // AgingStep is the head start that one level of priority gives. As every
@@ -54,6 +58,8 @@
 	ReasonQueueFull Reason = "queue_full"
 	ReasonExpired   Reason = "target_missed_in_queue"
 	ReasonStopping  Reason = "stopping"
+	// ReasonTooMany is for a request behind more others than can be served in its time.
+	ReasonTooMany Reason = "too_many_ahead"
 )
 
 // Refusal is a waiter that was refused.
--- a/permit/local.go
+++ b/permit/local.go
@@ -175,6 +175,18 @@
 // Limited tells whether any limit is in force.
 func (l *Local) Limited() bool { return l != nil && l.limited.Load() > 0 }
 
+// Rate is how many permits a second are issued for an endpoint; false for one that needs
+// none.
+func (l *Local) Rate(e Endpoint) (perSecond float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[e]
+	if known == nil || known.ended {
+		return 0, false
+	}
+	return rate(known.perSecond), true
+}
+
 // Forget drops what endpoints have said that are not listed any more.
 func (l *Local) Forget(now time.Time, listed func(Endpoint) bool) {
 	if l == nil {
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -109,9 +109,18 @@
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.priority(),
 		Late: req.Late, Arrived: now, StartBy: x.startBy(req.Late), Bytes: len(x.Call.Body),
 	}
+	req.Now = now
+	perSecond, limited := f.router.LimitedTo(&req)
+	if limited {
+		w.Bounded, w.MostAhead = true, placesUntil(w.StartBy.Sub(now), perSecond)
+	}
 	if err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take); err != nil {
 		f.refusals.note(f.now(), x.Call.Mark)
-		return refusalOf(err, pickErr)
+		refusal := refusalOf(err, pickErr)
+		if limited {
+			refusal.RetryAfter = spread(max(refusal.RetryAfter, permitRetryAfter(perSecond)))
+		}
+		return refusal
 	}
 	if pickErr != nil {
 		return &RouteError{Err: pickErr}
--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -74,6 +74,21 @@
 	elsewhereRetryAfter = 10 * time.Millisecond
 )
 
+// placesUntil is how many requests endpoints begin within a time that take so many a second,
+// if no other instance sends them any.
+func placesUntil(d time.Duration, perSecond float64) int {
+	return int(perSecond * max(d, 0).Seconds())
+}
+
+// mostPermitRetryAfter bounds when a caller is to return for whom only endpoints with limits
+// are left: by then the unit may have been loaded elsewhere.
+const mostPermitRetryAfter = 4 * time.Second
+
+// permitRetryAfter is when one more request can begin at endpoints that take so many a second.
+func permitRetryAfter(perSecond float64) time.Duration {
+	return min(time.Duration(float64(time.Second)/perSecond), mostPermitRetryAfter)
+}
+
 // spread keeps those who were refused together from coming back together.
 func spread(d time.Duration) time.Duration {
 	const most = 0.3
@@ -81,7 +96,7 @@
 }
 
 // refusalOf is the refusal of a request that got no place; pickErr is why.
-func refusalOf(err, pickErr error) error {
+func refusalOf(err, pickErr error) *AdmitError {
 	refusal := &AdmitError{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Err: err}
 	var refused *admission.RefusedError
 	if !errors.As(err, &refused) {
@@ -93,6 +108,8 @@
 	switch {
 	case refused.Reason == admission.ReasonQueueFull:
 		refusal.Status = http.StatusTooManyRequests
+	case refused.Reason == admission.ReasonTooMany:
+		refusal.RetryAfter = roomRetryAfter
 	case refused.Reason == admission.ReasonStopping:
 		refusal.RetryAfter = elsewhereRetryAfter
 	case errors.Is(pickErr, routing.ErrNoReplica):
--- a/routing/router.go
+++ b/routing/router.go
@@ -111,6 +111,37 @@
 	return Scored{}, false
 }
 
+// LimitedTo returns how many requests a second the endpoints take that could serve the
+// request, where all of them name limits; false if one does not, or if the unit can be
+// loaded beside its model at one that does not.
+func (r *Router) LimitedTo(req *Request) (perSecond float64, limited bool) {
+	if !r.permits.Limited() {
+		return 0, false
+	}
+	view := r.view.Load()
+	perSecond, limited = r.limitedTo(req, view.Candidates(req.Unit, req.Pool))
+	if limited && req.model() != req.Unit {
+		_, limited = r.limitedTo(req, view.Replicas[req.model()])
+	}
+	return perSecond, limited
+}
+
+// limitedTo sums up the limits of endpoints that take requests.
+func (r *Router) limitedTo(req *Request, candidates []*Endpoint) (perSecond float64, limited bool) {
+	for _, e := range candidates {
+		if !(liveFilter{}).Keep(req, e) {
+			continue
+		}
+		rate, named := r.permits.Rate(e.Start())
+		if !named {
+			return 0, false
+		}
+		perSecond += rate
+		limited = true
+	}
+	return perSecond, limited
+}
+
 // Answered tells that the prompt of an attempt has been read: its answer has
 // begun.
 func (d *Decision) Answered() {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/permit"
 )
 
 var testNow = time.Unix(1000, 0)
@@ -151,3 +153,55 @@
 	_, err = pick("m", testNow)
 	require.ErrorIs(t, err, ErrNoReplica, "as good as held by nobody")
 }
+
+// TestLimitedEndpoints has endpoints that name limits beside one that does not.
+func TestLimitedEndpoints(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limited, free := &Endpoint{Name: "limited", Concurrency: 8}, &Endpoint{Name: "free", Concurrency: 8}
+	permits := permit.NewLocal("i1", 0, func() {})
+	r := NewRouter(Policies()[PolicyTimely], func() float64 { return 0 })
+	r.SetPermits(permits)
+	view := func(unit ...*Endpoint) {
+		r.SetView(&View{Replicas: map[string][]*Endpoint{"m": {limited, free}, "m/a": unit}, Instances: 1})
+	}
+	pick := func() (string, error) {
+		d, err := r.Pick(&Request{Unit: "m/a", Model: "m", Now: now})
+		if err != nil {
+			return "", err
+		}
+		r.Release(&d)
+		return d.Endpoint.Name, nil
+	}
+	permits.Named(now, limited.Start(), 2)
+
+	view(limited, free)
+	for range 20 {
+		name, err := pick()
+		require.NoError(t, err)
+		require.Equal(t, "free", name, "without a permit the other one serves")
+	}
+	_, only := r.LimitedTo(&Request{Unit: "m/a", Model: "m", Now: now})
+	require.False(t, only)
+
+	view(limited)
+	_, err := pick()
+	require.ErrorIs(t, err, ErrNoRoom, "it waits")
+	_, only = r.LimitedTo(&Request{Unit: "m/a", Model: "m", Now: now})
+	require.False(t, only, "it can be loaded beside its model elsewhere")
+	free.SetLeaving(true)
+	perSecond, only := r.LimitedTo(&Request{Unit: "m/a", Model: "m", Now: now})
+	require.True(t, only)
+	require.Equal(t, 2.0, perSecond)
+
+	permits.Asks(now)
+	now = now.Add(600 * time.Millisecond)
+	_, err = pick()
+	require.ErrorIs(t, err, ErrNoRoom)
+	_, got := permits.Asks(now)
+	require.True(t, got)
+	name, err := pick()
+	require.NoError(t, err)
+	require.Equal(t, "limited", name)
+	_, err = pick()
+	require.ErrorIs(t, err, ErrNoRoom, "one permit is for one request")
+}
