Soak: endpoints that name limits

A worker names two requests a second for 8 s; the judge counts what instances in touch sent there in 4 s, from 3 s on.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -143,6 +144,7 @@
 		return trace.Wrap(err)
 	}
 	go func() { _ = http.Serve(listener, w) }()
+	go nameLimits(w, recorder)
 	how := renew(w, told)
 	end := time.After(soak.DrainTime)
 	left := fake.Happening{What: soak.HappenedLeft}
@@ -159,6 +161,19 @@
 	return nil
 }
 
+// nameLimits names a limit for a while at each soak.NameLimit.
+func nameLimits(w *fake.Worker, recorder *soak.Recorder) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, soak.NameLimit)
+	for range told {
+		recorder.Record(w, fake.Happening{What: soak.HappenedLimited})
+		w.NameLimit(strconv.Itoa(soak.LimitPerSecond))
+		time.Sleep(soak.LimitTime)
+		w.NameLimit("")
+		recorder.Record(w, fake.Happening{What: soak.HappenedUnlimited})
+	}
+}
+
 // endedBy ends the process where a request is one that ends endpoints; others are served.
 func endedBy(serve http.HandlerFunc) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -76,6 +76,9 @@
 	// time, and since a moment; nil tells of all.
 	Known   time.Duration
 	InTouch func(a Answer, since time.Time) bool
+	// LimitWindow is the time in which requests beyond an endpoint's limit are counted;
+	// zero judges none.
+	LimitWindow time.Duration
 	// Crossing is within what time of its sending a request may meet the planned
 	// close of its connection on the way; the instance has not taken it then.
 	Crossing time.Duration
@@ -99,6 +102,7 @@
 	j.orders(records)
 	j.leaves(records)
 	j.endings(answers, records)
+	j.limits(answers, records)
 	return j.broken
 }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -209,3 +209,27 @@
 		require.Equal(t, c.ended, d.excuses(ended), c)
 	}
 }
+
+// TestLimitsAreJudged has requests at an endpoint that names a limit: too many at once count
+// only from instances in touch, while it names it, and once all had the time to know.
+func TestLimitsAreJudged(t *testing.T) {
+	start := time.Unix(1000, 0)
+	record := func(what string, after time.Duration) Record {
+		return Record{At: start.Add(after), Worker: "w1", Service: fake.Plain, Happening: fake.Happening{What: what, Attempt: "r"}}
+	}
+	play := func(burst time.Duration, n int) []Record {
+		records := []Record{record(HappenedLimited, 0)}
+		for i := range n {
+			records = append(records, record(fake.HappenedRun, burst+time.Duration(i)*100*time.Millisecond))
+		}
+		return append(records, record(HappenedUnlimited, LimitTime))
+	}
+	answers := []Answer{{Attempt: "r", Kind: kindSafe, Broken: "gave up"}}
+	rules := Rules{LimitWindow: limitWindow}
+	require.Len(t, Judge(answers, play(knownTime, 18), rules), 1)
+	require.Empty(t, Judge(answers, play(knownTime, 17), rules))
+	require.Empty(t, Judge(answers, play(time.Second, 18), rules), "some came before all knew")
+	require.Empty(t, Judge(answers, append(play(0, 0), play(knownTime, 18)[1:19]...), rules), "it names none any more")
+	rules.InTouch = func(Answer, time.Time) bool { return false }
+	require.Empty(t, Judge(answers, play(knownTime, 18), rules))
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -31,6 +31,9 @@
 	WorkerPause Action = "worker-pause"
 	// WorkerReborn kills an endpoint, which starts again under its id with nothing.
 	WorkerReborn Action = "worker-reborn"
+	// WorkerLimit makes an endpoint name a limit for all instances together, LimitPerSecond
+	// for LimitTime.
+	WorkerLimit Action = "worker-limit"
 	// ForeignEntry makes another writer leave entries among those of endpoints.
 	ForeignEntry Action = "foreign-entry"
 	// StoreRefusing, StoreLosing and StoreSilent change how the store answers; in a
@@ -119,8 +122,11 @@
 // fifthActions are those with a store that comes back from a copy.
 var fifthActions = slices.Concat(fourthActions, []Action{StoreCopied, StoreCopied})
 
+// sixthActions are those with endpoints that name limits.
+var sixthActions = slices.Concat(fifthActions, []Action{WorkerLimit, WorkerLimit, WorkerLimit})
+
 // actions is the list that schedules are drawn from.
-var actions = fifthActions
+var actions = sixthActions
 
 // Draw makes the schedule of a seed.
 func Draw(seed uint64, size Size) []Fault { return draw(seed, size, actions) }
@@ -145,7 +151,7 @@
 
 // targets is among how many processes the fault chooses.
 func (f Fault) targets(size Size) int {
-	onWorker := slices.Contains([]Action{WorkerTerm, WorkerKill, WorkerPause, WorkerReborn}, f.Action)
+	onWorker := slices.Contains([]Action{WorkerTerm, WorkerKill, WorkerPause, WorkerReborn, WorkerLimit}, f.Action)
 	if onWorker || f.onLink() && f.Link == LinkWorker {
 		return size.Engines + size.Plain
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -141,6 +141,8 @@
 		s.nodes[f.Target].signal(syscall.SIGHUP)
 	case WorkerTerm, WorkerKill, WorkerPause, WorkerReborn:
 		r.disturbWorker(s.workers[f.Target], f)
+	case WorkerLimit:
+		s.workers[f.Target].signal(NameLimit)
 	case StoreRefusing, StoreLosing, StoreSilent:
 		s.tellStore("mode/" + string(f.Action))
 		time.Sleep(f.For)
@@ -417,12 +419,13 @@
 	}
 	answers := r.callers.Answers()
 	rules := Rules{
-		Known: knownTime, InTouch: r.site.inTouch,
+		Known: knownTime, InTouch: r.site.inTouch, LimitWindow: limitWindow,
 		OrderLease: orderLease, Excused: r.site.excusedOrder, LeaveBound: settingsTime + loadMargin, LeavesFrom: r.leavesFrom,
 		Disturbed: r.site.disturbed, Patient: true,
 	}
 	if r.options.Untimed {
 		rules.OrderLease, rules.Known, rules.Crossing, rules.Patient = 0, 0, crossMost, false
+		rules.LimitWindow = 0
 	}
 	report.Broken = append(r.broken, Judge(answers, r.site.records, rules)...)
 	report.Faults, report.Requests = faults, len(answers)
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -24,13 +24,14 @@
 	keptFirst      = schedule{1, firstActions}
 	keptStandstill = schedule{303, secondActions}
 	keptCrashing   = schedule{403, fourthActions}
+	keptLimit      = schedule{629, sixthActions}
 )
 
 // TestKeptSchedulesStayAsWritten holds the kept schedules from before actions were
 // added: they are regression cases only if they stay the same.
 func TestKeptSchedulesStayAsWritten(t *testing.T) {
 	lines := []string{}
-	for _, k := range []schedule{keptFirst, keptStandstill, keptCrashing} {
+	for _, k := range []schedule{keptFirst, keptStandstill, keptCrashing, keptLimit} {
 		for _, f := range draw(k.seed, shortSize, k.from) {
 			lines = append(lines, f.String())
 		}
@@ -61,6 +62,12 @@
 		"at=4.11608474s action=reconfigure target=0 link=worker for=883.91526ms",
 		"at=4.589854393s action=link-delay target=0 link=callers for=410.145607ms",
 		"at=4.780420227s action=worker-reborn target=1 link=store for=219.579773ms",
+
+		"at=700ms action=worker-limit target=3 link=callers for=1.368229276s",
+		"at=2.092724783s action=link-reset target=2 link=worker for=1.480471887s",
+		"at=2.966657431s action=worker-limit target=0 link=worker for=1.019475468s",
+		"at=3.44993836s action=store-silent target=2 link=store for=1.55006164s",
+		"at=4.604985301s action=worker-limit target=0 link=store for=395.014699ms",
 	}, lines)
 }
 
@@ -78,6 +85,10 @@
 // while other faults run.
 func TestCrashingSoak(t *testing.T) { playKept(t, keptCrashing) }
 
+// TestLimitSoak has an engine and a plain endpoint name limits, one of them while the store
+// is silent. All must go on, and serve as before when the limits have ended.
+func TestLimitSoak(t *testing.T) { playKept(t, keptLimit) }
+
 func playKept(t *testing.T, k schedule) {
 	programs := t.TempDir()
 	build := exec.Command("go", "build", "-o", programs, "../cmd/eiderspring", "../cmd/eiderspring-soak")
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -28,6 +28,21 @@
 // Gone tells a worker to leave without saying so: its entry goes at once.
 const Gone = syscall.SIGUSR1
 
+// NameLimit tells a worker to name a limit of LimitPerSecond requests for LimitTime.
+const NameLimit = syscall.SIGUSR2
+
+const (
+	LimitPerSecond = 2
+	LimitTime      = 8 * time.Second
+)
+
+// HappenedLimited and HappenedUnlimited are recorded when a worker begins and ceases to
+// name a limit.
+const (
+	HappenedLimited   = "limited"
+	HappenedUnlimited = "unlimited"
+)
+
 // HappenedLeft is recorded once the store has acknowledged that a worker leaves, or
 // that its entry is gone.
 const HappenedLeft = "left"
