Permits of an issuer that answers late count, and nobody is asked for less than none

What callers would see: at an instance or issuer so slow that answers take over 0.1 s, every ask was given up before its answer came, and the endpoint got nothing from there. Change: an answer belongs to any ask of the last second, once; permits are void a second behind the ask as before. A negative number of permits no longer fills a bucket. Found by reading; TestLateAnswers and TestNobodyIsAskedForLessThanNothing fail without it.

--- a/permit/issue.go
+++ b/permit/issue.go
@@ -48,7 +48,7 @@
 
 // take takes up to n whole permits.
 func (b *bucket) take(n int64) int64 {
-	n = min(n, int64(b.level))
+	n = max(min(n, int64(b.level)), 0)
 	b.level -= float64(n)
 	b.issued += n
 	return n
--- a/permit/purse.go
+++ b/permit/purse.go
@@ -1,6 +1,9 @@
 package permit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // purse is the permits that an instance has for an endpoint, and its asks for more.
 type purse struct {
@@ -14,10 +17,11 @@
 	emptyAt time.Time
 	// wantAt is when a request last wanted one and found none.
 	wantAt time.Time
-	// askedOf is who has been asked and has not answered yet, at askedAt with seq.
-	askedOf string
-	askedAt time.Time
-	seq     uint64
+	// awaited is set while the last ask awaits its answer; asked are those of the last
+	// permitTime that have had none, the last one at the end: permits that come late have
+	// been issued all the same.
+	awaited bool
+	asked   []asked
 	// nextAsk is when to ask again behind an answer without a permit.
 	nextAsk time.Time
 	// even is what an instance goes on with that nobody answers, last needed at evenAt.
@@ -25,6 +29,13 @@
 	evenAt time.Time
 }
 
+// asked is an ask on its way.
+type asked struct {
+	seq uint64
+	of  string
+	at  time.Time
+}
+
 const (
 	// permitTime is when a permit that was not used is void: the issuer counts on fewer
 	// than that many seconds of its rate being on their way.
@@ -111,8 +122,42 @@
 }
 
 // add puts permits in that were asked for at a moment.
-func (p *purse) add(n int64, askedAt time.Time) {
-	p.stock, p.until = n, askedAt.Add(permitTime)
+func (p *purse) add(now time.Time, n int64, askedAt time.Time) {
+	until := askedAt.Add(permitTime)
+	if left := p.left(now); left > 0 {
+		// All are void with the first of them.
+		p.stock, p.until = left+n, earlier(p.until, until)
+		return
+	}
+	p.stock, p.until = n, until
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// ask notes an ask.
+func (p *purse) ask(now time.Time, seq uint64, of string) {
+	p.asked = slices.DeleteFunc(p.asked, func(a asked) bool { return now.Sub(a.at) >= permitTime })
+	p.asked = append(p.asked, asked{seq: seq, of: of, at: now})
+	p.awaited = true
+}
+
+// answer returns the ask that an answer belongs to, once.
+func (p *purse) answer(seq uint64, from string) (a asked, found bool) {
+	i := slices.IndexFunc(p.asked, func(a asked) bool { return a.seq == seq && a.of == from })
+	if i < 0 {
+		return asked{}, false
+	}
+	a = p.asked[i]
+	if i == len(p.asked)-1 {
+		p.awaited = false
+	}
+	p.asked = slices.Delete(p.asked, i, i+1)
+	return a, true
 }
 
 // size is how many permits to ask for: twice as many as the last time where those were
@@ -145,12 +190,13 @@
 		if k.ended || !p.due(now) {
 			continue
 		}
-		if p.askedOf != "" {
-			if now.Sub(p.askedAt) < answerTime {
+		if p.awaited {
+			last := p.asked[len(p.asked)-1]
+			if now.Sub(last.at) < answerTime {
 				continue
 			}
-			l.missed(now, p.askedOf)
-			p.askedOf = ""
+			l.missed(now, last.of)
+			p.awaited = false
 		}
 		to, rank := l.issuerOf(now, e)
 		if to == "" || to == l.self && l.fleet.Alone {
@@ -162,7 +208,7 @@
 			continue
 		}
 		l.seq++
-		p.askedOf, p.askedAt, p.seq = to, now, l.seq
+		p.ask(now, l.seq, to)
 		asks = append(asks, Addressed{To: to, Ask: Ask{Word: k.word(now, e), Seq: l.seq, Rank: rank, N: p.size(now)}})
 	}
 	return asks, got
@@ -182,7 +228,7 @@
 		k.purse.nextAsk = now.Add(l.pause(k))
 		return false
 	}
-	k.purse.add(n, askedAt)
+	k.purse.add(now, n, askedAt)
 	return true
 }
 
@@ -213,11 +259,9 @@
 	if known == nil || known.ended {
 		return true
 	}
-	p := &known.purse
-	if p.askedOf != from || p.seq != g.Seq {
-		// An answer to an ask that was given up.
+	ask, found := known.purse.answer(g.Seq, from)
+	if !found {
 		return false
 	}
-	p.askedOf = ""
-	return l.received(now, known, max(g.N, 0), p.askedAt)
+	return l.received(now, known, max(g.N, 0), ask.at)
 }
