The hub fills packets of sums behind their head

Cause: the room for sums was worked out before the packet had its sender, process and address (about 80 bytes), so that a full one exceeded a datagram and was not sent. Callers saw nothing yet; instances of large fleets would have gone by no sums of most endpoints. Change: the packet is stamped first. TestAllSumsAreTold passes. Looked for elsewhere: tellEndings and tellLimits stamp first; tell works its room out on a stamped packet.

--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -36,7 +36,7 @@
 	sum := m.sums.next(all, m.sumsAtOnce(len(all)))
 	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
 	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
-		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()}
+		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()})
 		if p.Current {
 			p.Endpoints = m.endpoints.Load()
 		}
@@ -48,9 +48,10 @@
 		if first {
 			p.Totals, sum = cut(sum, maxTotals)
 		} else {
+			// Only a packet that is whole but for its sums tells what room they have.
 			p.Totals, sum = cutSums(sum, roomIn(p))
 		}
-		m.send(m.stamp(p), m.addresses())
+		m.send(p, m.addresses())
 		passed = nil
 	}
 }
@@ -78,6 +79,7 @@
 // than the link bears beside callers.
 func (m *mesh) sumsAtOnce(sums int) int {
 	sumsOfTick := sums * int(hubTick) / int(hubRound)
+	// The first packet of a tick has other news too, so that it holds fewer.
 	inTime := 2 + max(sumsOfTick-maxTotals, 0)/usualTotals
 	packets := max(m.packetsIn(hubLinkShare), min(inTime, m.packetsIn(mostHubLinkShare)), 1)
 	return maxTotals + (packets-1)*usualTotals
