--- a/daemon/hubsums.go
+++ b/daemon/hubsums.go
@@ -17,9 +17,9 @@
 	idleTells map[string]int
 }
 
-// idleTells is how often an endpoint is told that has nothing under way any more: datagrams
+// mostIdleTells is how often an endpoint is told that has nothing under way any more: datagrams
 // are lost now and then.
-const idleTells = 2
+const mostIdleTells = 2
 
 // next returns up to so many sums. A round that has ended begins again with what all
 // instances have under way now.
@@ -37,7 +37,7 @@
 	s.idleTells = make(map[string]int, len(all))
 	s.left = slices.Clone(all)
 	for _, l := range all {
-		s.idleTells[l.Endpoint] = idleTells
+		s.idleTells[l.Endpoint] = mostIdleTells
 		delete(before, l.Endpoint)
 	}
 	for endpoint, tells := range before {
--- a/permit/local.go
+++ b/permit/local.go
@@ -48,7 +48,7 @@
 	since, saidAt time.Time
 	// tells is how often that is to be told still.
 	tells int
-	purse purse
+	stock stock
 	// buckets are those that this instance issues from, by its rank among the issuers.
 	buckets [mostIssuers]bucket
 	// touchedAt is when anything was last said or asked of the endpoint.
@@ -159,7 +159,7 @@
 	}
 	news := known.ended != ended || !ended && known.perSecond != perSecond
 	if known.ended && !ended {
-		known.since, known.purse, known.buckets = now, purse{}, [mostIssuers]bucket{}
+		known.since, known.stock, known.buckets = now, stock{}, [mostIssuers]bucket{}
 		l.limited.Add(1)
 	}
 	if !known.ended && ended {
@@ -234,7 +234,7 @@
 		if k.ended || len(s.Limits) >= most {
 			continue
 		}
-		s.Limits[e.Name] = LimitStats{PerSecond: k.perSecond, SinceMS: now.Sub(k.since).Milliseconds(), Taken: k.purse.taken, Issued: k.issued()}
+		s.Limits[e.Name] = LimitStats{PerSecond: k.perSecond, SinceMS: now.Sub(k.since).Milliseconds(), Taken: k.stock.taken, Issued: k.issued()}
 	}
 	return s
 }
--- a/permit/simulation_test.go
+++ b/permit/simulation_test.go
@@ -251,11 +251,11 @@
 	n.local.mu.Lock()
 	defer n.local.mu.Unlock()
 	k := n.local.limits[s.e]
-	if k == nil || !k.purse.due(s.now) {
+	if k == nil || !k.stock.due(s.now) {
 		return
 	}
-	k.purse.even.fill(s.now, k.perSecond/float64(len(s.nodes)))
-	n.local.received(s.now, k, k.purse.even.take(1), s.now)
+	k.stock.even.fill(s.now, k.perSecond/float64(len(s.nodes)))
+	n.local.received(s.now, k, k.stock.even.take(1), s.now)
 }
 
 // kick sends what waits, as far as it may go.
