The hub tells its sums whole again, behind what binds all instances

Suspected, not shown: with words that come evenly instances rely on the hub's word for newer settings, and that way is late at 300; with whole sums they often look for themselves.

--- a/daemon/fresh.go
+++ b/daemon/fresh.go
@@ -61,7 +61,8 @@
 
 // holderLost is for how long the holder of the lease may fail to vouch before the
 // others look closely themselves: longer where there is more time for news, as the
-// words of a hub with many instances and a narrow link are lost or held up at times.
+// words of a hub with many instances and a narrow link come hubSlow apart, and one of
+// them may be lost.
 func (f NodeFresh) holderLost() time.Duration {
 	const share, beyond = 0.4, 2 * time.Second
 	spare := max(f.forNews()-beyond, 0)
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -79,14 +79,13 @@
 	// urgent holds at most one wish to tell at once.
 	urgent chan struct{}
 	totals totals
-	// board and othersAt belong to the goroutine of run, hubAt and sums to that of tick.
+	// board and othersAt belong to the goroutine of run, hubAt to that of tick.
 	board *peer.Board
 	// othersAt is when another instance was last heard.
 	othersAt time.Time
 	// heardOthers is the same for other goroutines; nil for never.
 	heardOthers atomic.Pointer[time.Time]
 	hubAt       time.Time
-	sums        hubSums
 	// vouchedLast is whether the holder of the lease vouched at the last look.
 	vouchedLast bool
 
@@ -134,11 +133,9 @@
 	maxSuspects = 8
 	// maxGone bounds the endpoints of which one packet tells that they are gone.
 	maxGone = 6
-	// maxPlacements bounds the placements of one packet, maxTotals its sums where it has
-	// more to tell. Of a packet with nothing else usualTotals fill it.
+	// maxPlacements bounds the placements of one packet, maxTotals its sums.
 	maxPlacements = 4
 	maxTotals     = 24
-	usualTotals   = 48
 	// smallFleet is up to how many instances everybody tells everybody.
 	smallFleet = 16
 	// maxPassedOn bounds the refusals in one word of the hub.
@@ -149,16 +146,13 @@
 	// what it knows, at least, before the others look closely themselves: its words
 	// come hubTick apart in small fleets, where several may be lost.
 	leastHolderLost = 550 * time.Millisecond
-	// hubTick is the time between two words of the hub, and hubRound that in which it tells
-	// all sums at most, where its link bears that. Requests go by what it told last: with a
-	// longer time, more of them meet at the same endpoints.
-	hubTick  = 100 * time.Millisecond
-	hubRound = 400 * time.Millisecond
-	// hubLinkShare is the share of its link that the hub may fill with sums, and
-	// mostHubLinkShare that where they take longer than hubRound: sums that fill the link
-	// hold up what is small and binding.
-	hubLinkShare     = 0.15
-	mostHubLinkShare = 0.5
+	// hubTick is the time between two words of the hub, and hubSlow that where its
+	// link is too narrow. Requests go by what it told last: with a longer time, more
+	// of them meet at the same endpoints.
+	hubTick = 100 * time.Millisecond
+	hubSlow = 400 * time.Millisecond
+	// hubLinkShare is the share of its link that the hub may fill with its words.
+	hubLinkShare = 0.15
 	// bytesPerMbit converts the bandwidth of links.
 	bytesPerMbit = 1e6 / 8
 )
@@ -385,9 +379,9 @@
 	return routing.Others{Running: l.Running, Prompt: time.Duration(l.Prompt) * time.Microsecond, At: now}
 }
 
-// summed returns what all instances have under way, in a large fleet, and how many
+// sums returns what all instances have under way, in a large fleet, and how many
 // instances were heard lately, as publish found them.
-func (m *mesh) summed() ([]peer.EndpointLoad, int) {
+func (m *mesh) sums() ([]peer.EndpointLoad, int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.sum, m.heard
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/eiderspring/eiderspring/peer"
 )
@@ -29,29 +30,32 @@
 	return passed
 }
 
-// tellSum tells all instances what all have under way, and what is newer than that. What the
-// link does not bear in one tick goes in the next.
+// hubPause is the time between two words, so that they leave the link to callers.
+func (m *mesh) hubPause() time.Duration {
+	sum, _ := m.sums()
+	packets := 2 + len(sum)/maxTotals
+	bytes := float64(packets * peer.MaxPacketBytes * m.size())
+	pause := time.Duration(bytes / (m.linkBytes * hubLinkShare) * float64(time.Second))
+	return min(max(pause, hubTick), hubSlow)
+}
+
+// tellSum tells all instances what all have under way, in as many packets as
+// that takes.
 func (m *mesh) tellSum() {
-	all, n := m.summed()
-	sum := m.sums.next(all, m.sumsAtOnce(len(all)))
+	sum, n := m.sums()
 	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
 	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
-		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()})
+		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()}
 		if p.Current {
 			p.Endpoints = m.endpoints.Load()
 		}
+		p.Totals, sum = cut(sum, maxTotals)
 		var leaving, replaced []endpointStart
 		leaving, withdrawn = cut(withdrawn, maxWithdrawn)
 		replaced, gone = cut(gone, maxGone)
 		p.Withdrawn, p.WithdrawnStarts = namesOf(leaving)
 		p.Gone, p.GoneStarts = namesOf(replaced)
-		if first {
-			p.Totals, sum = cut(sum, maxTotals)
-		} else {
-			// Only a packet that is whole but for its sums tells what room they have.
-			p.Totals, sum = cutSums(sum, roomIn(p))
-		}
-		m.send(p, m.addresses())
+		m.send(m.stamp(p), m.addresses())
 		passed = nil
 	}
 }
@@ -59,7 +63,7 @@
 // tellBinding tells all instances what binds them all together. It is small, and goes before
 // the sums.
 func (m *mesh) tellBinding() {
-	_, n := m.summed()
+	_, n := m.sums()
 	m.tellAllowances()
 	if m.holds() {
 		m.tellEndings(max(n, 1))
@@ -75,21 +79,6 @@
 	}
 }
 
-// sumsAtOnce is how many of so many sums go in one tick: all of them in hubRound, but no more
-// than the link bears beside callers.
-func (m *mesh) sumsAtOnce(sums int) int {
-	sumsOfTick := sums * int(hubTick) / int(hubRound)
-	// The first packet of a tick has other news too, so that it holds fewer.
-	inTime := 2 + max(sumsOfTick-maxTotals, 0)/usualTotals
-	packets := max(m.packetsIn(hubLinkShare), min(inTime, m.packetsIn(mostHubLinkShare)), 1)
-	return maxTotals + (packets-1)*usualTotals
-}
-
-// packetsIn is how many packets to all a share of the link bears in one tick.
-func (m *mesh) packetsIn(share float64) int {
-	return int(m.linkBytes * share * hubTick.Seconds() / float64(peer.MaxPacketBytes*max(m.size(), 1)))
-}
-
 // tellAllowances tells all instances what accounts may have, if this one adds up.
 func (m *mesh) tellAllowances() {
 	for _, p := range m.allowances.packets() {
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -65,7 +65,7 @@
 	}
 	m.send(p, to)
 	_ = m.inputs.Put(ctx, p)
-	if m.now().Sub(m.hubAt) >= hubTick {
+	if m.now().Sub(m.hubAt) >= m.hubPause() {
 		m.hubAt = m.now()
 		m.tellAll()
 	}
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -31,12 +31,8 @@
 	at time.Time
 }
 
-// totalsExpiry is how long the hub's word counts, and sumExpiry its sum of an endpoint: a
-// round of sums takes longer than that where a narrow link serves many instances.
-const (
-	totalsExpiry = 1500 * time.Millisecond
-	sumExpiry    = 5 * time.Second
-)
+// totalsExpiry is how long the hub's word counts.
+const totalsExpiry = 1500 * time.Millisecond
 
 // take takes a word of the hub; it comes in several packets.
 func (t *totals) take(now time.Time, p peer.Packet) {
@@ -56,8 +52,8 @@
 		t.loads[l.Endpoint] = totalLoad{EndpointLoad: l, at: now}
 	}
 	for endpoint, l := range t.loads {
-		if now.Sub(l.at) >= sumExpiry {
-			// The hub leaves out endpoints at which nothing has been under way.
+		if now.Sub(l.at) >= totalsExpiry {
+			// The hub leaves out endpoints at which nothing is under way.
 			delete(t.loads, endpoint)
 		}
 	}
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -105,28 +104,6 @@
 	Running, Prompt int64
 }
 
-// Bytes is what the entry takes in a packet.
-func (l EndpointLoad) Bytes() int {
-	return 1 + cborHead(int64(len(l.Endpoint))) + len(l.Endpoint) + cborHead(l.Running) + cborHead(l.Prompt)
-}
-
-// cborHead is the length of the head of a CBOR item with an argument of 0 or more: the
-// whole of an integer, and what goes before the bytes of a text (RFC 8949, section 3).
-func cborHead(argument int64) int {
-	switch {
-	case argument < 24:
-		return 1
-	case argument <= math.MaxUint8:
-		return 2
-	case argument <= math.MaxUint16:
-		return 3
-	case argument <= math.MaxUint32:
-		return 5
-	default:
-		return 9
-	}
-}
-
 // UnitDemand is what one instance is asked for.
 type UnitDemand struct {
 	_    struct{} `cbor:",toarray"`
