What one instance tells all is bounded by its link: most in need first, changes before repeats

Cause: the hub told all sums to all at most 0.4 s apart whatever its link carried (113 MB/s of 25), and each endpoint's placement to all every 4 s: 600 a second, 31 MB/s. Change: package broadcast, cores with tests. Sums: as many as the share of the link carries between two words, by how far the others are off for how long; packets are filled. Residency: withdrawn units at once, gained ones within half of the link, repeats within 0.15 of it; a takeover repeats only where the endpoint's entry tells the same. Where the link carries everything, as on all but the largest sites, all sums go with each word, as before. The demand of a large fleet is looked at 40 times a second, not with each packet that waits (300 us each); an endpoint's sum counts for 5 s, and one that is idle again is told so; addresses are parsed as IP numbers and listed once a tick.

--- /dev/null
+++ b/broadcast/broadcast_test.go
@@ -0,0 +1,193 @@
+package broadcast
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
+	"github.com/eiderspring/eiderspring/peer"
+)
+
+func load(endpoint string, running int64) peer.EndpointLoad {
+	return peer.EndpointLoad{Endpoint: endpoint, Running: running}
+}
+
+const everything = 1 << 30
+
+// TestSumsThatFitAreAllTold has room for all of them each time.
+func TestSumsThatFitAreAllTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s Sums
+	all := []peer.EndpointLoad{load("a", 1), load("b", 2), load("c", 3)}
+	for range 3 {
+		require.ElementsMatch(t, all, s.Next(now, all, everything))
+		now = now.Add(100 * time.Millisecond)
+	}
+}
+
+// TestEndpointsThatAreIdleAgainAreTold tells of each a few times more.
+func TestEndpointsThatAreIdleAgainAreTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s Sums
+	s.Next(now, []peer.EndpointLoad{load("a", 1), load("b", 2)}, everything)
+	for range mostIdleTells {
+		now = now.Add(100 * time.Millisecond)
+		require.ElementsMatch(t, []peer.EndpointLoad{load("a", 0), load("b", 2)}, s.Next(now, []peer.EndpointLoad{load("b", 2)}, everything))
+	}
+	now = now.Add(100 * time.Millisecond)
+	require.Equal(t, []peer.EndpointLoad{load("b", 2)}, s.Next(now, []peer.EndpointLoad{load("b", 2)}, everything))
+}
+
+// TestSumsThatChangedMostGoFirst has room for one at a time.
+func TestSumsThatChangedMostGoFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s Sums
+	s.Next(now, []peer.EndpointLoad{load("a", 1), load("b", 1), load("c", 1)}, everything)
+	now = now.Add(100 * time.Millisecond)
+	changed := []peer.EndpointLoad{load("a", 1), load("b", 9), load("c", 3)}
+	require.Equal(t, []peer.EndpointLoad{load("b", 9)}, s.Next(now, changed, 1))
+	require.Equal(t, []peer.EndpointLoad{load("c", 3)}, s.Next(now, changed, 1))
+	require.Equal(t, []peer.EndpointLoad{load("a", 1)}, s.Next(now, changed, 1), "what has not changed is told in time")
+}
+
+// rounds tells all sums in turn, as many as fit each time.
+type rounds struct{ left []peer.EndpointLoad }
+
+func (r *rounds) Next(_ time.Time, all []peer.EndpointLoad, bytes int) []peer.EndpointLoad {
+	if len(r.left) == 0 {
+		r.left = slices.Clone(all)
+	}
+	n := 0
+	for n < len(r.left) && (n == 0 || bytes >= r.left[n].Bytes()) {
+		bytes -= r.left[n].Bytes()
+		n++
+	}
+	next := r.left[:n]
+	r.left = r.left[n:]
+	return next
+}
+
+// meanError is by how many requests the others are off on the average, over some time in which
+// requests come and go at endpoints, a few of which are asked much more than the others.
+func meanError(endpoints, bytes int, next func(now time.Time, all []peer.EndpointLoad, bytes int) []peer.EndpointLoad) float64 {
+	const gos, warm = 200, 50
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	running, known := make([]int64, endpoints), map[string]int64{}
+	off := 0.0
+	for g := range gos {
+		var all []peer.EndpointLoad
+		for i := range running {
+			busy := 1 + 20*(endpoints-i)/endpoints/(1+i%7)
+			running[i] = max(running[i]+int64(random.IntN(busy+1))-int64(random.IntN(busy+1)), 0)
+			if running[i] > 0 {
+				all = append(all, load(fmt.Sprintf("i-%010x", i), running[i]))
+			}
+		}
+		for _, l := range next(now, all, bytes) {
+			known[l.Endpoint] = l.Running
+		}
+		for i, n := range running {
+			if g >= warm {
+				off += distance(n, known[fmt.Sprintf("i-%010x", i)])
+			}
+		}
+		now = now.Add(400 * time.Millisecond)
+	}
+	return off / float64((gos-warm)*endpoints)
+}
+
+// TestNeedTellsMoreThanRounds compares both on the same schedule, with the sizes of the
+// two-year target and of the sweep, and the bytes that a link of 200 Mbit/s has.
+func TestNeedTellsMoreThanRounds(t *testing.T) {
+	for _, size := range []struct{ endpoints, bytes int }{{720, 3846}, {3000, 5000}} {
+		var need Sums
+		var turns rounds
+		byNeed, inRounds := meanError(size.endpoints, size.bytes, need.Next), meanError(size.endpoints, size.bytes, turns.Next)
+		t.Logf("%d endpoints: off by %.2f requests by need, %.2f in rounds", size.endpoints, byNeed, inRounds)
+		require.Less(t, byNeed, inRounds)
+	}
+}
+
+func placement(endpoint string, units ...string) peer.Placement {
+	return peer.Placement{Epoch: 1, Endpoint: endpoint, Units: units}
+}
+
+func endpointsOf(placements []peer.Placement) []string {
+	var names []string
+	for _, p := range placements {
+		names = append(names, p.Endpoint)
+	}
+	return names
+}
+
+// TestWithdrawnGoFirst lets words of each urgency wait.
+func TestWithdrawnGoFirst(t *testing.T) {
+	var r Residency
+	r.Put(placement("a", "m"), Repeat)
+	r.Put(placement("b", "m"), Changed)
+	r.Put(placement("c", "m"), Withdrawn)
+	r.Put(placement("a"), Withdrawn)
+	r.Put(placement("d", "m"), Repeat)
+	require.Equal(t, []string{"c", "a"}, endpointsOf(r.Next(everything, Withdrawn)))
+	require.Equal(t, []string{"b"}, endpointsOf(r.Next(1, Repeat)), "one at least")
+	require.Equal(t, []string{"d"}, endpointsOf(r.Next(everything, Repeat)))
+	require.Zero(t, r.Len())
+}
+
+// TestUrgencyIsKept repeats what has not gone yet.
+func TestUrgencyIsKept(t *testing.T) {
+	var r Residency
+	r.Put(placement("a"), Withdrawn)
+	r.Put(placement("a", "m"), Repeat)
+	require.Equal(t, []peer.Placement{placement("a", "m")}, r.Next(everything, Withdrawn))
+}
+
+// TestLastWordsArrive puts words of endpoints and takes some now and then: the others end up
+// with the last one of each, and the queue stays bounded.
+func TestLastWordsArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Residency
+		last, heard := map[string]string{}, map[string]string{}
+		hear := func(placements []peer.Placement) {
+			for _, p := range placements {
+				heard[p.Endpoint] = p.Units[0]
+			}
+		}
+		for i := range rapid.IntRange(1, 500).Draw(t, "words") {
+			name, unit := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "endpoint")), fmt.Sprint(i)
+			last[name] = unit
+			r.Put(placement(name, unit), Urgency(rapid.IntRange(0, 2).Draw(t, "urgency")))
+			if rapid.Bool().Draw(t, "take") {
+				hear(r.Next(rapid.IntRange(0, 100).Draw(t, "bytes"), Urgency(rapid.IntRange(0, 2).Draw(t, "least"))))
+			}
+			for _, queue := range r.queues {
+				require.LessOrEqual(t, len(queue), 2*10+staleEntries+1)
+			}
+		}
+		hear(r.Next(everything, Repeat))
+		require.Equal(t, last, heard)
+	})
+}
+
+// TestBudgetHoldsOverTime sends as much as it allows.
+func TestBudgetHoldsOverTime(t *testing.T) {
+	var b Budget
+	b.SetRate(1000, 400*time.Millisecond)
+	now := time.Unix(1000, 0)
+	sent := 0
+	for range 1000 {
+		for b.Left(now) > 0 {
+			b.Take(150)
+			sent += 150
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.InDelta(t, 10_000, sent, 400+150)
+}
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/broadcast"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/pipeline"
@@ -79,13 +80,16 @@
 	// urgent holds at most one wish to tell at once.
 	urgent chan struct{}
 	totals totals
-	// board and othersAt belong to the goroutine of run, hubAt to that of tick.
+	// board, othersAt and demandedAt belong to the goroutine of run.
 	board *peer.Board
+	// hubSums and hubAt belong to the goroutine of tick.
+	hubSums broadcast.Sums
 	// othersAt is when another instance was last heard.
 	othersAt time.Time
 	// heardOthers is the same for other goroutines; nil for never.
 	heardOthers atomic.Pointer[time.Time]
 	hubAt       time.Time
+	demandedAt  time.Time
 	// vouchedLast is whether the holder of the lease vouched at the last look.
 	vouchedLast bool
 
@@ -108,8 +112,12 @@
 	// heard is how many instances were heard lately, sum what they have under way.
 	heard int
 	sum   []peer.EndpointLoad
-	// unsent holds the placements that wait for the next tick.
-	unsent map[string]peer.Placement
+	// unsent holds the placements that wait for room on the link; changes and repeats bound
+	// what is sent of them.
+	unsent           broadcast.Residency
+	changes, repeats broadcast.Budget
+	// others is where the other instances receive packets; nil until it is asked for.
+	others []string
 	// passed are refusals of others for the hub's next word.
 	passed []uint32
 	// withdrawn holds when endpoints began to leave, by this instance's list.
@@ -133,9 +141,8 @@
 	maxSuspects = 8
 	// maxGone bounds the endpoints of which one packet tells that they are gone.
 	maxGone = 6
-	// maxPlacements bounds the placements of one packet, maxTotals its sums.
-	maxPlacements = 4
-	maxTotals     = 24
+	// maxTotals bounds the sums of a packet that has more to tell.
+	maxTotals = 24
 	// smallFleet is up to how many instances everybody tells everybody.
 	smallFleet = 16
 	// maxPassedOn bounds the refusals in one word of the hub.
@@ -151,8 +158,15 @@
 	// of them meet at the same endpoints.
 	hubTick = 100 * time.Millisecond
 	hubSlow = 400 * time.Millisecond
-	// hubLinkShare is the share of its link that the hub may fill with its words.
-	hubLinkShare = 0.15
+	// hubLinkShare is the share of its link that the hub may fill with sums, and the same for
+	// placements that it repeats. changesLinkShare is that for placements that have changed.
+	hubLinkShare     = 0.15
+	changesLinkShare = 0.5
+	// linkShareKept is for how long unused parts of these shares are kept.
+	linkShareKept = hubSlow
+	// demandPause is the least time between two looks at the demand of a large fleet: each
+	// packet with waiting requests asks for one, and thousands come in a second.
+	demandPause = 25 * time.Millisecond
 	// bytesPerMbit converts the bandwidth of links.
 	bytesPerMbit = 1e6 / 8
 )
@@ -215,6 +229,7 @@
 		m.listed[instance] = *p
 	}
 	m.listedVersion++
+	m.others = nil
 	n := len(m.listed)
 	m.mu.Unlock()
 	m.counted(n)
@@ -293,11 +308,15 @@
 		m.board.Forget(m.now())
 		m.publish()
 	}
-	if p.From == m.instance || waits {
+	if p.From == m.instance || waits && m.demandDue() {
+		m.demandedAt = m.now()
 		m.demanded(m.board.Demand())
 	}
 }
 
+// demandDue tells whether the demand is to be looked at before the next tick.
+func (m *mesh) demandDue() bool { return m.small() || m.now().Sub(m.demandedAt) >= demandPause }
+
 // An instance that has heard others, and none of them for aloneAfter, may be cut off
 // from them; after aloneFor they are gone for all it can tell.
 const (
@@ -342,14 +361,14 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.told, m.heard, m.sum = m.board.Addresses(), len(m.board.Live()), sum
+	m.told, m.heard, m.sum, m.others = m.board.Addresses(), len(m.board.Live()), sum, nil
 }
 
 // share tells routing what the other instances have under way.
 func (m *mesh) share() {
 	var others map[string]peer.EndpointLoad
 	if !m.small() && m.totals.fresh(m.now()) {
-		others = m.totals.others()
+		others = m.totals.others(m.now())
 	} else {
 		others = m.board.Loads(m.instance)
 	}
--- a/daemon/mesh_test.go
+++ b/daemon/mesh_test.go
@@ -57,6 +57,8 @@
 	for i := range maxPassedOn {
 		word.Refused = append(word.Refused, 1<<31+uint32(i))
 	}
+	// Packets are filled; so many placements fit with the longest names.
+	const maxPlacements = 4
 	for i := range maxPlacements {
 		p := peer.Placement{Epoch: 1 << 20, Endpoint: endpoint(i), StartedAtMS: start, Going: []string{unit(1)}}
 		for k := range 3 + 8 {
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -30,7 +30,9 @@
 	return passed
 }
 
-// hubPause is the time between two words, so that they leave the link to callers.
+// hubPause is the time between two words, so that they leave the link to callers: the time in
+// which the link's share carries all sums, up to hubSlow, as the word also vouches. What it
+// does not carry by then is told in the words that follow.
 func (m *mesh) hubPause() time.Duration {
 	sum, _ := m.sums()
 	packets := 2 + len(sum)/maxTotals
@@ -39,27 +41,48 @@
 	return min(max(pause, hubTick), hubSlow)
 }
 
-// tellSum tells all instances what all have under way, in as many packets as
-// that takes.
+// sumBytes is how many bytes of sums the link's share carries to each instance between two
+// words.
+func (m *mesh) sumBytes() int {
+	return int(m.linkBytes * hubLinkShare * m.hubPause().Seconds() / float64(max(m.size(), 1)))
+}
+
+// tellSum tells all instances what all have under way, or of that what they need most, in as
+// many packets as that takes.
 func (m *mesh) tellSum() {
 	sum, n := m.sums()
+	sum = m.hubSums.Next(m.now(), sum, m.sumBytes())
 	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
 	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
-		p := peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()}
+		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()})
 		if p.Current {
 			p.Endpoints = m.endpoints.Load()
 		}
-		p.Totals, sum = cut(sum, maxTotals)
 		var leaving, replaced []endpointStart
 		leaving, withdrawn = cut(withdrawn, maxWithdrawn)
 		replaced, gone = cut(gone, maxGone)
 		p.Withdrawn, p.WithdrawnStarts = namesOf(leaving)
 		p.Gone, p.GoneStarts = namesOf(replaced)
-		m.send(m.stamp(p), m.addresses())
+		if first {
+			p.Totals, sum = cut(sum, maxTotals)
+		} else {
+			p.Totals, sum = cutSums(sum, roomIn(p))
+		}
+		m.send(p, m.addresses())
 		passed = nil
 	}
 }
 
+// cutSums takes as many sums off the front of a list as so many bytes hold, at least one.
+func cutSums(list []peer.EndpointLoad, room int) (front, rest []peer.EndpointLoad) {
+	n := 0
+	for n < len(list) && (n == 0 || room >= list[n].Bytes()) {
+		room -= list[n].Bytes()
+		n++
+	}
+	return cut(list, n)
+}
+
 // tellBinding tells all instances what binds them all together. It is small, and goes before
 // the sums.
 func (m *mesh) tellBinding() {
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/eiderspring/eiderspring/broadcast"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/wait"
 )
@@ -92,13 +93,23 @@
 	return peer.MaxPacketBytes - len(data) - endingsHead
 }
 
+// placedNews is a placement, and how soon the others need to know it.
+type placedNews struct {
+	peer.Placement
+	urgency broadcast.Urgency
+}
+
 // place tells all instances, this one too, what endpoints hold. In a large fleet
-// what comes within a tick goes together.
-func (m *mesh) place(placements []peer.Placement) {
+// what comes within a tick goes together, as far as the link bears it.
+func (m *mesh) place(news []placedNews) {
+	placements := make([]peer.Placement, 0, len(news))
+	for _, n := range news {
+		placements = append(placements, n.Placement)
+	}
 	m.placed(placements)
 	m.mu.Lock()
-	for _, p := range placements {
-		m.unsent[p.Endpoint] = p
+	for _, n := range news {
+		m.unsent.Put(n.Placement, n.urgency)
 	}
 	m.mu.Unlock()
 	if m.small() {
@@ -107,14 +118,45 @@
 }
 
 func (m *mesh) flushPlacements() {
+	for {
+		p := m.stamp(peer.Packet{})
+		if p.Placements = m.nextPlacements(roomIn(p)); len(p.Placements) == 0 {
+			return
+		}
+		m.send(p, m.addresses())
+	}
+}
+
+// nextPlacements takes what goes in one packet that has so much room.
+func (m *mesh) nextPlacements(room int) []peer.Placement {
+	small := m.small()
 	m.mu.Lock()
-	unsent := slices.Collect(maps.Values(m.unsent))
-	clear(m.unsent)
-	m.mu.Unlock()
-	for len(unsent) > 0 {
-		k := min(maxPlacements, len(unsent))
-		m.send(m.stamp(peer.Packet{Placements: unsent[:k]}), m.addresses())
-		unsent = unsent[k:]
+	defer m.mu.Unlock()
+	least := broadcast.Repeat
+	if !small {
+		least = m.leastUrgency()
+	}
+	next := m.unsent.Next(room, least)
+	if len(next) > 0 {
+		m.changes.Take(peer.MaxPacketBytes)
+		m.repeats.Take(peer.MaxPacketBytes)
+	}
+	return next
+}
+
+// leastUrgency is which placements the link bears now; mu must be held.
+func (m *mesh) leastUrgency() broadcast.Urgency {
+	perInstance := m.linkBytes / float64(max(len(m.listed), 1))
+	m.changes.SetRate(perInstance*changesLinkShare, linkShareKept)
+	m.repeats.SetRate(perInstance*hubLinkShare, linkShareKept)
+	now := m.now()
+	switch {
+	case m.changes.Left(now) <= 0:
+		return broadcast.Withdrawn
+	case m.repeats.Left(now) <= 0:
+		return broadcast.Changed
+	default:
+		return broadcast.Repeat
 	}
 }
 
@@ -187,15 +229,19 @@
 }
 
 // addresses is where the other instances are, by their own word or else by
-// their entry.
+// their entry. It must not be changed.
 func (m *mesh) addresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.others != nil {
+		return m.others
+	}
 	all := make(map[string]string, len(m.listed)+len(m.told))
 	for name, p := range m.listed {
 		all[name] = p.Datagrams
 	}
 	maps.Copy(all, m.told)
 	delete(all, m.instance)
-	return slices.Collect(maps.Values(all))
+	m.others = slices.Collect(maps.Values(all))
+	return m.others
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -220,7 +220,7 @@
 		leaving:   func() bool { return n.stopping.Load() != nil },
 		current:   n.current,
 		inputs:    ring.New[peer.Packet](meshInputs, ring.DropOldest), urgent: make(chan struct{}, 1),
-		listed: map[string]presence{}, unsent: map[string]peer.Placement{}, board: peer.NewBoard(),
+		listed: map[string]presence{}, board: peer.NewBoard(),
 		self:     presence{Datagrams: address, Process: process, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed},
 		revision: n.revision, newer: make(chan struct{}, 1), withdrawn: map[string]withdrawal{},
 		endpointsLeave: func(leaving []endpointStart) { _ = n.events.Put(n.work, endpointsWithdrawn{leaving}) },
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/broadcast"
 	"github.com/eiderspring/eiderspring/lease"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
@@ -64,7 +65,7 @@
 	log        logr.Logger
 	now        func() time.Time
 	// place tells all instances what endpoints hold.
-	place func([]peer.Placement)
+	place func([]placedNews)
 	// orderLease is how long an endpoint must have had no order of another
 	// holder.
 	orderLease time.Duration
@@ -122,7 +123,7 @@
 }
 
 func (p *placer) carryOut(ctx context.Context, actions []counted.Action) {
-	var told []peer.Placement
+	var told []placedNews
 	for _, a := range actions {
 		switch a := a.(type) {
 		case counted.Ask:
@@ -130,8 +131,9 @@
 		case counted.Send:
 			go p.send(ctx, a)
 		case counted.Tell:
-			told = append(told, peer.Placement{
-				Epoch: p.heldEpoch(), Endpoint: a.Endpoint, StartedAtMS: a.StartedAtMS, Units: a.Units, Going: a.Going,
+			told = append(told, placedNews{
+				Placement: peer.Placement{Epoch: p.heldEpoch(), Endpoint: a.Endpoint, StartedAtMS: a.StartedAtMS, Units: a.Units, Going: a.Going},
+				urgency:   urgencyOf(a.News),
 			})
 		case counted.Decided:
 			m := a.Move
@@ -146,6 +148,18 @@
 	}
 }
 
+// urgencyOf is how soon the others need to know.
+func urgencyOf(news counted.News) broadcast.Urgency {
+	switch news {
+	case counted.Withdrew:
+		return broadcast.Withdrawn
+	case counted.Gained:
+		return broadcast.Changed
+	default:
+		return broadcast.Repeat
+	}
+}
+
 func (p *placer) heldEpoch() int64 {
 	h, _ := p.runner.Hold()
 	return h.Epoch
@@ -197,7 +211,7 @@
 	// campaigns tells whether this instance should hold the lease of a pool, which
 	// it may hold already.
 	campaigns func(pool string, held bool) bool
-	place     func([]peer.Placement)
+	place     func([]placedNews)
 	// era returns the store's newest era.
 	era func() int64
 
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -31,8 +32,12 @@
 	at time.Time
 }
 
-// totalsExpiry is how long the hub's word counts.
-const totalsExpiry = 1500 * time.Millisecond
+// totalsExpiry is how long the hub's word counts, and sumExpiry its sum of an endpoint: where a
+// narrow link serves many instances it is told again seconds later, unless it changes.
+const (
+	totalsExpiry = 1500 * time.Millisecond
+	sumExpiry    = 5 * time.Second
+)
 
 // take takes a word of the hub; it comes in several packets.
 func (t *totals) take(now time.Time, p peer.Packet) {
@@ -51,12 +56,6 @@
 	for _, l := range p.Totals {
 		t.loads[l.Endpoint] = totalLoad{EndpointLoad: l, at: now}
 	}
-	for endpoint, l := range t.loads {
-		if now.Sub(l.at) >= totalsExpiry {
-			// The hub leaves out endpoints at which nothing is under way.
-			delete(t.loads, endpoint)
-		}
-	}
 }
 
 // tell records what this instance tells.
@@ -70,9 +69,10 @@
 }
 
 // others is the sums less what this instance told.
-func (t *totals) others() map[string]peer.EndpointLoad {
+func (t *totals) others(now time.Time) map[string]peer.EndpointLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.loads, func(_ string, l totalLoad) bool { return now.Sub(l.at) >= sumExpiry })
 	out := make(map[string]peer.EndpointLoad, len(t.loads))
 	for endpoint, l := range t.loads {
 		out[endpoint] = t.withoutOwn(l.EndpointLoad)
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -70,10 +71,10 @@
 // sealOverhead is by how much sealing may lengthen a datagram.
 const sealOverhead = 64
 
-// Send implements Datagrams.
+// Send implements Datagrams. Addresses are IP numbers.
 func (u *udp) Send(address string, data []byte) {
-	if to, err := net.ResolveUDPAddr("udp", address); err == nil {
-		_, _ = u.socket.WriteToUDP(data, to)
+	if to, err := netip.ParseAddrPort(address); err == nil {
+		_, _ = u.socket.WriteToUDPAddrPort(data, to)
 	}
 }
 
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -104,6 +105,28 @@
 	Running, Prompt int64
 }
 
+// Bytes is what the entry takes in a packet.
+func (l EndpointLoad) Bytes() int {
+	return 1 + textBytes(l.Endpoint) + cborHead(l.Running) + cborHead(l.Prompt)
+}
+
+// cborHead is the length of the head of a CBOR item with an argument of 0 or more: the
+// whole of an integer, and what goes before the bytes of a text (RFC 8949, section 3).
+func cborHead(argument int64) int {
+	switch {
+	case argument < 24:
+		return 1
+	case argument <= math.MaxUint8:
+		return 2
+	case argument <= math.MaxUint16:
+		return 3
+	case argument <= math.MaxUint32:
+		return 5
+	default:
+		return 9
+	}
+}
+
 // UnitDemand is what one instance is asked for.
 type UnitDemand struct {
 	_    struct{} `cbor:",toarray"`
@@ -129,6 +152,23 @@
 	StartedAtMS int64 `cbor:"-"`
 }
 
+// Bytes is what the entry takes in a packet, at most.
+func (p Placement) Bytes() int {
+	// Its start is an integer of up to nine bytes in a list of its own.
+	const start = 9
+	n := 1 + cborHead(p.Epoch) + textBytes(p.Endpoint) + start
+	for _, units := range [][]string{p.Units, p.Going} {
+		n += cborHead(int64(len(units)))
+		for _, unit := range units {
+			n += textBytes(unit)
+		}
+	}
+	return n
+}
+
+// textBytes is what a text takes.
+func textBytes(s string) int { return cborHead(int64(len(s))) + len(s) }
+
 var packetDecoder = mustPacketDecoder()
 
 func mustPacketDecoder() cbor.DecMode {
--- a/placement/counted/endpoint.go
+++ b/placement/counted/endpoint.go
@@ -261,10 +261,30 @@
 	if now.Sub(e.toldAt) < tellEvery && slices.Equal(t.Units, e.told.Units) && slices.Equal(t.Going, e.told.Going) {
 		return nil
 	}
+	t.News = e.news(t)
 	e.told, e.toldAt = t, now
 	return []Action{t}
 }
 
+// news is what a word brings that is to be told. Behind a takeover routing goes by the
+// endpoint's entry.
+func (e *endpoint) news(t Tell) News {
+	known := e.told.Units
+	if e.toldAt.IsZero() {
+		known = e.Member.Resident
+	}
+	units := setOf(t.Units)
+	lost := slices.ContainsFunc(known, func(unit string) bool { return !units[unit] })
+	switch {
+	case lost || len(t.Going) > 0:
+		return Withdrew
+	case len(units) > len(known):
+		return Gained
+	default:
+		return NoNews
+	}
+}
+
 func setOf(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
 	for _, n := range names {
--- a/placement/counted/events.go
+++ b/placement/counted/events.go
@@ -189,8 +189,22 @@
 	Units       []string
 	// Going are units that are about to be unloaded.
 	Going []string
+	News  News
 }
 
+// News is what a Tell brings to those that have heard the former ones.
+type News int
+
+// News of a Tell, the most urgent last.
+const (
+	// NoNews repeats what was told.
+	NoNews News = iota
+	// Gained brings units.
+	Gained
+	// Withdrew takes units from routing.
+	Withdrew
+)
+
 // Decided is a decision to log, with the numbers that led to it.
 type Decided struct{ Move Move }
 
