Placements of thousands of endpoints no longer make each instance's view anew

What callers saw: as before, late words and settings at weak instances of large fleets. Change: where only units change the view keeps all else; in large fleets hurried packets are 40 ms apart, as plans for requests that wait are. Two benchmarks. Test: views of what has changed equal those made anew, over 2,000 random steps.

--- /dev/null
+++ b/daemon/mesh_bench_test.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/authority"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/pipeline"
+	"github.com/eiderspring/eiderspring/quarantine"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// benchMesh is an instance of a large fleet that hears all others.
+func benchMesh(holds bool, instances, endpoints int) *mesh {
+	router := routing.NewRouter(routing.Policies()[routing.PolicyTimely], func() float64 { return 0 })
+	v := &routing.View{Pools: map[string][]*routing.Endpoint{}, Named: map[string]*routing.Endpoint{}}
+	for i := range endpoints {
+		e := &routing.Endpoint{Name: fmt.Sprintf("i-%010x", i)}
+		v.Pools["p"], v.Named[e.Name] = append(v.Pools["p"], e), e
+	}
+	router.SetView(v)
+	holder := func() bool { return holds }
+	a := newAllowances(AllowanceConfig{WindowS: 8, Over: 0.1}, "p", holder, func() int { return instances }, time.Now)
+	a.adopt(limitedTree())
+	m := &mesh{
+		instance: "hub", process: "hub", now: time.Now, listed: map[string]presence{}, counted: func(int) {}, router: router,
+		holds: holder, allowances: a, rights: &keyRights{answers: holder, keeper: authority.NewKeeper(time.Second), now: time.Now, exact: time.Now, log: logr.Discard(), revision: func() int64 { return 1 }}, eras: &store.Eras{}, refusals: &pipeline.Refusals{}, log: logr.Discard(),
+		quarantine: quarantine.NewKeeper(quarantine.Config{Now: time.Now, Log: logr.Discard(), News: func() {}, Keep: func(quarantine.Word) {}}),
+		revision:   func() int64 { return 1 }, board: peer.NewBoard(), inputs: ring.New[peer.Packet](meshInputs, ring.DropOldest),
+		demanded: func(map[string]peer.Demand) {}, alone: func(bool) {}, suspected: func([]string) {},
+	}
+	m.permits = newPermits("hub", router, logr.Discard(), time.Now)
+	for i := range instances {
+		m.find(fmt.Sprintf("edge-%03d", i), &presence{Datagrams: fmt.Sprintf("10.0.%d.%d:7380", i/250, i%250)})
+	}
+	return m
+}
+
+// summaryOf is what a busy instance tells.
+func summaryOf(i, endpoints int, seq uint64) peer.Packet {
+	name := fmt.Sprintf("edge-%03d", i)
+	p := peer.Packet{Version: peer.PacketVersion, From: name, Process: "4KXDQ7A2Z3LRWV6YBTGM5NPHCE", Address: "10.0.0.1:7380", Seq: seq, Revision: 1}
+	for k := range maxLoads {
+		p.Loads = append(p.Loads, peer.EndpointLoad{Endpoint: fmt.Sprintf("i-%010x", (i*7+k)%endpoints), Running: 3, Prompt: 90_000})
+	}
+	for k := range maxDemands {
+		p.Demands = append(p.Demands, peer.UnitDemand{Unit: fmt.Sprintf("unit%02d", (i+k)%99), Work: float64(seq) * 1000, Waiting: 1})
+	}
+	return p
+}
+
+// BenchmarkHubHears measures what the hub spends on a packet of another instance, which come
+// ten times a second from each, from the sealed bytes on.
+func BenchmarkHubHears(b *testing.B) {
+	for _, size := range []struct{ instances, endpoints int }{{90, 140}, {390, 720}, {301, 3000}} {
+		b.Run(fmt.Sprintf("%d instances, %d endpoints", size.instances, size.endpoints), func(b *testing.B) {
+			m := benchMesh(true, size.instances, size.endpoints)
+			key := make([]byte, peer.KeyBytes)
+			sealer, _ := peer.NewSealer([][]byte{key})
+			opener, _ := peer.NewSealer([][]byte{key})
+			m.opener.Store(opener)
+			seq := uint64(0)
+			for b.Loop() {
+				i := int(seq) % size.instances
+				seq++
+				b.StopTimer()
+				data, _ := peer.EncodePacket(summaryOf(i, size.endpoints, seq))
+				sealed := sealer.Seal(data)
+				b.StartTimer()
+				m.receive(sealed)
+				p, _ := m.inputs.Take(b.Context())
+				if !m.permits.heard(p) && !m.rights.heard(p, m.process) && m.board.Receive(m.now(), p) {
+					m.allowances.heard(p)
+					m.news(p)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures what an instance spends on its own tick, as the hub and as another.
+func BenchmarkTick(b *testing.B) {
+	for _, holds := range []bool{true, false} {
+		for _, size := range []struct{ instances, endpoints int }{{90, 140}, {390, 720}, {301, 3000}} {
+			b.Run(fmt.Sprintf("hub %v, %d instances, %d endpoints", holds, size.instances, size.endpoints), func(b *testing.B) {
+				m := benchMesh(holds, size.instances, size.endpoints)
+				for i := range size.instances {
+					if holds {
+						m.board.Receive(m.now(), summaryOf(i, size.endpoints, 1))
+					}
+				}
+				var told []peer.EndpointLoad
+				for i := range size.endpoints {
+					told = append(told, peer.EndpointLoad{Endpoint: fmt.Sprintf("i-%010x", i), Running: 3, Prompt: 90_000})
+				}
+				for b.Loop() {
+					if !holds {
+						m.totals.take(m.now(), peer.Packet{Address: "hub", Instances: size.instances, Current: true, Totals: told})
+					}
+					m.publish()
+				}
+			})
+		}
+	}
+}
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -20,8 +20,21 @@
 	}
 }
 
-// urgentPause is the least time between two packets.
-const urgentPause = 5 * time.Millisecond
+// urgentPause is the least time between two packets. In a large fleet all others hurry at once
+// when replicas are missing, and the hub hears each: urgentPauseLarge is the time between two
+// plans for requests that wait.
+const (
+	urgentPause      = 5 * time.Millisecond
+	urgentPauseLarge = 40 * time.Millisecond
+)
+
+// pauseUrgent is the time between a wish to tell at once and the packet.
+func (m *mesh) pauseUrgent() time.Duration {
+	if m.small() {
+		return urgentPause
+	}
+	return urgentPauseLarge
+}
 
 func (m *mesh) tick(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -31,7 +44,7 @@
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-m.urgent:
-			wait.For(ctx, urgentPause)
+			wait.For(ctx, m.pauseUrgent())
 		}
 		timer.Stop()
 	}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -47,6 +47,10 @@
 	withdrawnUntil map[string]withdrawal
 	// residency is what each endpoint holds.
 	residency residency
+	// placedAt holds the endpoints whose units have changed since the last view, and whole is
+	// set where something else has.
+	placedAt []string
+	whole    bool
 	// replicas is which endpoints serve each unit.
 	replicas replicas
 }
@@ -117,7 +121,9 @@
 		now = now.Add(-wordsMost)
 	}
 	maps.DeleteFunc(d.withdrawnUntil, func(_ string, w withdrawal) bool { return !now.Before(w.at) })
-	return len(d.withdrawnUntil) < known
+	forgotten := len(d.withdrawnUntil) < known
+	d.whole = d.whole || forgotten
+	return forgotten
 }
 
 // wordsMost is for how much longer a word counts, at most, while no list comes: longer
@@ -126,6 +132,20 @@
 
 // apply records an event and tells whether the view must be rebuilt.
 func (d *viewDuty) apply(e event) bool {
+	switch e := e.(type) {
+	case loadReported:
+		return d.report(e)
+	case placementsTold:
+		return d.placed(e)
+	default:
+		changed := d.applyMembers(e)
+		d.whole = d.whole || changed
+		return changed
+	}
+}
+
+// applyMembers records an event that concerns the settings, or who the endpoints are.
+func (d *viewDuty) applyMembers(e event) bool {
 	switch e := e.(type) {
 	case settingsAccepted:
 		return d.accept(e.accepted) && d.inform()
@@ -143,12 +163,8 @@
 		m, known := d.list.Member(e.name)
 		observed := membership.Observed{Name: e.name, Incarnation: m.Incarnation, State: membership.Leaving}
 		return known && len(d.list.Step(d.now(), observed)) > 0 && d.inform()
-	case loadReported:
-		return d.report(e)
 	case endpointsWithdrawn:
 		return d.withdrawn(e.endpoints)
-	case placementsTold:
-		return d.placed(e)
 	default:
 		return false
 	}
@@ -186,7 +202,11 @@
 			ready = append(ready, u.Name)
 		}
 	}
-	return d.residency.reported(e.endpoint, ready)
+	changed := d.residency.reported(e.endpoint, ready)
+	if changed {
+		d.placedAt = append(d.placedAt, e.endpoint)
+	}
+	return changed
 }
 
 // withdrawnTime is for how long another instance's word that an endpoint leaves
@@ -232,19 +252,42 @@
 
 // placed takes the word of the instance that places units.
 func (d *viewDuty) placed(e placementsTold) bool {
-	changed := false
+	known := len(d.placedAt)
 	for _, p := range e.placements {
-		if _, known := d.endpoints[p.Endpoint]; known {
-			changed = d.residency.placed(p) || changed
+		if _, listed := d.endpoints[p.Endpoint]; listed && d.residency.placed(p) {
+			d.placedAt = append(d.placedAt, p.Endpoint)
 		}
 	}
-	return changed
+	return len(d.placedAt) > known
 }
 
+// rebuild gives routing a view of what has changed.
 func (d *viewDuty) rebuild() {
 	if d.resolved == nil {
 		return
 	}
+	if d.whole {
+		d.rebuildWhole()
+	} else {
+		d.replace()
+	}
+	d.whole, d.placedAt = false, nil
+}
+
+// replace gives routing a view in which only the units of some endpoints are others: with
+// thousands of endpoints a view made anew for each burst of placements took most of an
+// instance's processor time.
+func (d *viewDuty) replace() {
+	for _, name := range d.placedAt {
+		d.replicas.set(d.endpoints[name], d.residency.serving(name))
+	}
+	v := *d.router.View()
+	v.Replicas = d.replicas.give()
+	d.router.SetView(&v)
+}
+
+// rebuildWhole gives routing a view made anew.
+func (d *viewDuty) rebuildWhole() {
 	members := d.list.Members()
 	v := &routing.View{
 		Pools: map[string][]*routing.Endpoint{}, Named: make(map[string]*routing.Endpoint, len(members)),
--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
@@ -112,3 +115,35 @@
 	h.listing("e1", "e2")
 	require.Empty(t, h.told.withdrawnLately())
 }
+
+// TestViewOfWhatHasChangedIsTheWholeOne lets endpoints come and go, leave, and hold other units.
+// Each view is what one made anew would be, and so is an earlier one that is still in use.
+func TestViewOfWhatHasChangedIsTheWholeOne(t *testing.T) {
+	const endpoints, units, rounds = 8, 6, 2000
+	random := rand.New(rand.NewPCG(3, 4))
+	h := newViewHarness()
+	for range rounds {
+		switch random.IntN(10) {
+		case 0:
+			var names []string
+			for i := range endpoints {
+				if random.IntN(4) > 0 {
+					names = append(names, fmt.Sprintf("e%d", i))
+				}
+			}
+			h.listing(names...)
+		case 1:
+			h.step(endpointsWithdrawn{[]endpointStart{{name: fmt.Sprintf("e%d", random.IntN(endpoints))}}})
+		default:
+			p := peer.Placement{Epoch: 1, Endpoint: fmt.Sprintf("e%d", random.IntN(endpoints)), Units: drawUnits(random, units)}
+			if len(p.Units) > 0 && random.IntN(2) == 0 {
+				p.Going = p.Units[:1]
+			}
+			h.step(placementsTold{[]peer.Placement{p}})
+		}
+		view := *h.router.View()
+		h.rebuildWhole()
+		require.Equal(t, *h.router.View(), view)
+		h.router.SetView(&view)
+	}
+}
