--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -158,10 +158,13 @@
 	// of them meet at the same endpoints.
 	hubTick = 100 * time.Millisecond
 	hubSlow = 400 * time.Millisecond
-	// hubLinkShare is the share of its link that the hub may fill with sums, and the same for
-	// placements that it repeats. changesLinkShare is that for placements that have changed.
+	// hubLinkShare is the share of what it can send that the hub may fill with sums, and the
+	// same for placements that it repeats. changesLinkShare is that for placements that have
+	// changed.
 	hubLinkShare     = 0.15
 	changesLinkShare = 0.5
+	// datagramTime is the processor time that a datagram takes to send.
+	datagramTime = 8 * time.Microsecond
 	// linkShareKept is for how long unused parts of these shares are kept.
 	linkShareKept = hubSlow
 	// demandPause is the least time between two looks at the demand of a large fleet: each
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -9,6 +9,32 @@
 	"github.com/eiderspring/eiderspring/peer"
 )
 
+// meshStats is what an instance shows of what it tells and hears, for operators.
+type meshStats struct {
+	// InputsDropped counts packets for which there was no time, PlacementsWaiting is how many
+	// endpoints the others have not been told of yet.
+	InputsDropped     int64 `json:"inputs_dropped"`
+	PlacementsWaiting int   `json:"placements_waiting"`
+	// WordPauseMS is the time between two words of the hub, and WordBytes what each may carry
+	// of sums to each instance.
+	WordPauseMS int64 `json:"word_pause_ms"`
+	WordBytes   int   `json:"word_bytes"`
+	// VouchAgeMS is how long ago the holder last vouched, -1 if it never did.
+	VouchAgeMS int64 `json:"vouch_age_ms"`
+	// NewestRevision is the newest revision of the settings that was heard of.
+	NewestRevision int64 `json:"newest_revision"`
+}
+
+func (m *mesh) stats() meshStats {
+	m.mu.Lock()
+	waiting := m.unsent.Len()
+	m.mu.Unlock()
+	return meshStats{
+		InputsDropped: m.inputs.Dropped(), PlacementsWaiting: waiting, WordPauseMS: m.hubPause().Milliseconds(), WordBytes: m.sumBytes(),
+		VouchAgeMS: ageMS(m.totals.vouchedAge(m.now())), NewestRevision: m.newest.Load(),
+	}
+}
+
 // passOn keeps refusals for the hub's next word, as in a large fleet the others
 // have not heard them.
 func (m *mesh) passOn(refused []uint32) {
@@ -30,6 +56,14 @@
 	return passed
 }
 
+// sendRate is what this instance can send, in bytes a second, by its link and its processor.
+func (m *mesh) sendRate() float64 {
+	if m.self.Cores <= 0 {
+		return m.linkBytes
+	}
+	return min(m.linkBytes, m.self.Cores/datagramTime.Seconds()*peer.MaxPacketBytes)
+}
+
 // hubPause is the time between two words, so that they leave the link to callers: the time in
 // which the link's share carries all sums, up to hubSlow, as the word also vouches. What it
 // does not carry by then is told in the words that follow.
@@ -37,14 +71,14 @@
 	sum, _ := m.sums()
 	packets := 2 + len(sum)/maxTotals
 	bytes := float64(packets * peer.MaxPacketBytes * m.size())
-	pause := time.Duration(bytes / (m.linkBytes * hubLinkShare) * float64(time.Second))
+	pause := time.Duration(bytes / (m.sendRate() * hubLinkShare) * float64(time.Second))
 	return min(max(pause, hubTick), hubSlow)
 }
 
 // sumBytes is how many bytes of sums the link's share carries to each instance between two
 // words.
 func (m *mesh) sumBytes() int {
-	return int(m.linkBytes * hubLinkShare * m.hubPause().Seconds() / float64(max(m.size(), 1)))
+	return int(m.sendRate() * hubLinkShare * m.hubPause().Seconds() / float64(max(m.size(), 1)))
 }
 
 // tellSum tells all instances what all have under way, or of that what they need most, in as
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -79,6 +79,12 @@
 	}
 	m.send(p, to)
 	_ = m.inputs.Put(ctx, p)
+	m.tellFleet()
+}
+
+// tellFleet tells all instances what is due of what this one gathers for them, and what
+// endpoints hold.
+func (m *mesh) tellFleet() {
 	if m.now().Sub(m.hubAt) >= m.hubPause() {
 		m.hubAt = m.now()
 		m.tellAll()
@@ -159,7 +165,7 @@
 
 // leastUrgency is which placements the link bears now; mu must be held.
 func (m *mesh) leastUrgency() broadcast.Urgency {
-	perInstance := m.linkBytes / float64(max(len(m.listed), 1))
+	perInstance := m.sendRate() / float64(max(len(m.listed), 1))
 	m.changes.SetRate(perInstance*changesLinkShare, linkShareKept)
 	m.repeats.SetRate(perInstance*hubLinkShare, linkShareKept)
 	now := m.now()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -160,6 +160,7 @@
 	n.mesh = n.newMesh()
 	n.permits.connect(n.mesh, n.gates.Kick)
 	n.vars.Set("limits", expvar.Func(func() any { return n.permits.stats() }))
+	n.vars.Set("mesh", expvar.Func(func() any { return n.mesh.stats() }))
 	n.vars.Set("keys_age_ms", expvar.Func(func() any { return n.rights.ageMS() }))
 	n.vars.Set("allowances", expvar.Func(func() any { return n.allowances.stats(n.catalog.Load()) }))
 	if err := n.listen(); err != nil {
