The holder vouches for what is in force here, not for what its watches have brought

What they bring then waits in the ring of the view's duty, which waits for the placer's ring (Block) while that is busy: at 3.3 ms a report, with 600 reports a second, for seconds. The holder told its old revision as current, and the others rested on that word for up to 15 s. Change: the age of what the holder knows includes for how long something has waited in those rings. Test: TestHolderVouchesForWhatIsInForce; the store answers while what it told waits: vouched for before.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -209,6 +209,8 @@
 	link    *storeLink
 	log     logr.Logger
 	now     func() time.Time
+	// applied is told of inputs that have been passed on; nil tells nobody.
+	applied *applied
 	// behind tells whether another instance tells in time which endpoints leave.
 	behind func() bool
 	// same tells whether this instance lists the same endpoints as the one that tells;
@@ -359,6 +361,7 @@
 		if listing, changed := d.entries.Step(d.now(), e); changed {
 			_ = d.events.Put(ctx, membersListed{listing})
 		}
+		d.applied.finished(1)
 	}
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -96,9 +96,12 @@
 	placers  *placers
 	presence *presenceDuty
 	events   *ring.Ring[event]
-	link     *storeLink
-	idle     *idleConns
-	catalog  atomic.Pointer[settings.Catalog]
+	// eventsApplied and entriesApplied tell how far the view and the list of endpoints are
+	// behind what the store has answered.
+	eventsApplied, entriesApplied *applied
+	link                          *storeLink
+	idle                          *idleConns
+	catalog                       atomic.Pointer[settings.Catalog]
 	// retrySettings are those in force, which a reload replaces.
 	retrySettings atomic.Pointer[NodeRetry]
 	stopping      atomic.Pointer[time.Time]
@@ -351,8 +354,12 @@
 		client: objects, writer: store.NewWriter(objects), instance: n.cfg.Instance, link: n.link, log: n.log,
 		self: n.mesh.self, opened: n.mesh.open, found: n.mesh.find,
 	}
+	n.eventsApplied = newApplied(n.events.Added, n.now)
+	entryInputs := ring.New[membership.EntryEvent](entryInputs, ring.Block)
+	n.entriesApplied = newApplied(entryInputs.Added, n.now)
 	view := &viewDuty{
-		events: n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
+		applied: n.eventsApplied,
+		events:  n.events, router: n.router, log: n.log, now: n.now, kick: n.gates.Kick,
 		cells: n.placers.update, peers: func(*membership.List) {},
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
 		catalog: n.adopt, leaving: n.mesh.withdraw, listed: n.mesh.endpoints.Store, differs: n.mesh.listsOthers,
@@ -364,7 +371,7 @@
 	}
 	entries := &entriesDuty{
 		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
-		inputs: ring.New[membership.EntryEvent](entryInputs, ring.Block), events: n.events, link: n.link, log: n.log, now: n.now,
+		inputs: entryInputs, applied: n.entriesApplied, events: n.events, link: n.link, log: n.log, now: n.now,
 		behind: n.entriesMayBeBehind, same: n.mesh.listsTheSame, closeWait: n.cfg.Fresh.entriesWait(),
 		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -73,9 +73,12 @@
 		return false
 	}
 	age := max(n.link.age(n.ports.MembersKind), n.link.age(n.ports.SettingsKind))
-	return age < n.cfg.Fresh.vouchAge()
+	return age < n.cfg.Fresh.vouchAge() && age+n.lag() < n.cfg.Fresh.vouchAge()
 }
 
+// lag is for how long answers of the store have waited here to be in force.
+func (n *Node) lag() time.Duration { return n.entriesApplied.lag() + n.eventsApplied.lag() }
+
 // endpointsAgeMS is how long ago it was certain that this instance knew which
 // endpoints leave, by its own watch or by the word of the holder of the lease, whose
 // own knowledge may be vouchAge old, in milliseconds; -1 if it never was.
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -24,6 +24,8 @@
 	router *routing.Router
 	log    logr.Logger
 	now    func() time.Time
+	// applied is told of events that are in force; nil tells nobody.
+	applied *applied
 	// catalog puts a revision in force.
 	catalog func(*revision.Accepted) *settings.Catalog
 	// cells gives the settings and the list to the cells.
@@ -61,11 +63,17 @@
 		if err != nil {
 			return
 		}
+		taken := int64(0)
+		if e != nil {
+			taken = 1
+		}
 		changed := d.apply(e)
-		changed = d.gathered(ctx, e) || changed
+		more, news := d.gathered(ctx, e)
+		changed = changed || news
 		if d.forgetWords() || changed {
 			d.rebuild()
 		}
+		d.applied.finished(taken + more)
 		d.kick()
 	}
 }
@@ -75,21 +83,21 @@
 // processor time went into views that the next packet made old.
 const placedGather = 15 * time.Millisecond
 
-// gathered records the events that wait behind e, and tells whether the view must be
-// rebuilt for them.
-func (d *viewDuty) gathered(ctx context.Context, e event) bool {
+// gathered records the events that wait behind e, and tells how many these were and whether
+// the view must be rebuilt for them.
+func (d *viewDuty) gathered(ctx context.Context, e event) (taken int64, changed bool) {
 	if _, placed := e.(placementsTold); placed {
 		wait.For(ctx, placedGather)
 	}
-	changed := false
 	for d.events.Len() > 0 {
 		e, err := d.events.Take(ctx)
 		if err != nil {
-			return changed
+			return taken, changed
 		}
+		taken++
 		changed = d.apply(e) || changed
 	}
-	return changed
+	return taken, changed
 }
 
 // wordsLook is the time between two looks at whether words on endpoints have run out.
--- a/daemon/vouch_test.go
+++ b/daemon/vouch_test.go
@@ -68,6 +68,29 @@
 	require.False(t, n.mesh.current())
 }
 
+// TestHolderVouchesForWhatIsInForce lets the store answer while what it has told waits behind
+// other events, as at a holder that thousands of endpoints keep busy: the others relied on its
+// word, and went on by older settings for as long.
+func TestHolderVouchesForWhatIsInForce(t *testing.T) {
+	now := time.Now()
+	n := vouchingNode(&now)
+	added := int64(0)
+	n.eventsApplied = newApplied(func() int64 { return added }, n.now)
+	answered := func() {
+		n.link.confirmed(n.ports.MembersKind)
+		n.link.confirmed(n.ports.SettingsKind)
+	}
+	answered()
+	require.True(t, n.mesh.current())
+	added++
+	require.True(t, n.mesh.current(), "it has just come")
+	now = now.Add(n.cfg.Fresh.vouchAge())
+	answered()
+	require.False(t, n.mesh.current(), "the store answers, but what it told is not in force")
+	n.eventsApplied.finished(1)
+	require.True(t, n.mesh.current())
+}
+
 // boundsForNews are times that there may be for news, in milliseconds.
 var boundsForNews = []int{1700, 2000, 3000, 5000, 10_000}
 
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -38,6 +38,7 @@
 	head    int
 	size    int
 	dropped int64
+	added   int64
 	closed  bool
 	// filled and freed each hold at most one wake-up.
 	filled chan struct{}
@@ -84,6 +85,7 @@
 	}
 	r.items[(r.head+r.size)%len(r.items)] = item
 	r.size++
+	r.added++
 	wake(r.filled)
 	if r.size < len(r.items) {
 		wake(r.freed)
@@ -149,6 +151,13 @@
 	return r.size
 }
 
+// Added returns how many items were ever put in.
+func (r *Ring[T]) Added() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.added
+}
+
 // Dropped returns how many items were dropped or rejected.
 func (r *Ring[T]) Dropped() int64 {
 	r.mu.Lock()
