A name that only newer settings know is refused with 503, not 404, where they are known to be accepted

What callers saw: 404 for a route that was there, at one of 301 instances whose settings were late. Change: while an instance has heard that another has newer settings, for 10 s at most, a name that its own do not know is not_run, with Retry-After 0.1 s spread: another instance may know. Where they can never be had, 404 is said again.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -75,6 +75,8 @@
 	// newest revision of the settings that any instance was heard to have.
 	endpoints atomic.Uint64
 	newest    atomic.Int64
+	// newestAt is when newest was first heard of; nil for never.
+	newestAt atomic.Pointer[time.Time]
 
 	inputs *ring.Ring[peer.Packet]
 	// urgent holds at most one wish to tell at once.
@@ -287,7 +289,7 @@
 		m.quarantine.HearDigest(p.EndingsDigest)
 	}
 	if p.Revision > m.revision() {
-		m.newest.Store(max(m.newest.Load(), p.Revision))
+		m.heardRevision(p.Revision)
 		select {
 		case m.newer <- struct{}{}:
 		default:
@@ -318,6 +320,26 @@
 	}
 }
 
+// heardRevision notes a revision of the settings that another instance has.
+func (m *mesh) heardRevision(revision int64) {
+	if revision <= m.newest.Load() {
+		return
+	}
+	now := m.now()
+	m.newestAt.Store(&now)
+	m.newest.Store(revision)
+}
+
+// outdatedFor is for how long settings that are known to be newer are waited for: they may be
+// such that this release cannot read, or may have been lost with the store.
+const outdatedFor = 10 * time.Second
+
+// outdated tells whether another instance has lately been heard to have newer settings.
+func (m *mesh) outdated() bool {
+	at := m.newestAt.Load()
+	return at != nil && !m.settingsInForce() && m.now().Sub(*at) < outdatedFor
+}
+
 // demandDue tells whether the demand is to be looked at before the next tick.
 func (m *mesh) demandDue() bool { return m.small() || m.now().Sub(m.demandedAt) >= demandPause }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -263,7 +263,7 @@
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
-		EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits.local,
+		Outdated: n.mesh.outdated, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits.local,
 	})
 	n.overdue = handler.EndOverdue
 	for _, s := range []struct {
--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -132,6 +132,20 @@
 	return Answer{Status: http.StatusNotFound, Code: codeNotFound, Message: fmt.Sprintf("no model or service %q", e.Name), Field: "model"}
 }
 
+// OutdatedError is a name that stands for nothing here, where newer settings are known to be
+// accepted. No endpoint has started the request.
+type OutdatedError struct{ Name string }
+
+func (e *OutdatedError) Error() string {
+	return fmt.Sprintf("resolve: nothing is named %q, and newer settings are not in force yet", e.Name)
+}
+func (e *OutdatedError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// Answer implements Failure. Another instance may know.
+func (e *OutdatedError) Answer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: e.Error(), RetryAfter: spread(staleRetryAfter)}
+}
+
 // ClaimError is an idempotency key that cannot be claimed.
 type ClaimError struct {
 	// Reused is set when the key was used with another request.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -50,6 +50,9 @@
 	// EndpointsAgeMS is how long ago it was certain which endpoints leave, in
 	// milliseconds and for the log; -1 if it never was. Nil means always certain.
 	EndpointsAgeMS func() int64
+	// Outdated tells whether newer settings are known to be accepted than those in force;
+	// nil means never.
+	Outdated func() bool
 	// Retries bounds second attempts; nil means DefaultRetryLimits.
 	Retries *RetryBudgets
 	// Quarantine holds back requests that end endpoints; nil holds none.
@@ -83,6 +86,9 @@
 	if cfg.Unreachable == nil {
 		cfg.Unreachable = func() {}
 	}
+	if cfg.Outdated == nil {
+		cfg.Outdated = func() bool { return false }
+	}
 	if cfg.EndpointsAgeMS == nil {
 		cfg.EndpointsAgeMS = func() int64 { return 0 }
 	}
@@ -128,7 +134,7 @@
 
 func (p *Pipeline) serve(ctx context.Context, x *Exchange) error {
 	if err := run(ctx, p.prepare, x); err != nil {
-		return err
+		return p.unlessOutdated(err)
 	}
 	if err := p.allow(x); err != nil {
 		return err
@@ -149,6 +155,14 @@
 	return x.reason(p.attempts(ctx, x))
 }
 
+// unlessOutdated says of a name that is not known whether newer settings may know it.
+func (p *Pipeline) unlessOutdated(err error) error {
+	if unknown := (*ResolveError)(nil); errors.As(err, &unknown) && p.cfg.Outdated() {
+		return &OutdatedError{Name: unknown.Name}
+	}
+	return err
+}
+
 // allow counts a request against its caller's allowance.
 func (p *Pipeline) allow(x *Exchange) error {
 	limit := x.Caller.Allowance
