--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -27,6 +27,9 @@
 	refreshEvery = 5 * time.Second
 	// pollEvery is the time between reports of one at which something is late.
 	pollEvery = 250 * time.Millisecond
+	// mostAsking is how many endpoints may be asked at once: a holder that is new asks all of
+	// them, and thousands of calls at once take its memory, and too long to be answered.
+	mostAsking = 256
 	// askRetry is the time before a report that did not come is asked for again.
 	askRetry = 500 * time.Millisecond
 	// suspectRetry is the time before a second look at an endpoint that refused a
@@ -233,11 +236,21 @@
 // ask asks those of the endpoints whose state is not known, or at which something is due.
 func (c *Controller) ask(now time.Time, endpoints []*endpoint) []Action {
 	var actions []Action
+	asking := 0
 	for _, e := range endpoints {
+		if e.asking {
+			asking++
+		}
+	}
+	for _, e := range endpoints {
+		if asking >= mostAsking {
+			break
+		}
 		if e.replaced || e.asking || e.sending != nil || now.Before(e.askAt) || now.Sub(e.endedAt) < settleTime {
 			continue
 		}
 		e.asking = true
+		asking++
 		actions = append(actions, Ask{Endpoint: e.Name, StartedAtMS: e.StartedAtMS, Address: e.Address})
 	}
 	return actions
--- a/placement/counted/restart_test.go
+++ b/placement/counted/restart_test.go
@@ -52,3 +52,30 @@
 		})
 	}
 }
+
+// TestNewHolderAsksSoManyAtOnce takes over thousands of endpoints, and asks all of them in turn.
+func TestNewHolderAsksSoManyAtOnce(t *testing.T) {
+	const endpoints = 1000
+	c, now := benchController(endpoints, 12, 0)
+	for _, e := range c.ordered {
+		*e = *newEndpoint(e.Member, now)
+	}
+	now = now.Add(time.Minute)
+	c.planAt = now.Add(time.Hour)
+	asked := map[string]bool{}
+	for actions := c.Step(now, LeaseAcquired{Epoch: 2}); len(actions) > 0; actions = c.Step(now, Tick{}) {
+		asking := 0
+		for _, a := range actions {
+			ask, is := a.(Ask)
+			if !is {
+				continue
+			}
+			asking++
+			asked[ask.Endpoint] = true
+			c.Step(now, Reported{Endpoint: ask.Endpoint, AskedAt: now, Report: &Report{}})
+		}
+		require.LessOrEqual(t, asking, mostAsking)
+		now = now.Add(50 * time.Millisecond)
+	}
+	require.Len(t, asked, endpoints)
+}
