Duties of the holder no longer wait for its placer

What callers saw: the listed lateness at 300 instances; everything at the holder stood still while it planned. Cause: the view's duty and the mesh told the placer by a ring that blocks when it is full, holding the lock that all duties take to ask whether this instance holds the lease. Behind a plan of 28 s, with 600 reports a second into a ring of 1,024, they stood still 1.7 s later: settings that had come were not in force, packets of the others were dropped, and the ledger of allowances heard nobody, gave up and told no words. So one long plan explains late settings, refusals within the limits and the lost vouch. Change: news from outside is kept by its kind, the last word counts, and nobody waits. The ring keeps the placer's own events. Test: TestBusyPlacerHoldsNobodyUp (on the former code it never ends).

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -62,6 +62,7 @@
 	controller *counted.Controller
 	runner     *lease.Runner
 	events     *ring.Ring[counted.Event]
+	news       placerNews
 	log        logr.Logger
 	now        func() time.Time
 	// place tells all instances what endpoints hold.
@@ -71,8 +72,16 @@
 	orderLease time.Duration
 }
 
+// put adds an event of the placer's own doing.
 func (p *placer) put(e counted.Event) { _ = p.events.Put(context.Background(), e) }
 
+// tell tells the placer news from outside, and never waits.
+func (p *placer) tell(e counted.Event) {
+	p.news.tell(e)
+	// A full ring means that the placer is busy and looks at its news next.
+	p.events.Offer(counted.Tick{})
+}
+
 func (p *placer) leaseChanged(a lease.Action) {
 	switch a := a.(type) {
 	case lease.Acquired:
@@ -107,6 +116,9 @@
 			p.events.Close()
 			return
 		}
+		for _, news := range p.news.take() {
+			p.carryOut(ctx, p.controller.Step(p.now(), news))
+		}
 		p.carryOut(ctx, p.controller.Step(p.now(), e))
 	}
 }
@@ -233,9 +245,9 @@
 	}
 	for pool, placer := range p.running {
 		if catalog.Tree.Pools[pool] != nil {
-			placer.put(countedCell(catalog, pool))
+			placer.tell(countedCell(catalog, pool))
 		}
-		placer.put(countedMembers(list, pool))
+		placer.tell(countedMembers(list, pool))
 	}
 }
 
@@ -256,7 +268,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, placer := range p.running {
-		placer.put(counted.Suspected{Endpoints: endpoints})
+		placer.tell(counted.Suspected{Endpoints: endpoints})
 	}
 }
 
@@ -270,7 +282,7 @@
 	p.isAlone = alone
 	p.log.Info("others heard", "any", !alone)
 	for _, placer := range p.running {
-		placer.put(counted.Alone{Alone: alone})
+		placer.tell(counted.Alone{Alone: alone})
 	}
 }
 
@@ -284,7 +296,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, placer := range p.running {
-		placer.put(gone)
+		placer.tell(gone)
 	}
 }
 
@@ -297,7 +309,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, placer := range p.running {
-		placer.put(told)
+		placer.tell(told)
 	}
 }
 
@@ -318,7 +330,7 @@
 		},
 		Lease: lease.Config{Holder: p.holder, Duration: leaseDuration, RenewEvery: leaseRenewal, Drift: leaseDrift},
 	})
-	d.put(counted.Alone{Alone: p.isAlone})
+	d.tell(counted.Alone{Alone: p.isAlone})
 	p.done.Go(func() { d.run(p.ctx) })
 	p.done.Go(func() { d.runner.Run(p.ctx) })
 	return d
--- /dev/null
+++ b/daemon/placer_test.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/lease"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/placement/counted"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// TestBusyPlacerHoldsNobodyUp fills the ring of a placer that plans for long, and tells it
+// more. Whoever told waited, with the lock that all duties of the holder ask for the lease.
+func TestBusyPlacerHoldsNobodyUp(t *testing.T) {
+	busy := &placer{events: ring.New[counted.Event](placerEvents, ring.Block), runner: lease.NewRunner(lease.RunnerConfig{})}
+	for range placerEvents {
+		busy.put(counted.Tick{})
+	}
+	p := &placers{running: map[string]*placer{"pool": busy}}
+	catalog := settings.NewCatalog(&settings.Tree{Pools: map[string]*settings.Pool{"pool": {Kind: settings.KindEngine}}})
+	for i := range 3 {
+		p.update(catalog, membership.NewList())
+		p.suspected([]string{"e1", "e2"})
+		p.gone([]endpointStart{{name: "e3", startedAtMS: int64(i)}})
+		p.demanded(map[string]peer.Demand{"m": {Waiting: i}})
+	}
+	require.False(t, p.holds())
+	events := busy.news.take()
+	require.Len(t, events, 5, "of each kind the last word")
+	require.Equal(t, counted.Gone{Endpoints: []string{"e3"}, StartedAtMS: map[string]int64{"e3": 2}}, events[2])
+	require.Equal(t, counted.Suspected{Endpoints: []string{"e1", "e2"}}, events[3])
+	require.Equal(t, 2, events[4].(counted.Demanded).Waiting["m"])
+	require.Empty(t, busy.news.take())
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// Offer adds an item unless the ring is full, whatever its policy. It reports whether it did.
+func (r *Ring[T]) Offer(item T) bool {
+	r.mu.Lock()
+	full := r.size == len(r.items)
+	r.mu.Unlock()
+	if full {
+		return false
+	}
+	// Another may have filled the ring meanwhile, and then its policy decides.
+	done, err := r.tryPut(item)
+	return done && err == nil
+}
+
 func (r *Ring[T]) tryPut(item T) (done bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
