Loads from the weight store are counted from when they begin, not from the decision

Cause: a load counts from the moment at which its plan began. The same holds, by less, for orders that are answered late. Change: when the order of such a load ends, the load counts from then. Test: TestLoadsAreCountedFromWhenTheyBegin; before, the second load goes 5.2 s behind the decision of the first, 3.2 s behind its beginning.

--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -372,6 +372,8 @@
 		return nil
 	}
 	e.sending, e.endedAt, e.askAt = nil, now, now
+	c.window.late(e.storeLoadAt, now)
+	e.storeLoadAt = time.Time{}
 	switch o.Result {
 	case Taken:
 		e.took(now, o.Order, c.units, c.duration(e, o.Order))
@@ -469,6 +471,7 @@
 		e.reserved = ""
 		if e.fromStore(m.Unit) {
 			c.window.begin(now, 1)
+			e.storeLoadAt = now
 		}
 	}
 	return []Action{c.send(e, Order{Op: m.Op, Unit: m.Unit})}
--- a/placement/counted/endpoint.go
+++ b/placement/counted/endpoint.go
@@ -35,6 +35,9 @@
 	reservedAt time.Time
 
 	sending *Order
+	// storeLoadAt is when the order on its way was counted as a load from the weight store;
+	// zero if it is none.
+	storeLoadAt time.Time
 	// doubt is the last order of unknown fate; it may still take effect while
 	// the count is the one it carries.
 	doubt *Order
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -349,3 +349,32 @@
 		before = len(seen)
 	}
 }
+
+// TestLoadsAreCountedFromWhenTheyBegin has an order on its way for long, as behind a plan that
+// took seconds: the weight store's rate counts the load from then on, not from the decision.
+func TestLoadsAreCountedFromWhenTheyBegin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := NewController(Config{RateWindow: 5 * time.Second, RateOver: 1})
+	cfg := Configured{CapacityMB: 100, LoadsPerSecond: 0.2}
+	for _, name := range []string{"m1", "m2"} {
+		cfg.Units = append(cfg.Units, Unit{Name: name, MemoryMB: 70, FromStore: time.Second})
+	}
+	c.Step(now, cfg)
+	c.Step(now, Listed{Members: []Member{{Name: "e1"}, {Name: "e2"}}})
+	c.Step(now, LeaseAcquired{Epoch: 1})
+	loads := func(actions []Action) (sent []Send) {
+		for _, a := range actions {
+			if s, is := a.(Send); is && s.Order.Op == OpLoad {
+				sent = append(sent, s)
+			}
+		}
+		return sent
+	}
+	sent := loads(c.Step(now, Reported{Endpoint: "e1", AskedAt: now, Report: &Report{}}))
+	sent = append(sent, loads(c.Step(now.Add(planEvery), Reported{Endpoint: "e2", AskedAt: now, Report: &Report{}}))...)
+	require.Len(t, sent, 1, "the rate allows one in five seconds")
+	const late = 2 * time.Second
+	c.Step(now.Add(late), OrderEnded{Endpoint: sent[0].Endpoint, Order: sent[0].Order, Result: Taken})
+	require.Empty(t, loads(c.Step(now.Add(5*time.Second+planEvery), Tick{})), "the first may have begun two seconds late")
+	require.Len(t, loads(c.Step(now.Add(late+5*time.Second), Tick{})), 1)
+}
--- a/placement/counted/window.go
+++ b/placement/counted/window.go
@@ -1,6 +1,9 @@
 package counted
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // loadWindow keeps the loads from the weight store within its rate: at most
 // limit begin in any window.
@@ -23,6 +26,14 @@
 	}
 }
 
+// late counts a load that was to begin at a moment, and whose order has only now ended, from
+// now on: it has begun by then.
+func (w *loadWindow) late(decided, now time.Time) {
+	if i := slices.IndexFunc(w.begun, decided.Equal); i >= 0 {
+		w.begun[i] = now
+	}
+}
+
 // left is how many loads may begin now, if doubtful ones may begin besides.
 func (w *loadWindow) left(now time.Time, doubtful int) int {
 	kept := w.begun[:0]
