Reading the change: a name, a reason, and tests of filled packets, news of a word and offers to a ring

Behaviour is the same: addresses that packets go to are recipients (others stood for two things), and the guard of the vouch says why it is there. Tests: packets of sums and placements are filled and fit, what a Tell brings, Offer.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -119,8 +119,8 @@
 	// what is sent of them.
 	unsent           broadcast.Residency
 	changes, repeats broadcast.Budget
-	// others is where the other instances receive packets; nil until it is asked for.
-	others []string
+	// recipients is where the other instances receive packets; nil until it is asked for.
+	recipients []string
 	// passed are refusals of others for the hub's next word.
 	passed []uint32
 	// withdrawn holds when endpoints began to leave, by this instance's list.
@@ -235,7 +235,7 @@
 		m.listed[instance] = *p
 	}
 	m.listedVersion++
-	m.others = nil
+	m.recipients = nil
 	n := len(m.listed)
 	m.mu.Unlock()
 	m.counted(n)
@@ -387,7 +387,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.told, m.heard, m.sum, m.others = m.board.Addresses(), len(m.board.Live()), sum, nil
+	m.told, m.heard, m.sum, m.recipients = m.board.Addresses(), len(m.board.Live()), sum, nil
 }
 
 // shareEvery is the time between two looks at what all endpoints have, where the hub's word
--- a/daemon/mesh_test.go
+++ b/daemon/mesh_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/eiderspring/eiderspring/broadcast"
 	"github.com/eiderspring/eiderspring/peer"
 )
 
@@ -92,3 +93,55 @@
 	now = now.Add(aloneFor)
 	require.False(t, m.hearsNobody(), "after that they are gone for all it can tell")
 }
+
+// TestSumsFillPackets cuts lists of sums with short and long names.
+func TestSumsFillPackets(t *testing.T) {
+	for _, length := range []int{3, 12, 120, 600} {
+		var list []peer.EndpointLoad
+		for i := range 300 {
+			list = append(list, peer.EndpointLoad{Endpoint: fmt.Sprintf("%0*d", length, i), Running: int64(i * i), Prompt: int64(i) << 20})
+		}
+		told := 0
+		for len(list) > 0 {
+			p := peer.Packet{Version: 1, From: "edge-pnw-hillsboro-13", Address: "10.1.0.38:7380", Seq: 1 << 40, Instances: 390}
+			p.Totals, list = cutSums(list, roomIn(p))
+			told += len(p.Totals)
+			requireFilled(t, p, length+30, len(list) == 0)
+		}
+		require.Equal(t, 300, told)
+	}
+}
+
+// TestPlacementsFillPackets queues placements with few and many units.
+func TestPlacementsFillPackets(t *testing.T) {
+	for _, units := range []int{0, 3, 11, 40} {
+		var queue broadcast.Residency
+		most := 0
+		for i := range 300 {
+			p := peer.Placement{Epoch: 1 << 20, Endpoint: fmt.Sprintf("i-%010x", i), StartedAtMS: 1_782_399_000_000, Going: []string{"abcd123456/a01"}}
+			for k := range units {
+				p.Units = append(p.Units, fmt.Sprintf("abcd%06x/a%02d", k, k))
+			}
+			most = max(most, p.Bytes())
+			queue.Put(p, broadcast.Changed)
+		}
+		for queue.Len() > 0 {
+			p := peer.Packet{Version: 1, From: "edge-pnw-hillsboro-13", Address: "10.1.0.38:7380", Seq: 1 << 40}
+			p.Placements = queue.Next(roomIn(p), broadcast.Repeat)
+			requireFilled(t, p, most+30, queue.Len() == 0)
+		}
+	}
+}
+
+// requireFilled checks that a packet fits its datagram and, unless it is the last, that little
+// more than so many bytes are left in it.
+func requireFilled(t *testing.T, p peer.Packet, left int, last bool) {
+	t.Helper()
+	data, err := peer.EncodePacket(p)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), peer.MaxPacketBytes)
+	if !last {
+		// An entry counts as a little more than it takes.
+		require.Greater(t, len(data)+left+4*len(p.Placements), peer.MaxPacketBytes-endingsHead)
+	}
+}
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -252,8 +252,8 @@
 func (m *mesh) addresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.others != nil {
-		return m.others
+	if m.recipients != nil {
+		return m.recipients
 	}
 	all := make(map[string]string, len(m.listed)+len(m.told))
 	for name, p := range m.listed {
@@ -261,6 +261,6 @@
 	}
 	maps.Copy(all, m.told)
 	delete(all, m.instance)
-	m.others = slices.Collect(maps.Values(all))
-	return m.others
+	m.recipients = slices.Collect(maps.Values(all))
+	return m.recipients
 }
--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -73,7 +73,8 @@
 		return false
 	}
 	age := max(n.link.age(n.ports.MembersKind), n.link.age(n.ports.SettingsKind))
-	return age < n.cfg.Fresh.vouchAge() && age+n.lag() < n.cfg.Fresh.vouchAge()
+	// An age that is unknown is the largest there is, to which nothing can be added.
+	return age != neverConfirmed && age+n.lag() < n.cfg.Fresh.vouchAge()
 }
 
 // lag is for how long answers of the store have waited here to be in force.
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -378,3 +378,23 @@
 	require.Empty(t, loads(c.Step(now.Add(5*time.Second+planEvery), Tick{})), "the first may have begun two seconds late")
 	require.Len(t, loads(c.Step(now.Add(late+5*time.Second), Tick{})), 1)
 }
+
+// TestNewsOfATell brings and takes units, and takes over with what the entry tells.
+func TestNewsOfATell(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := newEndpoint(Member{Name: "e1", Resident: []string{"m1"}}, now)
+	news := func() News {
+		now = now.Add(tellEvery)
+		return e.tell(now)[0].(Tell).News
+	}
+	e.resident = setOf([]string{"m1"})
+	require.Equal(t, NoNews, news(), "the entry tells the same")
+	e.resident["m2"] = true
+	require.Equal(t, Gained, news())
+	require.Equal(t, NoNews, news())
+	e.going["m2"] = now
+	require.Equal(t, Withdrew, news())
+	delete(e.going, "m2")
+	delete(e.resident, "m2")
+	require.Equal(t, Withdrew, news())
+}
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -65,3 +65,16 @@
 		require.ErrorIs(t, err, ErrClosed)
 	})
 }
+
+// TestOfferNeverWaits fills a ring that blocks.
+func TestOfferNeverWaits(t *testing.T) {
+	r := New[int](2, Block)
+	require.True(t, r.Offer(1))
+	require.True(t, r.Offer(2))
+	require.False(t, r.Offer(3))
+	got, err := r.Take(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 1, got)
+	require.True(t, r.Offer(4))
+	require.EqualValues(t, 3, r.Added())
+}
