--- /dev/null
+++ b/daemon/evacuated.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+)
+
+// evacuate puts in force which failure domains are evacuated, and tells whether others are
+// than before.
+func (d *viewDuty) evacuate() bool {
+	next := make(map[string]bool, len(d.told))
+	for _, domain := range d.told {
+		next[domain] = true
+	}
+	if d.resolved != nil {
+		for _, domain := range d.resolved.Tree.Evacuated {
+			next[domain] = true
+		}
+	}
+	if maps.Equal(next, d.evacuated) {
+		return false
+	}
+	for domain := range d.evacuated {
+		if !next[domain] {
+			d.comeBack(domain)
+		}
+	}
+	d.evacuated = next
+	d.list.SetEvacuated(next)
+	d.log.Info("evacuated", "failure_domains", slices.Sorted(maps.Keys(next)))
+	return true
+}
+
+// comeBack notes that a failure domain is evacuated no longer: its endpoints may be cold.
+func (d *viewDuty) comeBack(domain string) {
+	if d.warming == nil {
+		d.warming = map[string]bool{}
+	}
+	d.warming[domain] = true
+}
+
+// noteCold notes that an endpoint's entry says anew that it is cold.
+func (d *viewDuty) noteCold(c membership.Change) {
+	if c.Member.ColdMS == 0 || c.Member.State == membership.Gone {
+		return
+	}
+	if d.coldSaid == nil {
+		d.coldSaid = map[string]int64{}
+	}
+	d.coldSaid[c.Member.Name] = c.Member.ColdMS
+}
+
+// tellCold tells of an endpoint that it is cold, by its entry or as its failure domain has
+// just come back.
+func (d *viewDuty) tellCold(m membership.Member, e *routing.Endpoint, pool *settings.Pool) {
+	remaining := time.Duration(d.coldSaid[m.Name]) * time.Millisecond
+	if d.warming[m.FailureDomain] {
+		remaining = max(remaining, pool.ColdStart())
+	}
+	if d.cold != nil && pool.ColdPerSecond > 0 && remaining > 0 {
+		d.cold(e, pool.ColdPerSecond, remaining)
+	}
+}
+
+// noteOpen notes in which region an endpoint can be reached that is not evacuated.
+func noteOpen(v *routing.View, m membership.Member, e *routing.Endpoint) {
+	if v.Open[m.Pool] == nil {
+		v.Open[m.Pool] = map[string]bool{}
+	}
+	if !m.Evacuated {
+		v.Open[m.Pool][e.Region] = true
+	}
+}
--- /dev/null
+++ b/daemon/evacuations.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/evacuation"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+// evacuations is what this instance knows of the failure domains that the platform has
+// evacuated. A nil one knows of none.
+type evacuations struct {
+	// changed is told, in order, of the domains that are evacuated from now on.
+	changed func(domains []string)
+	log     logr.Logger
+
+	mu     sync.Mutex
+	keeper evacuation.Keeper
+}
+
+// step passes an event on.
+func (s *evacuations) step(e evacuation.Event, by string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.keeper.Step(e) {
+		return
+	}
+	in := s.keeper.InForce()
+	s.log.Info("evacuations", "failure_domains", in.Domains, "era", in.Version.Era, "revision", in.Version.Revision, "by", by)
+	s.changed(in.Domains)
+}
+
+// maxEvacuatedBytes bounds what one packet tells of evacuated domains.
+const maxEvacuatedBytes = 300
+
+// tell adds what is known to a packet. It reports false if that does not fit, so that the
+// others must look themselves.
+func (s *evacuations) tell(p *peer.Packet) bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := s.keeper.InForce()
+	bytes := 0
+	for _, d := range in.Domains {
+		bytes += len(d) + 2
+	}
+	if bytes > maxEvacuatedBytes {
+		return false
+	}
+	p.Evacuated, p.EvacuatedEra, p.EvacuatedRevision = in.Domains, in.Version.Era, in.Version.Revision
+	return true
+}
+
+// heard takes the word of another instance.
+func (s *evacuations) heard(p peer.Packet) {
+	if s == nil || p.EvacuatedRevision == 0 {
+		return
+	}
+	version := evacuation.Version{Era: p.EvacuatedEra, Revision: p.EvacuatedRevision}
+	s.step(evacuation.Told{Set: evacuation.Set{Version: version, Domains: p.Evacuated}}, p.From)
+}
+
+// evacuationsDuty follows the objects of evacuated failure domains in the store, unless the
+// holder of the lease tells.
+type evacuationsDuty struct {
+	client store.Client
+	kind   store.Kind
+	// version reads a version of the store.
+	version func(resourceVersion string) (evacuation.Version, error)
+	known   *evacuations
+	// told tells whether the holder of the lease tells what is new in time.
+	told func() bool
+	// wait is how long the store may hold a call.
+	wait func() time.Duration
+	now  func() time.Time
+	link *storeLink
+	log  logr.Logger
+}
+
+// byStore names the own watch in the log.
+const byStore = "the store"
+
+func (d *evacuationsDuty) run(ctx context.Context) {
+	if !d.rest(ctx) {
+		return
+	}
+	changes := map[string]bool{}
+	options := store.WatchOptions{Confirmed: func() { d.link.confirmed(d.kind) }, Now: d.now, WaitNow: d.wait}
+	r := store.NewReflector(d.client, d.kind, options,
+		func(l store.List) {
+			d.link.heard()
+			clear(changes)
+			d.listed(l)
+		},
+		func(e store.Event) {
+			switch e.Type {
+			case store.EventBookmark:
+				d.link.heard()
+				d.changed(e.Object.Metadata.ResourceVersion, changes)
+				clear(changes)
+				d.rest(ctx)
+			default:
+				changes[e.Object.Metadata.Name] = e.Type != store.EventDeleted
+			}
+		},
+		func(err error) { d.link.failed(d.kind, err) })
+	r.Run(ctx)
+}
+
+// rest waits for as long as there is nothing to ask for. It reports false if ctx ended.
+func (d *evacuationsDuty) rest(ctx context.Context) bool {
+	for ctx.Err() == nil && d.told() {
+		wait.While(ctx, untilTold, d.told)
+	}
+	return ctx.Err() == nil
+}
+
+func (d *evacuationsDuty) listed(l store.List) {
+	version, err := d.version(l.ResourceVersion)
+	if err != nil {
+		d.log.Error(err, "evacuations not read")
+		return
+	}
+	domains := map[string]bool{}
+	for _, o := range l.Items {
+		domains[o.Metadata.Name] = true
+	}
+	d.known.step(evacuation.Listed{Set: evacuation.Set{Version: version, Domains: slices.Sorted(maps.Keys(domains))}}, byStore)
+}
+
+func (d *evacuationsDuty) changed(resourceVersion string, changes map[string]bool) {
+	version, err := d.version(resourceVersion)
+	if err != nil {
+		d.log.Error(err, "evacuations not read")
+		return
+	}
+	d.known.step(evacuation.Changed{Version: version, Domains: maps.Clone(changes)}, byStore)
+}
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -32,6 +32,10 @@
 // endpointsWithdrawn is an instance's word that endpoints take no more work.
 type endpointsWithdrawn struct{ endpoints []endpointStart }
 
+// domainsEvacuated is the failure domains that the platform has evacuated.
+type domainsEvacuated struct{ domains []string }
+
+func (domainsEvacuated) isEvent()   {}
 func (endpointsWithdrawn) isEvent() {}
 func (placementsTold) isEvent()     {}
 func (instanceLeaving) isEvent()    {}
--- a/daemon/fresh.go
+++ b/daemon/fresh.go
@@ -12,6 +12,9 @@
 	LeavingMS int `json:"leavingMS"`
 	// SettingsMS is how soon accepted settings must be in force.
 	SettingsMS int `json:"settingsMS"`
+	// EvacuateMS is how soon the endpoints of an evacuated failure domain must get no more
+	// requests; 0 means that the platform evacuates none.
+	EvacuateMS int `json:"evacuateMS"`
 	// ContactMS is how long a node may take to find back to a store that was away.
 	ContactMS int `json:"contactMS"`
 	// RevokedMS is how soon an account's key that is taken away must be refused, also by a
@@ -48,7 +51,13 @@
 )
 
 // forNews is how soon news must be in force.
-func (f NodeFresh) forNews() time.Duration { return milliseconds(min(f.LeavingMS, f.SettingsMS)) }
+func (f NodeFresh) forNews() time.Duration {
+	ms := min(f.LeavingMS, f.SettingsMS)
+	if f.EvacuateMS > 0 {
+		ms = min(ms, f.EvacuateMS)
+	}
+	return milliseconds(ms)
+}
 
 // wait is how long the store may hold a watch on endpoints, close or behind: half
 // of what the other parts leave. A call that began while the store was away, and that
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -38,6 +38,8 @@
 	eras *store.Eras
 	// allowances is told what accounts have asked of the others.
 	allowances *allowances
+	// evacuations is told which failure domains are evacuated; nil where none can be.
+	evacuations *evacuations
 	// permits is asked by others for permits, and told what endpoints have said.
 	permits *permits
 	log     logr.Logger
@@ -275,6 +277,9 @@
 	if len(p.Placements) > 0 {
 		m.placed(p.Placements)
 	}
+	if p.From != m.instance {
+		m.evacuations.heard(p)
+	}
 	if p.Instances > 0 && p.From != m.instance {
 		m.totals.take(m.now(), p)
 		m.shareTotals(p.Totals)
--- a/daemon/meshhub.go
+++ b/daemon/meshhub.go
@@ -88,7 +88,8 @@
 	sum = m.hubSums.Next(m.now(), sum, m.sumBytes())
 	withdrawn, passed, gone := m.withdrawnLately(), m.takePassed(), m.replaced()
 	for first := true; first || len(sum)+len(withdrawn)+len(gone) > 0; first = false {
-		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Current: m.current(), Refused: passed, EndingsDigest: m.quarantine.Digest()})
+		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Refused: passed, EndingsDigest: m.quarantine.Digest()})
+		p.Current = m.current() && m.evacuations.tell(&p)
 		if p.Current {
 			p.Endpoints = m.endpoints.Load()
 		}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -20,6 +20,7 @@
 	"github.com/eiderspring/eiderspring/authority"
 	"github.com/eiderspring/eiderspring/clock"
 	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/evacuation"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/pipeline"
@@ -44,6 +45,10 @@
 	// reads.
 	MembersKind  store.Kind
 	DecodeMember func(store.Object) (membership.Member, error)
+	// EvacuationsKind is the kind of the objects by which the platform evacuates failure
+	// domains, each named as one, and StoreVersion reads a version of the store.
+	EvacuationsKind store.Kind
+	StoreVersion    func(resourceVersion string) (evacuation.Version, error)
 	// Callers returns the callers' dialect over the settings in force.
 	Callers func(catalog func() *settings.Catalog, auth pipeline.Authenticator) pipeline.Dialect
 	// Endpoints is the endpoints' dialect.
@@ -213,7 +218,7 @@
 	}
 	n.allowances = newAllowances(n.cfg.Allowances, process, holds, func() int { return n.mesh.size() }, n.now)
 	return &mesh{
-		rights: n.rights, allowances: n.allowances, permits: n.permits, eras: n.eras,
+		rights: n.rights, allowances: n.allowances, permits: n.permits, evacuations: n.newEvacuations(), eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, quarantine: n.quarantine, log: n.log, now: n.now,
 		placed:    func(p []peer.Placement) { _ = n.events.Put(n.work, placementsTold{p}) },
@@ -235,6 +240,26 @@
 	}
 }
 
+// newEvacuations returns what is known of evacuated failure domains; nil where the platform
+// evacuates none.
+func (n *Node) newEvacuations() *evacuations {
+	if n.cfg.Fresh.EvacuateMS == 0 {
+		return nil
+	}
+	return &evacuations{log: n.log, changed: func(domains []string) {
+		_ = n.events.Put(n.work, domainsEvacuated{domains})
+		n.mesh.hurry()
+	}}
+}
+
+// endpointCold is told that an endpoint is cold.
+func (n *Node) endpointCold(e *routing.Endpoint, perSecond float64, remaining time.Duration) {
+	if n.permits.local.Cold(n.now(), e.ColdStart(), perSecond, remaining) {
+		n.log.Info("endpoint cold", "endpoint", e.Name, "remaining_ms", remaining.Milliseconds(), "per_second", perSecond)
+	}
+	n.permits.wanted()
+}
+
 // endpointsGone stops to route to endpoints whose addresses others have, and to
 // place units there.
 func (n *Node) endpointsGone(starts []endpointStart) {
@@ -363,6 +388,7 @@
 		cells: n.placers.update, peers: func(*membership.List) {},
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
 		catalog: n.adopt, leaving: n.mesh.withdraw, listed: n.mesh.endpoints.Store, differs: n.mesh.listsOthers,
+		cold: n.endpointCold,
 	}
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
@@ -375,6 +401,10 @@
 		behind: n.entriesMayBeBehind, same: n.mesh.listsTheSame, closeWait: n.cfg.Fresh.entriesWait(),
 		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
+	evacuations := &evacuationsDuty{
+		client: objects, kind: n.ports.EvacuationsKind, version: n.ports.StoreVersion, known: n.mesh.evacuations, told: n.evacuationsTold,
+		wait: n.settingsWait, now: n.now, link: n.link, log: n.log,
+	}
 	n.vars.Set("entries_refused", &entries.entriesRefused)
 	holds := &holdsDuty{
 		client: objects, keeper: n.quarantine, words: n.held, isolated: n.mesh.isolated, memory: n.cfg.Quarantine.limits().Memory(),
@@ -387,6 +417,9 @@
 	} {
 		n.done.Go(func() { run(n.work) })
 	}
+	if n.mesh.evacuations != nil {
+		n.done.Go(func() { evacuations.run(n.work) })
+	}
 }
 
 // kick offers waiting requests to the router now and then.
@@ -401,6 +434,7 @@
 
 // adopt puts a configuration in force.
 func (n *Node) adopt(a *revision.Accepted) *settings.Catalog {
+	a.Tree.Regions = n.cfg.Regions
 	c := settings.NewCatalog(a.Tree)
 	c.Revision = a.Entry.Revision
 	n.allowances.adopt(a.Tree)
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -10,6 +10,8 @@
 	// Instance names the instance; it is the same after a restart.
 	Instance      string `json:"instance"`
 	FailureDomain string `json:"failureDomain"`
+	// Regions maps each failure domain to its region.
+	Regions map[string]string `json:"regions"`
 	// Callers, Readiness and Operators are the addresses to listen on.
 	Callers   string `json:"callers"`
 	Readiness string `json:"readiness"`
@@ -122,7 +124,8 @@
 		c.positive("/"+bound.path, bound.n)
 	}
 	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack,
-		"/allowances/over": cfg.Allowances.Over, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
+		"/fresh/evacuateMS": float64(cfg.Fresh.EvacuateMS),
+		"/allowances/over":  cfg.Allowances.Over, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
 	} {
 		if n < 0 {
 			c.add(path, "must not be negative")
--- a/daemon/nodeconfig_test.go
+++ b/daemon/nodeconfig_test.go
@@ -25,6 +25,8 @@
 	require.Equal(t, "http://10.200.1.7:8142", cfg.ObjectStore)
 	require.InDelta(t, 0.4, cfg.Limits.CPUShare, 1e-9)
 	require.Zero(t, cfg.Fresh.RevokedMS)
+	require.Zero(t, cfg.Fresh.EvacuateMS)
+	require.Equal(t, map[string]string{"pnw": "west"}, cfg.Regions)
 	require.Equal(t, DefaultNodeConfig().Allowances, cfg.Allowances)
 }
 
@@ -38,12 +40,17 @@
 	require.Equal(t, AllowanceConfig{WindowS: 8, Over: 0.1, Slack: 17000}, cfg.Allowances)
 }
 
+// TestTemplateTakesTheBoundOfEvacuations fills it in for a deployment that evacuates domains.
+func TestTemplateTakesTheBoundOfEvacuations(t *testing.T) {
+	require.Equal(t, 5000, fillTemplate(t, map[string]string{"bounds.evacuateMs": "5000"}).Fresh.EvacuateMS)
+}
+
 func fillTemplate(t *testing.T, more map[string]string) NodeConfig {
 	t.Helper()
 	template, err := os.ReadFile("../deploy/node.jsonc")
 	require.NoError(t, err)
 	values := map[string]string{
-		"nodeName": `"edge-1"`, "zone": `"pnw"`, "listen.front": `"10.1.0.38:8149"`, "listen.ready": `"10.1.0.38:8141"`,
+		"nodeName": `"edge-1"`, "zone": `"pnw"`, "zones": `{"pnw": "west"}`, "listen.front": `"10.1.0.38:8149"`, "listen.ready": `"10.1.0.38:8141"`,
 		"ip": "10.1.0.38", "platform.address": "10.200.1.7:8142", "portRange": "[7380,7395]",
 		"bounds.budgetRatio": "0.2", "bounds.budgetSlack": "52", "bounds.leaseMs": "3000",
 		"bounds.ceilingWindowS": "5", "bounds.ceilingOver": "1.1", "bounds.drainMs": "2000", "bounds.configMs": "3000", "bounds.contactMs": "3000",
--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -42,6 +42,10 @@
 // settingsMayBeBehind tells the same of the watch on settings.
 func (n *Node) settingsMayBeBehind() bool { return n.mesh.holderTells() || n.starting() }
 
+// evacuationsTold tells whether another instance tells in time which failure domains are
+// evacuated.
+func (n *Node) evacuationsTold() bool { return n.mesh.holderTells() || n.starting() }
+
 // settingsWait is how long the store may hold a close watch on settings.
 func (n *Node) settingsWait() time.Duration {
 	if n.mesh.holds() {
@@ -73,6 +77,9 @@
 		return false
 	}
 	age := max(n.link.age(n.ports.MembersKind), n.link.age(n.ports.SettingsKind))
+	if n.mesh.evacuations != nil {
+		age = max(age, n.link.age(n.ports.EvacuationsKind))
+	}
 	// An age that is unknown is the largest there is, to which nothing can be added.
 	return age != neverConfirmed && age+n.lag() < n.cfg.Fresh.vouchAge()
 }
--- a/daemon/permits.go
+++ b/daemon/permits.go
@@ -67,11 +67,15 @@
 	for ctx.Err() == nil {
 		p.await(ctx)
 		p.local.SetFleet(p.fleet())
+		warm := p.local.Warm(p.now())
+		for _, e := range warm {
+			p.log.Info("endpoint warm", "endpoint", e.Name)
+		}
 		asks, got := p.local.Asks(p.now())
 		for _, a := range asks {
 			p.tell(peer.Packet{PermitAsks: []permit.Ask{a.Ask}, Echo: a.Ask.Seq | 1}, a.To)
 		}
-		if got {
+		if got || len(warm) > 0 {
 			p.kick()
 		}
 		if p.now().Sub(forgotten) >= permitForget {
@@ -102,7 +106,7 @@
 // listed tells whether an endpoint is listed as it was started.
 func (p *permits) listed(e permit.Endpoint) bool {
 	known := p.router.View().Named[e.Name]
-	return known != nil && known.Start() == e
+	return known != nil && known.StartedAtMS == e.StartedAtMS
 }
 
 // heard takes what a packet of another instance asks, answers or tells of limits. It tells
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -363,7 +363,7 @@
 	for _, m := range list.Pool(pool) {
 		l.Members = append(l.Members, counted.Member{
 			Name: m.Name, StartedAtMS: m.StartedAtMS, Address: m.Address, FailureDomain: m.FailureDomain,
-			Leaving: m.State != membership.Live, Resident: slices.Clone(m.Resident),
+			Leaving: !m.Takes(), Resident: slices.Clone(m.Resident),
 		})
 	}
 	return l
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -41,6 +41,18 @@
 	// listed is told the digest of the list when it has changed; nil tells nobody.
 	listed func(digest uint64)
 
+	// cold is told of endpoints that are cold for some time; nil tells nobody.
+	cold func(e *routing.Endpoint, perSecond float64, remaining time.Duration)
+
+	// told are the failure domains that the platform has evacuated, evacuated those and the
+	// ones that the settings evacuate.
+	told      []string
+	evacuated map[string]bool
+	// warming are the failure domains that are evacuated no longer since the last view.
+	warming map[string]bool
+	// coldSaid holds the endpoints whose entries say since the last view that they are cold.
+	coldSaid map[string]int64
+
 	accepted  *revision.Accepted
 	resolved  *settings.Catalog
 	list      *membership.List
@@ -157,10 +169,14 @@
 	switch e := e.(type) {
 	case settingsAccepted:
 		return d.accept(e.accepted) && d.inform()
+	case domainsEvacuated:
+		d.told = e.domains
+		return d.evacuate() && d.inform()
 	case membersListed:
 		changes := d.list.Step(d.now(), membership.Listed{Listing: e.listing})
 		for _, c := range changes {
 			d.noteLeaving(c)
+			d.noteCold(c)
 			d.log.V(1).Info("member", "name", c.Member.Name, "pool", c.Member.Pool, "state", c.Member.State, "address", c.Member.Address)
 		}
 		if len(changes) > 0 && d.listed != nil {
@@ -194,6 +210,7 @@
 	}
 	d.accepted = a
 	d.resolved = d.catalog(a)
+	d.evacuate()
 	d.log.Info("settings in force", "revision", a.Entry.Revision, "author", a.Entry.Author)
 	return true
 }
@@ -298,7 +315,7 @@
 func (d *viewDuty) rebuildWhole() {
 	members := d.list.Members()
 	v := &routing.View{
-		Pools: map[string][]*routing.Endpoint{}, Named: make(map[string]*routing.Endpoint, len(members)),
+		Pools: map[string][]*routing.Endpoint{}, Named: make(map[string]*routing.Endpoint, len(members)), Open: map[string]map[string]bool{},
 	}
 	for _, m := range members {
 		if m.Pool == membership.InstancePool {
@@ -315,6 +332,8 @@
 		v.Named[m.Name] = e
 		d.residency.listed(m)
 		v.Pools[m.Pool] = append(v.Pools[m.Pool], e)
+		noteOpen(v, m, e)
+		d.tellCold(m, e, pool)
 		d.replicas.set(e, d.residency.serving(m.Name))
 	}
 	for name := range d.endpoints {
@@ -324,6 +343,7 @@
 			d.residency.forget(name)
 		}
 	}
+	d.warming, d.coldSaid = nil, nil
 	d.replicas.keep(v.Named)
 	v.Replicas = d.replicas.give()
 	d.router.SetView(v)
@@ -336,13 +356,13 @@
 	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency {
 		e = &routing.Endpoint{
 			Name: m.Name, Address: m.Address, Pool: m.Pool, FailureDomain: m.FailureDomain,
-			Incarnation: m.Incarnation, StartedAtMS: m.StartedAtMS, Concurrency: concurrency,
+			Region: d.resolved.Tree.Regions[m.FailureDomain], Incarnation: m.Incarnation, StartedAtMS: m.StartedAtMS, Concurrency: concurrency,
 		}
 		d.noteStart(d.endpoints[m.Name], e)
 		d.endpoints[m.Name] = e
 		d.residency.begin(m)
 	}
-	e.SetLeaving(m.State != membership.Live || d.withheld(m))
+	e.SetLeaving(!m.Takes() || d.withheld(m))
 	return e
 }
 
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 )
 
 // Dialect is how endpoints are spoken to.
@@ -31,6 +32,9 @@
 	// Load reads the load that an endpoint tells with an answer, the answered
 	// request included; false means that it tells none.
 	Load(h http.Header) (running, waiting int, ok bool)
+	// Cold reads how much longer an endpoint stays cold, as it tells with an answer; 0 where
+	// it is not, or does not tell.
+	Cold(h http.Header) time.Duration
 	// Limit reads the limit that an endpoint names with an answer. The error is a
 	// *LimitError.
 	Limit(h http.Header) (Limit, error)
@@ -109,6 +113,9 @@
 // Load implements Dialect: engines tell it when asked.
 func (OpenAI) Load(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
 
+// Cold implements Dialect: engines are never cold.
+func (OpenAI) Cold(http.Header) time.Duration { return 0 }
+
 // Limit implements Dialect: engines name none.
 func (OpenAI) Limit(http.Header) (Limit, error) { return Limit{}, nil }
 
--- a/engine/limit.go
+++ b/engine/limit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Limit is what an endpoint says, with an answer, of the requests that it takes.
@@ -24,6 +25,10 @@
 	return fmt.Sprintf("limit unreadable: %q", e.Text[:min(len(e.Text), shownLimit)])
 }
 
+// ToldCold returns how much longer an endpoint stays cold, as it tells with the head of an
+// answer; 0 where it is not, or does not tell.
+func (c *Client) ToldCold(head http.Header) time.Duration { return c.dialect.Cold(head) }
+
 // ToldLimit returns the limit that an endpoint tells with the head of an answer. The error
 // is a *LimitError; such a word says nothing.
 func (c *Client) ToldLimit(head http.Header) (Limit, error) { return c.dialect.Limit(head) }
--- /dev/null
+++ b/evacuation/keeper_test.go
@@ -0,0 +1,93 @@
+package evacuation
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
+)
+
+// TestGolden runs the sessions in testdata: listed, changed and told with at=ERA/REVISION.
+func TestGolden(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var k Keeper
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var at string
+			d.ScanArgs(t, "at", &at)
+			var v Version
+			_, err := fmt.Sscanf(at, "%d/%d", &v.Era, &v.Revision)
+			require.NoError(t, err)
+			changed := k.Step(eventOf(t, d, v))
+			in := k.InForce()
+			return fmt.Sprintf("changed=%v in-force=%d/%d domains=%v\n", changed, in.Version.Era, in.Version.Revision, in.Domains)
+		})
+	})
+}
+
+// eventOf reads an event; the input holds domains, and for changed a + or - before each.
+func eventOf(t *testing.T, d *datadriven.TestData, v Version) Event {
+	words := strings.Fields(d.Input)
+	switch d.Cmd {
+	case "listed":
+		return Listed{Set{v, words}}
+	case "told":
+		return Told{Set{v, words}}
+	case "changed":
+		c := Changed{Version: v, Domains: map[string]bool{}}
+		for _, w := range words {
+			c.Domains[w[1:]] = w[0] == '+'
+		}
+		return c
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+		return nil
+	}
+}
+
+// TestNewestSetIsInForce makes a history of one store, and lets an instance hear of it by its
+// watch and by words of others, some of them late: what is in force is the newest it has heard.
+func TestNewestSetIsInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := []Set{{Version: Version{Revision: 1}}}
+		for i := range rapid.IntRange(1, 20).Draw(t, "changes") {
+			domain := fmt.Sprint("z", rapid.IntRange(0, 2).Draw(t, "domain"))
+			last := history[len(history)-1]
+			next := last.apply(Changed{Domains: map[string]bool{domain: !slices.Contains(last.Domains, domain)}})
+			next.Version = Version{Revision: int64(i + 2)}
+			history = append(history, next)
+		}
+		var k Keeper
+		watched, newest := -1, -1
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			at := rapid.IntRange(0, len(history)-1).Draw(t, "at")
+			if rapid.Bool().Draw(t, "told") {
+				k.Step(Told{history[at]})
+				newest = max(newest, at)
+			} else if at = max(at, watched); watched < 0 {
+				k.Step(Listed{history[at]})
+				watched, newest = at, max(newest, at)
+			} else {
+				k.Step(changesBetween(history[watched], history[at]))
+				watched, newest = at, max(newest, at)
+			}
+			require.Equal(t, history[newest].Domains, k.InForce().Domains)
+		}
+	})
+}
+
+func changesBetween(from, to Set) Changed {
+	c := Changed{Version: to.Version, Domains: map[string]bool{}}
+	for _, d := range from.Domains {
+		c.Domains[d] = false
+	}
+	for _, d := range to.Domains {
+		c.Domains[d] = true
+	}
+	return c
+}
--- a/membership/list.go
+++ b/membership/list.go
@@ -35,6 +35,8 @@
 	members map[string]Member
 	// sorted is what Members returns; nil if it is to be made.
 	sorted []Member
+	// evacuated holds the failure domains that are evacuated.
+	evacuated map[string]bool
 	// left holds the incarnation in which each member was seen leaving.
 	left map[string]string
 }
@@ -100,12 +102,24 @@
 	return []Change{{Member: m, At: now}}
 }
 
+// SetEvacuated replaces the failure domains that are evacuated.
+func (l *List) SetEvacuated(domains map[string]bool) {
+	l.sorted = nil
+	l.evacuated = domains
+}
+
+// seen is a member as others are to see it.
+func (l *List) seen(m Member) Member {
+	m.Evacuated = m.Pool != InstancePool && l.evacuated[m.FailureDomain]
+	return m
+}
+
 // Pool returns the members of a pool, ordered by name.
 func (l *List) Pool(pool string) []Member {
 	var members []Member
 	for _, m := range l.members {
 		if m.Pool == pool {
-			members = append(members, m)
+			members = append(members, l.seen(m))
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -115,7 +129,7 @@
 // Member returns the member of that name.
 func (l *List) Member(name string) (Member, bool) {
 	m, known := l.members[name]
-	return m, known
+	return l.seen(m), known
 }
 
 // Members returns all members, ordered by name. The result must not be changed.
@@ -125,14 +139,14 @@
 	}
 	members := make([]Member, 0, len(l.members))
 	for _, m := range l.members {
-		members = append(members, m)
+		members = append(members, l.seen(m))
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	l.sorted = members
 	return members
 }
 
-// Digest stands for who the members of all pools are, and in what state: two lists of the
+// Digest stands for who the members of all pools are, and in what state, cold or not: two lists of the
 // same come to the same number, whatever their versions. It says nothing of the units
 // that they hold. 0 stands for no list.
 func (l *List) Digest() uint64 {
@@ -143,6 +157,9 @@
 	for _, m := range l.members {
 		h := fnv.New64a()
 		fmt.Fprintf(h, "%q %q %q %q %q %q %d", m.Name, m.Incarnation, m.Pool, m.Address, m.FailureDomain, m.State, m.Slots)
+		if m.ColdMS > 0 {
+			fmt.Fprint(h, " cold")
+		}
 		sum += h.Sum64()
 	}
 	return max(sum, 1)
--- a/membership/member.go
+++ b/membership/member.go
@@ -41,11 +41,18 @@
 	// Resident holds the units that an endpoint has ready, where the list tells
 	// them, in order; nil means that it does not.
 	Resident []string `json:"resident,omitempty"`
+	// ColdMS is how much longer an endpoint stays cold, as it said last, in milliseconds.
+	ColdMS int64 `json:"coldMS,omitempty"`
+	// Evacuated tells that the member's failure domain is evacuated. List sets it.
+	Evacuated bool `json:"-"`
 	// LeavesInMS is how long a leaving endpoint still runs, in milliseconds, as
 	// it said when it began to leave; 0 means that it did not say.
 	LeavesInMS int64 `json:"leavesInMS,omitempty"`
 }
 
+// Takes tells whether the member takes new work.
+func (m Member) Takes() bool { return m.State == Live && !m.Evacuated }
+
 // equal tells whether nothing differs.
 func (m Member) equal(o Member) bool { return reflect.DeepEqual(m, o) }
 
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -92,6 +92,11 @@
 	// has an Echo, by which releases without permits leave it alone.
 	PermitAsks []permit.Ask   `cbor:"35,keyasint,omitempty"`
 	Grants     []permit.Grant `cbor:"36,keyasint,omitempty"`
+	// Evacuated are the failure domains that are evacuated, as of a revision of the store
+	// in one of its eras; a packet without the revision says nothing of them.
+	Evacuated         []string `cbor:"37,keyasint,omitempty"`
+	EvacuatedEra      int64    `cbor:"38,keyasint,omitempty"`
+	EvacuatedRevision int64    `cbor:"39,keyasint,omitempty"`
 	// Era is the newest era of the store that the sender has seen.
 	Era int64 `cbor:"32,keyasint,omitempty"`
 }
--- a/permit/issue.go
+++ b/permit/issue.go
@@ -27,7 +27,7 @@
 var rankPart = [mostIssuers]float64{1, 0.4, 0.1}
 
 // rate is what may be issued a second for a limit.
-func rate(perSecond float64) float64 { return max(perSecond, leastRate) }
+func (k *limit) rate() float64 { return max(k.perSecond*float64(k.warmth()), leastRate) }
 
 // bucket is a token bucket that begins empty when it is first asked.
 type bucket struct {
@@ -57,7 +57,7 @@
 // issue issues up to n permits as the issuer of a rank.
 func (l *Local) issue(now time.Time, k *limit, rank int, n int64) int64 {
 	b := &k.buckets[rank]
-	b.fill(now, rate(k.perSecond)*rankPart[rank]*l.fleet.part())
+	b.fill(now, k.rate()*rankPart[rank]*l.fleet.part())
 	n = b.take(n)
 	l.issued += n
 	return n
@@ -140,7 +140,7 @@
 	}
 	best := make([]candidate, 0, mostIssuers+1)
 	for _, name := range l.fleet.Members {
-		c := candidate{name, xxhash.Sum64String(name + "\x00" + e.Name)}
+		c := candidate{name, xxhash.Sum64String(name + "\x00" + e.text())}
 		at := len(best)
 		for at > 0 && (best[at-1].weight < c.weight || best[at-1].weight == c.weight && best[at-1].name > c.name) {
 			at--
--- a/permit/local.go
+++ b/permit/local.go
@@ -13,6 +13,20 @@
 	// StartedAtMS is when it was started, in Unix milliseconds of its own clock; 0 where
 	// it does not tell.
 	StartedAtMS int64
+	// Cold stands for what the endpoint takes while it is cold, which it keeps besides any
+	// limit that it names.
+	Cold bool
+}
+
+// coldSuffix marks the name of a cold endpoint in words; names of endpoints have no blank.
+const coldSuffix = " cold"
+
+// text is the endpoint's name in words.
+func (e Endpoint) text() string {
+	if e.Cold {
+		return e.Name + coldSuffix
+	}
+	return e.Name
 }
 
 // Local is what one instance knows of the limits that endpoints name, and its part in
@@ -44,6 +58,8 @@
 	// answered without a limit.
 	perSecond float64
 	ended     bool
+	// warmed counts the steps in which an endpoint that is no longer cold has got more.
+	warmed int
 	// since is when it was first known here to name one, saidAt when it last said anything.
 	since, saidAt time.Time
 	// tells is how often that is to be told still.
@@ -53,6 +69,8 @@
 	buckets [mostIssuers]bucket
 	// touchedAt is when anything was last said or asked of the endpoint.
 	touchedAt time.Time
+	// coldUntil is when a cold endpoint is warm, by all that is known here.
+	coldUntil time.Time
 }
 
 // Fleet is what an instance knows of the others.
@@ -184,7 +202,7 @@
 	if known == nil || known.ended {
 		return 0, false
 	}
-	return rate(known.perSecond), true
+	return known.rate(), true
 }
 
 // Forget drops what endpoints have said that are not listed any more.
@@ -234,7 +252,7 @@
 		if k.ended || len(s.Limits) >= most {
 			continue
 		}
-		s.Limits[e.Name] = LimitStats{PerSecond: k.perSecond, SinceMS: now.Sub(k.since).Milliseconds(), Taken: k.stock.taken, Issued: k.issued()}
+		s.Limits[e.text()] = LimitStats{PerSecond: k.perSecond, SinceMS: now.Sub(k.since).Milliseconds(), Taken: k.stock.taken, Issued: k.issued()}
 	}
 	return s
 }
--- a/permit/stock.go
+++ b/permit/stock.go
@@ -218,7 +218,7 @@
 // instance's even share of the rate is one permit.
 func (l *Local) pause(k *limit) time.Duration {
 	members := l.fleet.Known
-	share := time.Duration(float64(members) / rate(k.perSecond) * float64(time.Second))
+	share := time.Duration(float64(members) / k.rate() * float64(time.Second))
 	return min(max(share, leastPause), max(mostPause, mostPauseEach*time.Duration(members)))
 }
 
@@ -244,7 +244,7 @@
 		s.even = bucket{}
 	}
 	s.evenAt = now
-	s.even.fill(now, rate(k.perSecond)*evenPart/float64(max(l.fleet.Known, 1)))
+	s.even.fill(now, k.rate()*evenPart/float64(max(l.fleet.Known, 1)))
 	return l.received(now, k, s.even.take(1), now)
 }
 
--- a/permit/words.go
+++ b/permit/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -52,7 +53,10 @@
 func (w Word) Bytes() int { return wordHead + len(w.Endpoint) }
 
 // start is the endpoint that the word is about.
-func (w Word) start() Endpoint { return Endpoint{Name: w.Endpoint, StartedAtMS: w.StartedAtMS} }
+func (w Word) start() Endpoint {
+	name, cold := strings.CutSuffix(w.Endpoint, coldSuffix)
+	return Endpoint{Name: name, StartedAtMS: w.StartedAtMS, Cold: cold}
+}
 
 // sound tells whether the word can be believed.
 func (w Word) sound() bool {
@@ -62,7 +66,7 @@
 // word is what is told of an endpoint.
 func (k *limit) word(now time.Time, e Endpoint) Word {
 	return Word{
-		Endpoint: e.Name, StartedAtMS: e.StartedAtMS, PerSecond: k.perSecond, Ended: k.ended,
+		Endpoint: e.text(), StartedAtMS: e.StartedAtMS, PerSecond: k.perSecond, Ended: k.ended,
 		AgeMS: max(now.Sub(k.saidAt), 0).Milliseconds(),
 	}
 }
@@ -87,6 +91,9 @@
 	if !w.sound() {
 		return false
 	}
+	if e := w.start(); e.Cold {
+		return l.hearCold(now, e, w)
+	}
 	said := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
 	known := l.limits[w.start()]
 	if known != nil && known.supersedes(w, said) {
@@ -115,7 +122,7 @@
 	var words []Word
 	for e, k := range l.limits {
 		w := k.word(now, e)
-		if k.tells == 0 || w.Bytes() > room {
+		if k.tells == 0 || e.Cold || w.Bytes() > room {
 			continue
 		}
 		k.tells--
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -90,7 +90,7 @@
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Model: x.Target.Model, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.tried(),
-		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(), Late: x.late(now),
+		PromptTokens: x.Call.PromptTokens, GapAim: x.gapAim(), FirstBy: x.firstBy(), Late: x.late(now), Regions: x.regions(),
 	}
 	var decision routing.Decision
 	var pickErr error
@@ -103,7 +103,7 @@
 			f.unreachable()
 		}
 		// No wait helps where nothing is left to try; the error ends it below.
-		return pickErr == nil || errors.Is(pickErr, routing.ErrNoneLeft)
+		return pickErr == nil || errors.Is(pickErr, routing.ErrNoneLeft) || errors.Is(pickErr, routing.ErrClosed)
 	}
 	w := &admission.Waiter{
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.priority(),
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -26,6 +26,7 @@
 	resp, err := f.client.Do(ctx, x.engineAttempt())
 	var notStarted *engine.NotStartedError
 	if errors.As(err, &notStarted) {
+		f.limits.cold(x, a.Decision.Endpoint, notStarted.Head)
 		f.limits.refused(a.Decision.Endpoint, notStarted.Head)
 		a.NotStarted, a.Unsent = true, notStarted.Unsent
 		return &DispatchError{NotStarted: true, Err: err}
@@ -39,6 +40,7 @@
 	}
 	a.Decision.Answered()
 	f.noteLoad(x, resp)
+	f.limits.cold(x, a.Decision.Endpoint, resp.Header)
 	f.limits.answered(a.Decision, resp)
 	if f.better(x, resp) {
 		resp.Body.Close()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -29,6 +29,9 @@
 	// AttemptID is the id that endpoints know the request by; empty means that
 	// each attempt gets an id of its own.
 	AttemptID string
+	// Regions are those in which the request may be served by what it asks for; empty means
+	// all.
+	Regions []string
 	// Mark is the request's identity across its attempts, as Mark makes it; 0 if
 	// the caller does not tell.
 	Mark uint32
@@ -126,6 +129,17 @@
 	x.applyPriority(c)
 }
 
+// regions are the sets of regions that bind the request.
+func (x *Exchange) regions() [][]string {
+	var sets [][]string
+	for _, regions := range [][]string{x.Call.Regions, x.Caller.Regions} {
+		if len(regions) > 0 {
+			sets = append(sets, regions)
+		}
+	}
+	return sets
+}
+
 // from is the address that the request came from, without its port. A caller may have
 // several, so it identifies nobody.
 func (x *Exchange) from() string {
--- a/pipeline/limits.go
+++ b/pipeline/limits.go
@@ -9,16 +9,30 @@
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
 )
 
 // limits takes the limits that endpoints name with their answers.
 type limits struct {
 	client  *engine.Client
 	permits *permit.Local
+	catalog func() *settings.Catalog
 	log     logr.Logger
 	now     func() time.Time
 }
 
+// cold takes how much longer the endpoint stays cold, if it tells.
+func (f limits) cold(x *Exchange, e *routing.Endpoint, head http.Header) {
+	remaining := f.client.ToldCold(head)
+	if remaining == 0 {
+		return
+	}
+	pool := f.catalog().Tree.Pools[x.Target.Pool]
+	if pool != nil && f.permits.Cold(f.now(), e.ColdStart(), pool.ColdPerSecond, remaining) {
+		f.log.Info("endpoint cold", "endpoint", e.Name, "remaining_ms", remaining.Milliseconds(), "by", "its answer")
+	}
+}
+
 // answered takes the head of an answer that is passed on.
 func (f limits) answered(d routing.Decision, resp *http.Response) {
 	if f.named(d.Endpoint, resp.Header) || resp.StatusCode >= http.StatusMultipleChoices {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -92,7 +92,7 @@
 	if cfg.EndpointsAgeMS == nil {
 		cfg.EndpointsAgeMS = func() int64 { return 0 }
 	}
-	limits := limits{client: cfg.Engine, permits: cfg.Permits, log: cfg.Log, now: cfg.Now}
+	limits := limits{client: cfg.Engine, permits: cfg.Permits, catalog: cfg.Catalog, log: cfg.Log, now: cfg.Now}
 	return &Pipeline{
 		cfg:       cfg,
 		deadlines: deadlines{now: cfg.Now, ends: map[*Exchange]context.CancelFunc{}},
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -25,7 +25,9 @@
 	Address       string
 	Pool          string
 	FailureDomain string
-	Incarnation   string
+	// Region is that of the failure domain; empty where none is known.
+	Region      string
+	Incarnation string
 	// StartedAtMS is when the endpoint was started, in Unix milliseconds of its own
 	// clock; 0 where it does not tell.
 	StartedAtMS int64
@@ -65,6 +67,11 @@
 	return permit.Endpoint{Name: e.Name, StartedAtMS: e.StartedAtMS}
 }
 
+// ColdStart identifies this start of the endpoint in what it takes while it is cold.
+func (e *Endpoint) ColdStart() permit.Endpoint {
+	return permit.Endpoint{Name: e.Name, StartedAtMS: e.StartedAtMS, Cold: true}
+}
+
 // LimitUnreadable records that the endpoint has named a limit that cannot be read, and
 // reports whether it is the first one.
 func (e *Endpoint) LimitUnreadable() bool { return !e.limitUnreadable.Swap(true) }
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -10,6 +10,12 @@
 	return !e.Leaving() && !e.Replaced() && !e.unreached(r.Now)
 }
 
+// regionFilter keeps a request in the regions that it may be served in.
+type regionFilter struct{}
+
+func (regionFilter) Name() string                      { return "region" }
+func (regionFilter) Keep(r *Request, e *Endpoint) bool { return r.allows(e.Region) }
+
 // holdingFilter keeps endpoints that have not just said that they lack the unit.
 type holdingFilter struct{}
 
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -52,7 +52,7 @@
 
 // Policies returns the policies by name.
 func Policies() map[string]Policy {
-	base := []Filter{liveFilter{}, holdingFilter{}, untriedFilter{}}
+	base := []Filter{liveFilter{}, regionFilter{}, holdingFilter{}, untriedFilter{}}
 	reported := []WeightedScorer{{reportedScorer{}, 1}}
 	return map[string]Policy{
 		PolicyRandom:     {Name: PolicyRandom, Filters: base, Picker: randomPicker{}},
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	Late bool
 	// FailureDomain is the instance's own.
 	FailureDomain string
+	// Regions are sets of regions; the request may be served in those that are in all.
+	Regions [][]string
 	// Excluded are endpoints that an earlier attempt has tried.
 	Excluded []string
 	// Instances is the number of live instances that share the endpoints.
@@ -31,6 +34,16 @@
 	Now       time.Time
 }
 
+// allows tells whether the request may be served in a region.
+func (r *Request) allows(region string) bool {
+	for _, allowed := range r.Regions {
+		if !slices.Contains(allowed, region) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Request) model() string { return cmp.Or(r.Model, r.Unit) }
 
 // Filter drops endpoints that must not be chosen.
--- a/routing/router.go
+++ b/routing/router.go
@@ -16,6 +16,9 @@
 	// ErrNoneLeft means that every endpoint that holds the unit was tried, or
 	// those that were not are leaving.
 	ErrNoneLeft = errors.New("no endpoint is left to try")
+	// ErrClosed means that all endpoints are evacuated, or in regions that the request may
+	// not be served in.
+	ErrClosed = errors.New("no endpoint may get the request")
 	// ErrNoRoom means that the endpoints that hold the unit are full.
 	ErrNoRoom = errors.New("no endpoint has room")
 )
@@ -78,6 +81,9 @@
 	view := r.view.Load()
 	req.Instances = max(view.Instances, int(r.instances.Load()))
 	req.Work = r.paces.work(req.model(), req.PromptTokens)
+	if view.closed(req) {
+		return Decision{}, ErrClosed
+	}
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
 		return Decision{}, ErrNoReplica
@@ -102,7 +108,7 @@
 func (r *Router) choose(req *Request, scored []Scored) (chosen Scored, found bool) {
 	for len(scored) > 0 {
 		chosen = r.policy.of(req).Picker.Pick(scored, r.random)
-		if r.permits.Take(req.Now, chosen.Endpoint.Start()) {
+		if r.permits.Take(req.Now, chosen.Endpoint.ColdStart()) && r.permits.Take(req.Now, chosen.Endpoint.Start()) {
 			return chosen, true
 		}
 		// Another request has taken the permit that was there.
@@ -129,10 +135,10 @@
 // limitedTo sums up the limits of endpoints that take requests.
 func (r *Router) limitedTo(req *Request, candidates []*Endpoint) (perSecond float64, limited bool) {
 	for _, e := range candidates {
-		if !(liveFilter{}).Keep(req, e) {
+		if !(liveFilter{}).Keep(req, e) || !(regionFilter{}).Keep(req, e) {
 			continue
 		}
-		rate, named := r.permits.Rate(e.Start())
+		rate, named := r.rateOf(e)
 		if !named {
 			return 0, false
 		}
@@ -198,13 +204,35 @@
 	return r.permitted(req, e)
 }
 
+// rateOf is how many requests a second an endpoint takes; false if nothing bounds them.
+func (r *Router) rateOf(e *Endpoint) (perSecond float64, limited bool) {
+	named, limited := r.permits.Rate(e.Start())
+	cold, isCold := r.permits.Rate(e.ColdStart())
+	switch {
+	case !isCold:
+		return named, limited
+	case !limited:
+		return cold, true
+	default:
+		return min(named, cold), true
+	}
+}
+
 // permitted tells whether an endpoint that would do takes one more request by the limit
 // that it names for all instances together, and wants a permit if it does not.
 func (r *Router) permitted(req *Request, e *Endpoint) bool {
-	if !r.permits.Limited() || r.permits.Ready(req.Now, e.Start()) {
+	if !r.permits.Limited() {
+		return true
+	}
+	return r.permitOf(req, e.ColdStart()) && r.permitOf(req, e.Start())
+}
+
+// permitOf tells whether there is a permit, and wants one if there is none.
+func (r *Router) permitOf(req *Request, e permit.Endpoint) bool {
+	if r.permits.Ready(req.Now, e) {
 		return true
 	}
-	r.permits.Want(req.Now, e.Start())
+	r.permits.Want(req.Now, e)
 	return false
 }
 
@@ -214,7 +242,7 @@
 func whyNone(req *Request, candidates []*Endpoint) error {
 	held := false
 	for _, e := range candidates {
-		if !(liveFilter{}).Keep(req, e) || !(holdingFilter{}).Keep(req, e) {
+		if !(liveFilter{}).Keep(req, e) || !(regionFilter{}).Keep(req, e) || !(holdingFilter{}).Keep(req, e) {
 			continue
 		}
 		held = true
--- a/routing/view.go
+++ b/routing/view.go
@@ -9,10 +9,27 @@
 	Pools map[string][]*Endpoint
 	// Named holds the endpoints of all pools by name.
 	Named map[string]*Endpoint
+	// Open holds, for each pool, the regions in which an endpoint is not evacuated. A pool
+	// that it lacks is not known.
+	Open map[string]map[string]bool
 	// Instances is the number of live instances that share the endpoints.
 	Instances int
 }
 
+// closed tells whether no endpoint may get the request, whatever is loaded where.
+func (v *View) closed(r *Request) bool {
+	open, known := v.Open[r.Pool]
+	if !known {
+		return false
+	}
+	for region := range open {
+		if r.allows(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Candidates returns the endpoints for a unit, or for a plain pool where unit
 // is empty.
 func (v *View) Candidates(unit, pool string) []*Endpoint {
--- a/settings/check.go
+++ b/settings/check.go
@@ -94,6 +94,12 @@
 	if c.tree.WeightStore.Concurrent <= 0 {
 		c.add("/weightStore/concurrent", "must be above 0")
 	}
+	for i, domain := range c.tree.Evacuated {
+		c.domain(fmt.Sprintf("/evacuated/%d", i), domain)
+	}
+	for _, domain := range slices.Sorted(maps.Keys(c.tree.Regions)) {
+		c.domain("/regions/"+jsonc.EscapePointer(domain), domain)
+	}
 	if c.tree.ClaimHorizonMS < 0 {
 		c.add("/claimHorizonMS", "must not be negative")
 	}
@@ -105,6 +111,22 @@
 	c.policy("/policy", c.tree.Policy)
 }
 
+func (c *checker) domain(path, name string) {
+	if !slices.Contains(c.tree.FailureDomains, name) {
+		c.add(path, "no failure domain %q", name)
+	}
+}
+
+// regions checks where requests may be served.
+func (c *checker) regions(path string, regions []string) {
+	known := slices.Collect(maps.Values(c.tree.Regions))
+	for i, r := range regions {
+		if !slices.Contains(known, r) {
+			c.add(fmt.Sprintf("%s/%d", path, i), "no failure domain is in region %q", r)
+		}
+	}
+}
+
 func (c *checker) pool(path string, p *Pool) {
 	if p == nil {
 		c.add(path, "must not be null")
@@ -119,6 +141,12 @@
 	if p.Concurrency <= 0 {
 		c.add(path+"/concurrency", "must be above 0")
 	}
+	if p.ColdPerSecond < 0 {
+		c.add(path+"/coldPerSecond", "must not be negative")
+	}
+	if p.ColdStartMS < 0 {
+		c.add(path+"/coldStartMS", "must not be negative")
+	}
 	if p.MaxOrderDelayMS < 0 {
 		c.add(path+"/maxOrderDelayMS", "must not be negative")
 	}
@@ -233,6 +261,7 @@
 		}
 		c.keys[key] = at
 	}
+	c.regions(path+"/regions", caller.Regions)
 	if caller.Allowance != nil {
 		c.allowance(path+"/allowance", *caller.Allowance)
 	}
--- a/settings/route.go
+++ b/settings/route.go
@@ -34,6 +34,8 @@
 	Streaming bool
 	// Public tells that requests need no token.
 	Public bool
+	// Regions are those in which requests may be served; empty means all.
+	Regions []string
 	// Shares are the pools that serve the route, by weight.
 	Shares []RouteShare
 	Policy Effective
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -28,6 +28,10 @@
 	// PeerKeys are the keys of the link between instances, in hex, the one to
 	// use first. They come before the keys of an instance's own configuration.
 	PeerKeys []string `json:"peerKeys,omitempty"`
+	// Evacuated are failure domains whose endpoints are to get nothing.
+	Evacuated []string `json:"evacuated,omitempty"`
+	// Regions maps each failure domain to its region; those that it lacks have none.
+	Regions map[string]string `json:"regions,omitempty"`
 	// Edge is what the deployment's operator says of the callers' side, where
 	// callers are told apart by host and path; the settings' own text has none.
 	Edge *Edge `json:"-"`
@@ -74,14 +78,22 @@
 	KVTokens int `json:"kvTokens,omitempty"`
 	// Connections is how many connections one endpoint takes from all
 	// instances together; 0 means that it is not known.
-	Connections int               `json:"connections,omitempty"`
-	Policy      Policy            `json:"policy"`
-	Models      map[string]*Model `json:"models,omitempty"`
+	Connections int `json:"connections,omitempty"`
+	// ColdPerSecond is how many requests a second a cold endpoint takes from all instances
+	// together; 0 means that endpoints are never cold. ColdStartMS is how long one stays
+	// cold behind its start, in milliseconds.
+	ColdPerSecond float64           `json:"coldPerSecond,omitempty"`
+	ColdStartMS   int64             `json:"coldStartMS,omitempty"`
+	Policy        Policy            `json:"policy"`
+	Models        map[string]*Model `json:"models,omitempty"`
 }
 
 // DefaultMaxOrderDelayMS is the order delay of pools that do not set it.
 const DefaultMaxOrderDelayMS = 5000
 
+// ColdStart is how long an endpoint stays cold behind its start.
+func (p *Pool) ColdStart() time.Duration { return milliseconds(p.ColdStartMS) }
+
 // MaxOrderDelay is the longest time for which an order may be on its way.
 func (p *Pool) MaxOrderDelay() time.Duration {
 	if p.MaxOrderDelayMS == 0 {
@@ -148,6 +160,8 @@
 	// Allowance bounds what the caller may ask of all instances together; nil sets no
 	// bound.
 	Allowance *Allowance `json:"allowance,omitempty"`
+	// Regions are those in which the caller's requests may be served; empty means all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // AllowanceUnit is what an allowance counts.
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -120,7 +120,7 @@
 	for _, s := range caller.Services {
 		allowed[s] = true
 	}
-	who := Identity{Name: name, Priority: caller.Priority, Allowance: caller.Allowance, services: allowed}
+	who := Identity{Name: name, Priority: caller.Priority, Allowance: caller.Allowance, Regions: caller.Regions, services: allowed}
 	for _, text := range caller.TokenSHA256 {
 		if key, err := parseKey(text); err == nil {
 			c.callers[key] = who
@@ -134,7 +134,9 @@
 	// Priority and Allowance are as the settings give them; nil for none.
 	Priority  *int
 	Allowance *Allowance
-	services  map[string]bool
+	// Regions are those in which requests may be served; empty means all.
+	Regions  []string
+	services map[string]bool
 }
 
 // May tells whether the caller may use the service or unit of that name.
