--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -47,7 +47,7 @@
 }
 
 const (
-	// fleetKnown is for how long the list of instances is waited for.
+	// fleetKnown is for how long the list of instances, and the key, are waited for.
 	fleetKnown = 3 * time.Second
 	// relayTime is for how long one relay may take to answer: it may have to read the list
 	// first.
@@ -104,7 +104,7 @@
 // ask asks those that tell this instance for a list that is newer than a version. It reports
 // false where the store is to be asked.
 func (r *relays) ask(ctx context.Context, after string) (s relay.Snapshot, told bool) {
-	wait.While(ctx, fleetKnown, func() bool { return !r.known() })
+	wait.While(ctx, fleetKnown, func() bool { return !r.known() || !r.isOpen() })
 	for _, name := range relay.Order(r.instance, relay.Of(r.domain, r.fleet())) {
 		began := r.now()
 		s, err := r.askOne(ctx, name, after)
@@ -122,6 +122,13 @@
 	return relay.Snapshot{}, false
 }
 
+// isOpen tells whether others can be asked.
+func (r *relays) isOpen() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.client != nil
+}
+
 // errNotOpen is an instance that cannot be asked yet.
 var errNotOpen = errors.New("no stream to the instance")
 
