--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,8 +66,15 @@
 	answer   Answerer
 }
 
+// The size that quic-go wants of the system's buffers is far beyond what peers need, and it
+// says so outside of the log.
+const quietBuffers = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
+
 // ListenStreams serves on an address of the form IP:PORT until Close.
 func ListenStreams(address string, id *Identity, answer Answerer) (*StreamServer, error) {
+	if err := os.Setenv(quietBuffers, "true"); err != nil {
+		return nil, err
+	}
 	s := &StreamServer{answer: answer}
 	s.identity.Store(id)
 	config := &tls.Config{
