The hub tells what matters, instances tell it what has changed; the lease is looked at before it is wanted

Cause: at 984 instances each told the hub ten times a second, and the hub told whole sums of requests that were over by then; behind a common start the lease of the former holder was first read 1.5 s late. Change: Sums.Matters (a sixteenth of an endpoint's places, prompts longer than the next word away), summaries that say nothing new go every 375 ms, Campaign.Look, an instance reads its own entry before it writes it.

--- a/broadcast/broadcast_test.go
+++ b/broadcast/broadcast_test.go
@@ -191,3 +191,63 @@
 	}
 	require.InDelta(t, 10_000, sent, 400+150)
 }
+
+// TestWhatDoesNotMatterIsNotTold has endpoints of 64 and of 8 places.
+func TestWhatDoesNotMatterIsNotTold(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	places := map[string]int{"large": 64, "small": 8}
+	s := Sums{Matters: Significant(func(e string) int { return places[e] }, func() time.Duration { return pause })}
+	now := time.Unix(1000, 0)
+	next := func(all ...peer.EndpointLoad) []string {
+		var names []string
+		for _, l := range s.Next(now, all, everything) {
+			names = append(names, l.Endpoint)
+		}
+		slices.Sort(names)
+		return names
+	}
+	require.Equal(t, []string{"small"}, next(load("large", 3), load("small", 1)), "3 of 64 places change nothing")
+	require.Equal(t, []string{"large"}, next(load("large", 4), load("small", 1)))
+	require.Empty(t, next(load("large", 7), load("small", 1)))
+	require.Equal(t, []string{"large"}, next(peer.EndpointLoad{Endpoint: "large", Running: 7, Prompt: (pause + time.Millisecond).Microseconds()}, load("small", 1)))
+	require.Equal(t, []string{"large", "small"}, next(), "both are idle again")
+	now = now.Add(retell)
+	require.Equal(t, []string{"large", "small"}, next(), "once more, as the word may be lost")
+}
+
+// TestQuietFleetIsToldLittle has requests of half a second come and go at 4,000 endpoints of 64
+// places, and a few that are busy: the words of half a minute take a tenth of what all sums take,
+// and nobody is off by more than a sixteenth of an endpoint's places.
+func TestQuietFleetIsToldLittle(t *testing.T) {
+	const endpoints, places, busy = 4000, 64, 20
+	random := rand.New(rand.NewPCG(3, 4))
+	now := time.Unix(1000, 0)
+	s := Sums{Matters: Significant(func(string) int { return places }, func() time.Duration { return 400 * time.Millisecond })}
+	running, known := make([]int64, endpoints), map[string]int64{}
+	told, whole := 0, 0
+	for range 75 {
+		var all []peer.EndpointLoad
+		for i := range running {
+			running[i] = 0
+			if i < busy {
+				running[i] = 20 + int64(random.IntN(6))
+			} else if random.IntN(12) == 0 {
+				running[i] = 1
+			}
+			if running[i] > 0 {
+				all = append(all, load(fmt.Sprintf("i-%010x", i), running[i]))
+				whole += all[len(all)-1].Bytes()
+			}
+		}
+		for _, l := range s.Next(now, all, everything) {
+			known[l.Endpoint] = l.Running
+			told += l.Bytes()
+		}
+		for i, n := range running {
+			require.LessOrEqual(t, distance(n, known[fmt.Sprintf("i-%010x", i)]), float64(places/16))
+		}
+		now = now.Add(400 * time.Millisecond)
+	}
+	t.Logf("told %d of %d bytes", told, whole)
+	require.Less(t, 10*told, whole)
+}
--- a/broadcast/sums.go
+++ b/broadcast/sums.go
@@ -9,8 +9,13 @@
 )
 
 // Sums deals out what all instances have under way at each endpoint. The zero value has told
-// nothing.
+// nothing, and tells what has not changed too, as far as it fits.
 type Sums struct {
+	// Matters, unless nil, tells whether the others would go wrong by going on with what was
+	// told. What does not matter is told only in time before they forget the endpoint, if
+	// it was told at all.
+	Matters func(now, told peer.EndpointLoad) bool
+
 	// told is what the others go by, by endpoint.
 	told map[string]toldSum
 }
@@ -37,6 +42,9 @@
 	neverTold = 10 * time.Second
 	// promptRequest is how much reading of prompts, in microseconds, counts as one request.
 	promptRequest = 100_000
+	// retell is when a sum that was told is told again, where only what matters is: the
+	// others forget it behind twice as long.
+	retell = 2500 * time.Millisecond
 )
 
 // Next returns what to tell now of all sums, as many as fit into so many bytes, and at least
@@ -61,11 +69,13 @@
 	present := make(map[string]bool, len(all))
 	for _, l := range all {
 		present[l.Endpoint] = true
-		needs = append(needs, sumNeed{l, s.need(now, l)})
+		if s.due(now, l) {
+			needs = append(needs, sumNeed{l, s.need(now, l)})
+		}
 	}
 	for endpoint := range s.told {
-		if !present[endpoint] {
-			l := peer.EndpointLoad{Endpoint: endpoint}
+		l := peer.EndpointLoad{Endpoint: endpoint}
+		if !present[endpoint] && s.due(now, l) {
 			needs = append(needs, sumNeed{l, s.need(now, l)})
 		}
 	}
@@ -75,6 +85,27 @@
 	return needs
 }
 
+// due tells whether a sum is worth telling at all.
+func (s *Sums) due(now time.Time, l peer.EndpointLoad) bool {
+	if s.Matters == nil {
+		return true
+	}
+	t, told := s.told[l.Endpoint]
+	return s.Matters(l, t.EndpointLoad) || told && now.Sub(t.at) >= retell
+}
+
+// Significant returns what matters of an endpoint with so many places, to others that are told
+// next in pause: a sixteenth of its places, and prompts that take longer than that to read.
+// What is less is over, or other, by the time that it is told.
+func Significant(places func(endpoint string) int, pause func() time.Duration) func(now, told peer.EndpointLoad) bool {
+	const part = 16
+	return func(now, told peer.EndpointLoad) bool {
+		running := distance(now.Running, told.Running)
+		prompt := time.Duration(distance(now.Prompt, told.Prompt)) * time.Microsecond
+		return running > 0 && part*running >= float64(places(now.Endpoint)) || prompt > pause()
+	}
+}
+
 // need is by how much the others are off, in requests, times for how long they may be, in
 // seconds. One that has not changed is told again in time, as the others forget it.
 func (s *Sums) need(now time.Time, l peer.EndpointLoad) float64 {
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -89,6 +89,11 @@
 	board *peer.Board
 	// hubSums and hubAt belong to the goroutine of tick.
 	hubSums broadcast.Sums
+	// toldLast is the summary that was sent last, at toldLastAt to toldLastTo; they belong to
+	// tick too.
+	toldLast   peer.Packet
+	toldLastAt time.Time
+	toldLastTo []string
 	// othersAt is when another instance was last heard.
 	othersAt time.Time
 	// heardOthers is the same for other goroutines; nil for never.
@@ -164,6 +169,9 @@
 	// of them meet at the same endpoints.
 	hubTick = 100 * time.Millisecond
 	hubSlow = 400 * time.Millisecond
+	// summaryKept is when an instance of a large fleet tells again what has not changed: three
+	// such words fit into the time after which it counts as gone.
+	summaryKept = peer.Expiry / 4
 	// hubLinkShare is the share of what it can send that the hub may fill with sums, and the
 	// same for placements that it repeats. changesLinkShare is that for placements that have
 	// changed.
--- a/daemon/meshtell.go
+++ b/daemon/meshtell.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -77,11 +78,27 @@
 	if len(to) > 0 {
 		p.Limits = m.permits.words(roomIn(p))
 	}
-	m.send(p, to)
+	if !m.saysNothingNew(p, to) {
+		m.send(p, to)
+	}
 	_ = m.inputs.Put(ctx, p)
 	m.tellFleet()
 }
 
+// saysNothingNew tells whether a summary need not be sent: in a large fleet those that it is for
+// have what the last one said. It notes a summary that is sent.
+func (m *mesh) saysNothingNew(p peer.Packet, to []string) bool {
+	passing := len(p.Refused)+len(p.Endings)+len(p.Limits) > 0 || p.Ask != 0
+	last := m.toldLast
+	last.Seq, last.EndingsDigest = p.Seq, p.EndingsDigest
+	kept := m.now().Sub(m.toldLastAt) < summaryKept && slices.Equal(to, m.toldLastTo)
+	if !m.small() && !passing && kept && reflect.DeepEqual(last, p) {
+		return true
+	}
+	m.toldLast, m.toldLastAt, m.toldLastTo = p, m.now(), to
+	return false
+}
+
 // tellFleet tells all instances what is due of what this one gathers for them, and what
 // endpoints hold.
 func (m *mesh) tellFleet() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/eiderspring/eiderspring/admission"
 	"github.com/eiderspring/eiderspring/authority"
+	"github.com/eiderspring/eiderspring/broadcast"
 	"github.com/eiderspring/eiderspring/clock"
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/evacuation"
@@ -224,7 +225,7 @@
 		send: func(p peer.Packet, to []string) { n.mesh.send(n.mesh.stamp(p), to) }, log: n.log,
 	}
 	n.allowances = newAllowances(n.cfg.Allowances, process, holds, func() int { return n.mesh.size() }, n.now)
-	return &mesh{
+	m := &mesh{
 		rights: n.rights, allowances: n.allowances, permits: n.permits, evacuations: n.newEvacuations(), eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
 		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: &pipeline.Refusals{}, quarantine: n.quarantine, log: n.log, now: n.now,
@@ -247,6 +248,8 @@
 		linkBytes:      n.cfg.Limits.LinkMbps * bytesPerMbit,
 		totals:         totals{holderLost: n.cfg.Fresh.holderLost()},
 	}
+	m.hubSums.Matters = broadcast.Significant(n.router.Places, m.hubPause)
+	return m
 }
 
 // open opens the links to the others, once their key is known, or goes on with another key.
@@ -400,7 +403,7 @@
 	objects := n.ports.Store(store.Config{URL: n.cfg.ObjectStore, Calls: calls, Phase: n.phase, WatchWait: n.cfg.Fresh.settingsWait(), BehindWait: n.cfg.Fresh.behindWait(), Asked: n.link.asked, Answered: n.link.answered, Transport: n.storeCalls, Eras: n.eras})
 	n.placers = &placers{
 		ctx: n.work, cfg: n.cfg.Orders, instance: n.cfg.Instance, holder: n.holder(), client: objects, log: n.log, now: n.clock.Exact, done: &n.done,
-		controls: n.ports.Controls(n.control, n.cfg.Instance), campaigns: n.campaigns, place: n.mesh.place, running: map[string]*placer{}, era: n.eras.Newest,
+		controls: n.ports.Controls(n.control, n.cfg.Instance), campaigns: n.campaigns, looks: n.looks, place: n.mesh.place, running: map[string]*placer{}, era: n.eras.Newest,
 	}
 	n.presence = &presenceDuty{
 		client: objects, writer: store.NewWriter(objects), instance: n.cfg.Instance, link: n.link, log: n.log,
--- a/daemon/nodecampaign.go
+++ b/daemon/nodecampaign.go
@@ -36,6 +36,13 @@
 	return at < nodeCampaigners || n.nobodyPlaces(time.Duration(at)*silentStep)
 }
 
+// looks tells whether this instance is about to campaign for the lease of a pool, in a process
+// that has just begun: behind a common start the lease of the former holder has to be seen
+// unrenewed for its whole duration.
+func (n *Node) looks(pool string) bool {
+	return n.stopping.Load() == nil && n.presence.listedOnce.Load() && !n.knowsOthers() && n.rank(pool) < nodeCampaigners
+}
+
 // poolRank is a place in the order of campaigners, by what was known in a version.
 type poolRank struct {
 	version int64
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -223,7 +223,9 @@
 	// campaigns tells whether this instance should hold the lease of a pool, which
 	// it may hold already.
 	campaigns func(pool string, held bool) bool
-	place     func([]placedNews)
+	// looks tells whether it is about to campaign for it.
+	looks func(pool string) bool
+	place func([]placedNews)
 	// era returns the store's newest era.
 	era func() int64
 
@@ -328,6 +330,7 @@
 			_, held := d.runner.Hold()
 			return p.campaigns(pool, held)
 		},
+		Look:  func() bool { return p.looks(pool) },
 		Lease: lease.Config{Holder: p.holder, Duration: leaseDuration, RenewEvery: leaseRenewal, Drift: leaseDrift},
 	})
 	d.tell(counted.Alone{Alone: p.isAlone})
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -124,10 +124,15 @@
 
 // findKey reads the key. It never changes, so an old answer is as good.
 func (d *presenceDuty) findKey(ctx context.Context) (store.Object, error) {
+	return d.readBehind(ctx, store.KindPeerKey, peerKeyName)
+}
+
+// readBehind reads an object, where an old answer is as good.
+func (d *presenceDuty) readBehind(ctx context.Context, kind store.Kind, name string) (store.Object, error) {
 	if reader, offered := d.client.(store.BehindReader); offered {
-		return reader.GetBehind(ctx, store.KindPeerKey, peerKeyName)
+		return reader.GetBehind(ctx, kind, name)
 	}
-	return d.client.Get(ctx, store.KindPeerKey, peerKeyName)
+	return d.client.Get(ctx, kind, name)
 }
 
 func (d *presenceDuty) makeKey(ctx context.Context) (store.Object, error) {
@@ -150,24 +155,29 @@
 	if err != nil {
 		return err
 	}
+	if old, err := d.readBehind(ctx, store.KindInstance, d.instance); err == nil && d.same(old) {
+		// A write would go to the watches of all instances.
+		return nil
+	}
 	_, err = d.client.Create(ctx, o)
 	if !store.IsConflict(err) {
 		return err
 	}
 	old, err := d.client.Get(ctx, store.KindInstance, d.instance)
-	if err != nil {
+	if err != nil || d.same(old) {
 		return err
 	}
-	var known presence
-	if json.Unmarshal(old.Spec, &known) == nil && known == d.self {
-		// A write would go to the watches of all instances.
-		return nil
-	}
 	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
 	_, err = d.client.Update(ctx, o)
 	return err
 }
 
+// same tells whether this instance's object is as it should be.
+func (d *presenceDuty) same(o store.Object) bool {
+	var known presence
+	return json.Unmarshal(o.Spec, &known) == nil && known == d.self
+}
+
 // withdraw removes the instance's object, for a planned stop.
 func (d *presenceDuty) withdraw(ctx context.Context) {
 	if err := d.client.Delete(ctx, store.KindInstance, d.instance); err != nil && !store.IsNotFound(err) {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -13,6 +13,8 @@
 type Machine struct {
 	cfg  Config
 	want bool
+	// look is set while the record is to be known.
+	look bool
 
 	// known is the newest record seen, at version and revision, last changed at changedAt.
 	known     Record
@@ -70,7 +72,7 @@
 	var actions []Action
 	switch e := e.(type) {
 	case Campaign:
-		m.want = e.Want
+		m.want, m.look = e.Want, e.Want || e.Look
 	case Seen:
 		actions = m.observe(now, e)
 	case Missing:
@@ -220,7 +222,7 @@
 	switch {
 	case m.writing != nil:
 		return nil
-	case !m.seen && !m.want:
+	case !m.seen && !m.look:
 		// What it read now would be old when it wants the lease.
 		return nil
 	case !m.seen || m.doubtful:
@@ -229,7 +231,7 @@
 		return m.write(now, Record{Epoch: m.epoch, Renewals: m.known.Renewals + 1})
 	case m.held && !now.Before(m.renewAt):
 		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.epoch, Renewals: m.known.Renewals + 1})
-	case m.want && !m.held && m.free(now):
+	case m.want && !m.held && m.free(now) && now.Sub(m.readAt) < m.cfg.RenewEvery:
 		m.lapsed = m.exists && m.known.Holder != ""
 		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.nextEpoch()})
 	case m.want && !m.held:
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -230,3 +230,25 @@
 	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 2}, Version: "2"}},
 		b.Step(now, Seen{Record: release[0].(Write).Record, Version: "2"}))
 }
+
+// TestLookCountsTowardsTheWait follows a lease that its holder has left before it is wanted:
+// once it is, it is taken as soon as it has not been renewed for its duration, and not before.
+func TestLookCountsTowardsTheWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := Config{Holder: "b", Duration: 1800 * time.Millisecond, RenewEvery: 500 * time.Millisecond, Drift: 200 * time.Millisecond}
+	m := NewMachine(cfg)
+	require.Equal(t, []Action{Read{}}, m.Step(now, Campaign{Look: true}))
+	seen := Seen{Record: Record{Holder: "a", Epoch: 4}, Version: "7", Revision: 7}
+	require.Empty(t, m.Step(now, seen))
+	now = now.Add(1900 * time.Millisecond)
+	require.Empty(t, m.Step(now, Campaign{Look: true}), "one read is enough")
+	require.Equal(t, []Action{Read{}}, m.Step(now, Campaign{Want: true}))
+	require.Empty(t, m.Step(now, seen), "not for its whole duration yet")
+	now = now.Add(100 * time.Millisecond)
+	actions := m.Step(now, Campaign{Want: true})
+	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 5}, Version: "7"}}, actions)
+	looking := NewMachine(cfg)
+	looking.Step(now, Campaign{Look: true})
+	looking.Step(now, Missing{})
+	require.Empty(t, looking.Step(now, Campaign{Look: true}), "who only looks takes nothing")
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -73,7 +73,12 @@
 
 // Campaign turns the wish to hold the lease on or off. Turning it off while
 // holding releases the lease.
-type Campaign struct{ Want bool }
+type Campaign struct {
+	Want bool
+	// Look asks to follow the lease without the wish to hold it, for one who is about to want
+	// it: how long it has not been renewed counts from when it was first read.
+	Look bool
+}
 
 func (Seen) isEvent()     {}
 func (Missing) isEvent()  {}
--- a/lease/runner.go
+++ b/lease/runner.go
@@ -20,8 +20,10 @@
 	changed func(Action)
 	// campaign tells at each tick whether this instance wants the lease.
 	campaign func() bool
-	tick     time.Duration
-	hold     atomic.Pointer[Hold]
+	// look tells whether it is about to want it.
+	look func() bool
+	tick time.Duration
+	hold atomic.Pointer[Hold]
 	// era returns the store's era, which the machine knows as toldEra.
 	era     func() int64
 	toldEra int64
@@ -44,6 +46,8 @@
 	Changed func(Action)
 	// Campaign tells whether this instance wants the lease now.
 	Campaign func() bool
+	// Look tells whether it is about to; nil means never.
+	Look func() bool
 	// Tick is the time between looks at the lease; 0 means the default.
 	Tick time.Duration
 	// Era returns the store's newest era; nil for a store that has none.
@@ -55,13 +59,16 @@
 	if cfg.Tick == 0 {
 		cfg.Tick = tickEvery
 	}
+	if cfg.Look == nil {
+		cfg.Look = func() bool { return false }
+	}
 	if cfg.Era == nil {
 		cfg.Era = func() int64 { return 0 }
 	}
 	return &Runner{
 		tick: cfg.Tick, era: cfg.Era,
 		name: cfg.Name, machine: NewMachine(cfg.Lease), client: cfg.Client,
-		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign,
+		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign, look: cfg.Look,
 	}
 }
 
@@ -81,7 +88,7 @@
 			r.release()
 			return
 		case <-ticker.C:
-			r.step(ctx, Campaign{Want: r.campaign()})
+			r.step(ctx, Campaign{Want: r.campaign(), Look: r.look()})
 		}
 	}
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -76,6 +76,14 @@
 // View returns the view in force.
 func (r *Router) View() *View { return r.view.Load() }
 
+// Places is how many requests an endpoint runs at once; 0 if it is not listed.
+func (r *Router) Places(endpoint string) int {
+	if e := r.View().Named[endpoint]; e != nil {
+		return e.Concurrency
+	}
+	return 0
+}
+
 // Pick chooses an endpoint and reserves a place at it; Release gives it back.
 func (r *Router) Pick(req *Request) (Decision, error) {
 	view := r.view.Load()
