--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -10,7 +10,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/eiderspring/eiderspring/membership"
-	"github.com/eiderspring/eiderspring/relay"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/store"
@@ -251,29 +250,32 @@
 // new by another instance's word: the platform's store keeps changes for 20 s.
 const untilTold = 15 * time.Second
 
+// watch follows the entries: by the word of another instance that tells them, or else by the
+// store.
 func (d *entriesDuty) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.relays.follow(ctx, func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) })
+		unlessTold, cancel := context.WithCancel(ctx)
+		go func() {
+			d.relays.awaitWorthAsking(unlessTold)
+			cancel()
+		}()
+		d.watchStore(unlessTold)
+		cancel()
+	}
+}
+
+// watchStore follows the entries in the store.
+func (d *entriesDuty) watchStore(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
 	var changes batch
 	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }}
-	if d.relays != nil {
-		options.Relayed = func(ctx context.Context, least string) (string, bool) {
-			s, told := d.relays.ask(ctx, least)
-			if !told {
-				return "", false
-			}
-			changes.take()
-			put(membership.EntriesListed{Members: s.Members})
-			put(membership.EntriesAsOf{Version: s.Version})
-			return s.Version, true
-		}
-	}
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.heard()
 			changes.take()
 			put(membership.StoreHeard{Since: d.returned()})
 			put(membership.EntriesListed{Members: d.members(l.Items)})
-			put(membership.EntriesAsOf{Version: l.ResourceVersion})
 		},
 		func(e store.Event) {
 			switch e.Type {
@@ -281,7 +283,6 @@
 				d.link.heard()
 				put(membership.StoreHeard{Since: d.returned()})
 				put(membership.EntriesChanged{Changes: d.changes(changes.take())})
-				put(membership.EntriesAsOf{Version: e.Object.Metadata.ResourceVersion})
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
 				d.gather(ctx, e.Behind)
@@ -317,38 +318,25 @@
 		wait.While(ctx, behindGather, d.behind)
 		if d.same != nil {
 			// There is nothing to ask for until the lists differ.
-			wait.While(ctx, d.rest(), func() bool { return d.behind() && d.same() })
+			wait.While(ctx, untilTold, func() bool { return d.behind() && d.same() })
 		}
 		return
 	}
 	wait.For(ctx, entriesGather)
 }
 
-// relayRest is for how long a watch that may be behind rests, at most, at an instance that tells
-// others the list: what it tells is to be as old as the store still knows.
-const relayRest = 3 * time.Second
-
-// rest is for how long a watch that may be behind rests while nothing is new.
-func (d *entriesDuty) rest() time.Duration {
-	if d.relays != nil && d.relays.tells() {
-		return relayRest
-	}
-	return untilTold
-}
-
-// stored returns the members as of a version of the store.
-func (d *entriesDuty) stored() relay.Snapshot {
+// listing returns the members as this instance knows them.
+func (d *entriesDuty) listing() membership.Listing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	version, members := d.entries.Stored()
-	return relay.Snapshot{Version: version, Members: members}
+	return d.entries.Listing()
 }
 
-// asOf is the version of the store that the members are as of; empty for none.
-func (d *entriesDuty) asOf() string {
+// version grows with each change of the members; 0 means that nothing is known.
+func (d *entriesDuty) version() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.entries.AsOf()
+	return d.entries.Version()
 }
 
 // step passes an event on to the entries.
--- a/daemon/fresh.go
+++ b/daemon/fresh.go
@@ -78,6 +78,20 @@
 	return leastHolderLost + time.Duration(share*float64(spare))
 }
 
+// What an instance hears through one that tells the members, which may rest on the word of the
+// holder of the lease, passes two instances: each word counts for half as long then.
+
+// relayLost is for how long the word of an instance that tells the members counts, and how old
+// the holder's may be on which that rests.
+func (f NodeFresh) relayLost() time.Duration { return max(f.holderLost()/2, leastRelayLost) }
+
+// leastRelayLost is several times what an answer takes between weak instances.
+const leastRelayLost = 450 * time.Millisecond
+
+// relayHold is how long an instance that tells others the members may hold a question: several
+// answers fit into the time for which its word counts.
+func (f NodeFresh) relayHold() time.Duration { return f.relayLost() / 3 }
+
 // entriesWait is how long the store may hold a close watch on endpoints.
 func (f NodeFresh) entriesWait() time.Duration { return f.wait() }
 
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -302,13 +302,7 @@
 		m.quarantine.Hear(p.Endings, m.small() || m.holds())
 		m.quarantine.HearDigest(p.EndingsDigest)
 	}
-	if p.Revision > m.revision() {
-		m.heardRevision(p.Revision)
-		select {
-		case m.newer <- struct{}{}:
-		default:
-		}
-	}
+	m.hearRevision(p.Revision)
 	if len(p.Withdrawn) > 0 && p.From != m.instance {
 		m.endpointsLeave(startsOf(p.Withdrawn, p.WithdrawnStarts))
 	}
@@ -334,6 +328,18 @@
 	}
 }
 
+// hearRevision takes the revision of the settings that another instance has in force.
+func (m *mesh) hearRevision(revision int64) {
+	if revision <= m.revision() {
+		return
+	}
+	m.heardRevision(revision)
+	select {
+	case m.newer <- struct{}{}:
+	default:
+	}
+}
+
 // heardRevision notes a revision of the settings that another instance has.
 func (m *mesh) heardRevision(revision int64) {
 	if revision <= m.newest.Load() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -26,6 +26,7 @@
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/pipeline"
 	"github.com/eiderspring/eiderspring/quarantine"
+	"github.com/eiderspring/eiderspring/relay"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
@@ -171,8 +172,9 @@
 	n.mesh = n.newMesh()
 	n.permits.connect(n.mesh, n.gates.Kick)
 	n.relays = &relays{
-		instance: n.cfg.Instance, domain: n.cfg.FailureDomain, address: n.mesh.self.Streams, fleet: n.mesh.fleet, reached: n.mesh.streamsOf,
-		version: n.ports.StoreVersion, log: n.log, now: n.now,
+		instance: n.cfg.Instance, domain: n.cfg.FailureDomain, process: n.mesh.process, address: n.mesh.self.Streams,
+		fleet: n.mesh.fleet, reached: n.mesh.streamsOf, holds: n.mesh.holds, vouch: n.vouchFor, heard: n.vouchedFor, feed: relay.NewFeed(n.mesh.process),
+		hold: n.relayHold, lost: n.cfg.Fresh.relayLost(), listedVersion: n.mesh.knownVersion, log: n.log, now: n.now,
 	}
 	n.vars.Set("relays", expvar.Func(func() any { return n.relays.stats() }))
 	n.vars.Set("limits", expvar.Func(func() any { return n.permits.stats() }))
@@ -433,7 +435,7 @@
 		relays:     n.relays,
 		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
-	n.relays.stored, n.relays.asOf = entries.stored, entries.asOf
+	n.relays.listing, n.relays.version = entries.listing, entries.version
 	evacuations := &evacuationsDuty{
 		client: objects, kind: n.ports.EvacuationsKind, version: n.ports.StoreVersion, known: n.mesh.evacuations, told: n.evacuationsTold,
 		wait: n.settingsWait, now: n.now, link: n.link, log: n.log,
--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/relay"
 )
 
 // Phases of a node's life, by which calls to the store are counted.
@@ -32,6 +35,40 @@
 	}
 }
 
+// vouchFor adds to news of members what this instance knows besides, and whether all of it is
+// current.
+func (n *Node) vouchFor(news *relay.News) {
+	news.Revision = n.revision()
+	var p peer.Packet
+	told := !n.mesh.holds() && n.mesh.totals.vouchedAge(n.now()) < n.cfg.Fresh.relayLost()
+	news.Current = (told || n.current()) && n.mesh.evacuations.tell(&p)
+	news.Evacuated, news.EvacuatedEra, news.EvacuatedRevision = p.Evacuated, p.EvacuatedEra, p.EvacuatedRevision
+}
+
+// vouchedFor takes what another instance adds to its news.
+func (n *Node) vouchedFor(news relay.News) {
+	n.mesh.evacuations.heard(peer.Packet{
+		From: byRelay, Evacuated: news.Evacuated, EvacuatedEra: news.EvacuatedEra, EvacuatedRevision: news.EvacuatedRevision,
+	})
+	n.mesh.hearRevision(news.Revision)
+}
+
+// relayHold is for how long an instance that tells the members may hold a question: longer while
+// the holder of the lease vouches, as its word is not needed then.
+func (n *Node) relayHold() time.Duration {
+	if n.mesh.holderTells() {
+		return mostWait
+	}
+	return n.cfg.Fresh.relayHold()
+}
+
+// byRelay names, in the log, an instance that tells the members.
+const byRelay = "the relay"
+
+// told tells whether another instance, the holder of the lease or one that tells the members,
+// vouches for telling what is new.
+func (n *Node) told() bool { return n.mesh.holderTells() || !n.mesh.holds() && n.relays.tells() }
+
 // entriesMayBeBehind tells whether the watch on endpoints may be seconds behind: the
 // holder of the lease tells which of them leave, and no entry is on its way back
 // behind an outage, which an old answer would show as gone.
@@ -40,11 +77,11 @@
 }
 
 // settingsMayBeBehind tells the same of the watch on settings.
-func (n *Node) settingsMayBeBehind() bool { return n.mesh.holderTells() || n.starting() }
+func (n *Node) settingsMayBeBehind() bool { return n.told() || n.starting() }
 
 // evacuationsTold tells whether another instance tells in time which failure domains are
 // evacuated.
-func (n *Node) evacuationsTold() bool { return n.mesh.holderTells() || n.starting() }
+func (n *Node) evacuationsTold() bool { return n.told() || n.starting() }
 
 // settingsWait is how long the store may hold a close watch on settings.
 func (n *Node) settingsWait() time.Duration {
@@ -91,5 +128,5 @@
 // endpoints leave, by its own watch or by the word of the holder of the lease, whose
 // own knowledge may be vouchAge old, in milliseconds; -1 if it never was.
 func (n *Node) endpointsAgeMS() int64 {
-	return ageMS(min(n.link.age(n.ports.MembersKind), n.mesh.totals.vouchedAge(n.now())))
+	return ageMS(min(n.link.age(n.ports.MembersKind), n.mesh.totals.vouchedAge(n.now()), n.relays.vouchedAge()))
 }
--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -9,53 +9,79 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/eiderspring/eiderspring/evacuation"
+	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/relay"
 	"github.com/eiderspring/eiderspring/wait"
 )
 
-// relays asks other instances of a large fleet for the list of members, and tells it to those
-// that ask this one.
+// relays follows, in a large fleet, the members by the word of another instance of the own
+// failure domain that follows the store, and tells them to those that ask this one. A nil one
+// does neither.
 type relays struct {
-	instance, domain, address string
-	// fleet is the instances that are listed, reached where a listed one answers questions;
-	// empty if that is not known.
+	instance, domain, process string
+	// address is where this instance answers; empty if it does not.
+	address string
+	// fleet is the instances that are listed, known tells whether that list has been read, and
+	// reached is where a listed one answers; empty if that is not known.
 	fleet   func() []relay.Instance
+	known   func() bool
 	reached func(instance string) string
-	// known tells whether the list of instances has been read.
-	known func() bool
-	// version reads a version of the store.
-	version func(text string) (evacuation.Version, error)
-	// stored is the members that are known here, asOf the version of the store that they are
-	// as of, empty for none.
-	stored func() relay.Snapshot
-	asOf   func() string
-	log    logr.Logger
-	now    func() time.Time
-
-	// mu guards server, client and told.
+	// listedVersion grows with each change of fleet.
+	listedVersion func() int64
+	// holds tells whether this instance places units, and so looks itself.
+	holds func() bool
+	// listing is the members as this instance knows them, version grows with their changes.
+	listing func() membership.Listing
+	version func() int64
+	// vouch adds to news what this instance knows besides, and whether that is current, heard
+	// is told of what others add.
+	vouch func(*relay.News)
+	heard func(relay.News)
+	// hold is for how long one who is asked may wait for news now, lost for how long a word that
+	// vouches counts.
+	hold func() time.Duration
+	lost time.Duration
+	log  logr.Logger
+	now  func() time.Time
+
+	// following is set while another instance tells this one.
+	following atomic.Bool
+	// vouchedAt is when another one last said that what it knows is current; nil for never.
+	vouchedAt atomic.Pointer[time.Time]
+	// failedAt is when none could be asked last; nil for never.
+	failedAt atomic.Pointer[time.Time]
+	// answered counts questions of others, unanswered own ones.
+	answered, unanswered atomic.Int64
+
+	// mu guards the rest.
 	mu     sync.Mutex
 	server *peer.StreamServer
 	client *peer.StreamClient
-	// told is what was told last, packed, as of toldVersion.
-	told        []byte
-	toldVersion string
-
-	// asked and unanswered count questions to others, answered those of others.
-	asked, answered, unanswered atomic.Int64
+	feed   *relay.Feed
+	// ranked is whom to ask, by what was listed at a version.
+	ranked        []string
+	rankedVersion int64
+	// whole is the whole of wholeSeq, packed.
+	whole    []byte
+	wholeSeq int64
 }
 
 const (
-	// fleetKnown is for how long the list of instances, and the key, are waited for.
-	fleetKnown = 3 * time.Second
-	// relayTime is for how long one relay may take to answer: it may have to read the list
-	// first.
-	relayTime = 2500 * time.Millisecond
-	// relayDial is for how long one may not be reached: it may be gone.
-	relayDial = time.Second
-	// relayLook is the time between two looks of a relay at whether it has a list.
-	relayLook = 50 * time.Millisecond
+	// relayDial is for how long a relay may not be reached, relayTime for how much longer
+	// than it may hold a question its answer may take: it may be gone.
+	relayDial = 700 * time.Millisecond
+	relayTime = 700 * time.Millisecond
+	// relayFirst is for how long a relay may take to have a list at all.
+	relayFirst = 2 * time.Second
+	// relayLook is the time between two looks of a relay at whether there is news.
+	relayLook = 100 * time.Millisecond
+	// mostRelaysAsked is how many are tried before the store is asked.
+	mostRelaysAsked = 2
+	// relayRetry is for how long the store is asked behind a failure of all, worthLook the time
+	// between two looks at whether others are worth asking.
+	relayRetry = 5 * time.Second
+	worthLook  = 250 * time.Millisecond
 )
 
 // open begins to answer and to ask, or goes on with another key.
@@ -87,143 +113,216 @@
 	defer r.mu.Unlock()
 	if r.server != nil {
 		r.server.Close()
+	}
+	if r.client != nil {
 		r.client.Close()
 	}
 }
 
-// tells tells whether others ask this instance.
-func (r *relays) tells() bool {
-	for _, name := range relay.Of(r.domain, r.fleet()) {
-		if name == r.instance {
-			return true
-		}
+// order is whom to ask, the first one first; nobody in a small fleet, and for one who is asked
+// itself.
+func (r *relays) order() []string {
+	if r.holds() || !r.known() {
+		return nil
+	}
+	version := r.listedVersion()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version != r.rankedVersion {
+		r.ranked, r.rankedVersion = relay.Order(r.instance, relay.Of(r.domain, r.fleet())), version
 	}
-	return false
+	return r.ranked
 }
 
-// ask asks those that tell this instance for a list that is newer than a version. It reports
-// false where the store is to be asked.
-func (r *relays) ask(ctx context.Context, after string) (s relay.Snapshot, told bool) {
-	wait.While(ctx, fleetKnown, func() bool { return !r.known() || !r.isOpen() })
-	for _, name := range relay.Order(r.instance, relay.Of(r.domain, r.fleet())) {
-		began := r.now()
-		s, err := r.askOne(ctx, name, after)
-		if err == nil {
-			r.asked.Add(1)
-			r.log.Info("members told", "by", name, "members", len(s.Members), "version", s.Version, "took_ms", r.now().Sub(began).Milliseconds())
-			return s, true
-		}
-		r.unanswered.Add(1)
-		r.log.Info("members not told", "by", name, "took_ms", r.now().Sub(began).Milliseconds(), "error", err.Error())
-		if ctx.Err() != nil {
-			return s, false
-		}
+// worthAsking tells whether another instance is to be asked.
+func (r *relays) worthAsking() bool {
+	if at := r.failedAt.Load(); at != nil && r.now().Sub(*at) < relayRetry {
+		return false
+	}
+	return r.streams() != nil && len(r.order()) > 0
+}
+
+// awaitWorthAsking returns when another instance is to be asked, or ctx has ended.
+func (r *relays) awaitWorthAsking(ctx context.Context) {
+	if r == nil {
+		<-ctx.Done()
+		return
+	}
+	for wait.For(ctx, worthLook) && !r.worthAsking() {
 	}
-	return relay.Snapshot{}, false
 }
 
-// isOpen tells whether others can be asked.
-func (r *relays) isOpen() bool {
+func (r *relays) streams() *peer.StreamClient {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.client != nil
+	return r.client
 }
 
-// errNotOpen is an instance that cannot be asked yet.
-var errNotOpen = errors.New("no stream to the instance")
+// tells tells whether another instance has lately vouched for what it tells this one.
+func (r *relays) tells() bool { return r != nil && r.vouchedAge() < r.lost }
 
-func (r *relays) askOne(ctx context.Context, name, after string) (s relay.Snapshot, err error) {
-	r.mu.Lock()
-	client := r.client
-	r.mu.Unlock()
-	address := r.reached(name)
-	if client == nil || address == "" {
-		return s, errNotOpen
+// vouchedAge is how long ago another instance last vouched.
+func (r *relays) vouchedAge() time.Duration {
+	if r == nil || r.vouchedAt.Load() == nil {
+		return neverConfirmed
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTime)
-	defer cancel()
-	session, err := dialRelay(ctx, client, address)
-	if err != nil {
-		return s, err
+	at := r.vouchedAt.Load()
+	return r.now().Sub(*at)
+}
+
+// firstWait is for how long a new process waits for others to be worth asking: in a large
+// fleet it would read the whole list from the store.
+const firstWait = 1500 * time.Millisecond
+
+// follow puts what others tell of the members, for as long as one does.
+func (r *relays) follow(ctx context.Context, put func(membership.EntryEvent)) {
+	if r == nil || r.address == "" {
+		return
 	}
-	defer session.Close()
-	packed, err := session.Ask(ctx, peer.Question{Members: &peer.MembersQuestion{After: after}})
+	wait.While(ctx, firstWait, func() bool { return !r.known() || r.streams() == nil })
+	failed := 0
+	for ctx.Err() == nil && failed < mostRelaysAsked {
+		order := r.order()
+		if failed >= len(order) {
+			break
+		}
+		if r.followOne(ctx, order[failed], put) {
+			failed = 0
+		}
+		failed++
+	}
+	r.following.Store(false)
+	if failed > 0 {
+		now := r.now()
+		r.failedAt.Store(&now)
+	}
+}
+
+// followOne follows one relay for as long as it answers and is to be asked. It tells whether it
+// has answered at all.
+func (r *relays) followOne(ctx context.Context, name string, put func(membership.EntryEvent)) (answered bool) {
+	session, err := r.dial(ctx, name)
 	if err != nil {
-		return s, err
+		r.failed(name, err)
+		return false
 	}
-	if s, err = relay.Decode(packed); err != nil {
-		return s, err
+	defer session.Close()
+	asked := peer.MembersQuestion{Hold: relayFirst}
+	for ctx.Err() == nil && len(r.order()) > 0 {
+		news, err := r.askOne(ctx, session, asked)
+		if err != nil {
+			r.failed(name, err)
+			return answered
+		}
+		if !answered {
+			r.log.Info("members told", "by", name, "members", len(news.Members))
+			put(membership.StoreHeard{})
+		}
+		answered = true
+		r.following.Store(true)
+		if !news.Empty() {
+			put(news.Event())
+		}
+		r.heard(news)
+		if news.Current {
+			now := r.now()
+			r.vouchedAt.Store(&now)
+		}
+		asked = peer.MembersQuestion{Process: news.Process, Seq: news.Seq, Hold: r.hold()}
 	}
-	_, err = r.version(s.Version)
-	return s, err
+	return answered
 }
 
-func dialRelay(ctx context.Context, client *peer.StreamClient, address string) (*peer.Session, error) {
+func (r *relays) failed(name string, err error) {
+	r.unanswered.Add(1)
+	r.log.Info("members not told", "by", name, "error", err.Error())
+}
+
+// errNotOpen is an instance that cannot be asked yet.
+var errNotOpen = errors.New("no stream to the instance")
+
+func (r *relays) dial(ctx context.Context, name string) (*peer.Session, error) {
+	client, address := r.streams(), r.reached(name)
+	if client == nil || address == "" {
+		return nil, errNotOpen
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayDial)
 	defer cancel()
 	return client.Dial(ctx, address)
 }
 
-// answer answers another instance, once there is a list that is newer than what it knows.
+func (r *relays) askOne(ctx context.Context, s *peer.Session, q peer.MembersQuestion) (relay.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Hold+relayTime)
+	defer cancel()
+	packed, err := s.Ask(ctx, peer.Question{Members: &q})
+	if err != nil {
+		return relay.News{}, err
+	}
+	return relay.Decode(packed)
+}
+
+// answer answers another instance: at once where there is news, or when it has waited for as
+// long as it lets. One that follows another itself does not answer, so that none goes in
+// circles.
 func (r *relays) answer(ctx context.Context, q peer.Question) peer.Reply {
 	if q.Members == nil {
 		return peer.Reply{}
 	}
-	for wait.For(ctx, 0) {
-		if packed, newer := r.packed(q.Members.After); newer {
+	until := r.now().Add(q.Members.Hold)
+	for !r.following.Load() {
+		over := !r.now().Before(until)
+		if packed, told := r.news(*q.Members, over); told {
 			r.answered.Add(1)
 			return peer.Reply{Found: true, Data: packed}
 		}
-		if !wait.For(ctx, relayLook) {
+		if over || !wait.For(ctx, relayLook) {
 			break
 		}
 	}
 	return peer.Reply{}
 }
 
-// packed is the list that is known here, if it is newer than a version.
-func (r *relays) packed(after string) (packed []byte, newer bool) {
+// news is what is new for one who asks, packed; false if there is nothing, and it is not over.
+func (r *relays) news(q peer.MembersQuestion, over bool) (packed []byte, told bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version := r.asOf()
-	if version == "" || !r.isNewer(version, after) {
+	if version := r.version(); version != r.feed.Taken() {
+		r.feed.Take(r.listing())
+	}
+	if r.feed.Taken() == 0 {
 		return nil, false
 	}
-	if version == r.toldVersion {
-		return r.told, true
+	news := r.feed.Since(q.Process, q.Seq)
+	if news.Empty() && !over {
+		return nil, false
+	}
+	if news.Whole && news.Seq == r.wholeSeq {
+		return r.whole, true
 	}
-	s := r.stored()
-	packed, err := relay.Encode(s)
+	if !news.Whole {
+		// The whole is told for some time; the next answer vouches.
+		r.vouch(&news)
+	}
+	packed, err := relay.Encode(news)
 	if err != nil {
 		r.log.Error(err, "members not packed")
 		return nil, false
 	}
-	r.told, r.toldVersion = packed, s.Version
-	return packed, true
-}
-
-func (r *relays) isNewer(version, than string) bool {
-	if than == "" {
-		return true
-	}
-	a, err := r.version(version)
-	if err != nil {
-		return false
+	if news.Whole {
+		r.whole, r.wholeSeq = packed, news.Seq
 	}
-	b, err := r.version(than)
-	return err == nil && a.Compare(b) > 0
+	return packed, true
 }
 
-// relayStats is what operators see of what is asked and told.
+// relayStats is what operators see of who tells whom.
 type relayStats struct {
-	// Tells is whether others ask this instance; Asked and Unanswered count its own
-	// questions, Answered those of others.
-	Tells      bool  `json:"tells"`
-	Asked      int64 `json:"asked"`
-	Unanswered int64 `json:"unanswered"`
+	// Following is whether another instance tells this one, Answered how many questions of
+	// others this one has answered, Unanswered how many own ones were not.
+	Following  bool  `json:"following"`
 	Answered   int64 `json:"answered"`
+	Unanswered int64 `json:"unanswered"`
 }
 
 func (r *relays) stats() relayStats {
-	return relayStats{Tells: r.tells(), Asked: r.asked.Load(), Unanswered: r.unanswered.Load(), Answered: r.answered.Load()}
+	return relayStats{Following: r.following.Load(), Answered: r.answered.Load(), Unanswered: r.unanswered.Load()}
 }
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -4,22 +4,29 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
-	"github.com/eiderspring/eiderspring/evacuation"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/relay"
 )
 
-// relayFleet is a large fleet in one failure domain, of which the first relay.PerDomain are
-// strong; addresses are those of instances that answer.
-func relayFleet(addresses map[string]string) (fleet func() []relay.Instance, reached func(string) string) {
+// relaySite is a large fleet in one failure domain, of which the first relay.PerDomain are
+// strong. Only those that were started answer.
+type relaySite struct {
+	t  *testing.T
+	mu sync.Mutex
+	// addresses are where instances answer, members what those know that follow the store.
+	addresses map[string]string
+	members   membership.Listing
+}
+
+func (s *relaySite) fleet() []relay.Instance {
 	var instances []relay.Instance
 	for i := range relay.LargeFleet + 1 {
 		cores := 0.2
@@ -28,60 +35,119 @@
 		}
 		instances = append(instances, relay.Instance{Name: fmt.Sprintf("i%d", i), FailureDomain: "z", Cores: cores})
 	}
-	return func() []relay.Instance { return instances }, func(name string) string { return addresses[name] }
+	return instances
+}
+
+// list changes what the store tells.
+func (s *relaySite) list(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.Version++
+	s.members.Members = nil
+	for _, name := range names {
+		s.members.Members = append(s.members.Members, membership.Member{Name: name, Incarnation: name, State: membership.Live, Resident: []string{}})
+	}
 }
 
-func plainVersion(text string) (v evacuation.Version, err error) {
-	_, err = fmt.Sscanf(text, "%d", &v.Revision)
-	return v, err
+func (s *relaySite) listing() membership.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
 }
 
-// startRelays makes an instance's part, with a list as of what version holds.
-func startRelays(t *testing.T, name string, addresses map[string]string, version *atomic.Pointer[string]) *relays {
-	t.Helper()
+// start starts an instance's part.
+func (s *relaySite) start(name string) *relays {
+	s.t.Helper()
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
+	require.NoError(s.t, err)
 	address := conn.LocalAddr().String()
-	require.NoError(t, conn.Close())
-	r := &relays{instance: name, domain: "z", address: address, version: plainVersion, log: logr.Discard(), now: time.Now, known: func() bool { return true }}
-	r.fleet, r.reached = relayFleet(addresses)
-	r.asOf = func() string { return *version.Load() }
-	r.stored = func() relay.Snapshot {
-		return relay.Snapshot{Version: *version.Load(), Members: []membership.Member{{Name: "e1", State: membership.Live, Resident: []string{}}}}
+	require.NoError(s.t, conn.Close())
+	r := &relays{
+		instance: name, domain: "z", process: "p-" + name, address: address, fleet: s.fleet, known: func() bool { return true }, listedVersion: func() int64 { return 1 },
+		holds: func() bool { return false }, listing: s.listing, version: func() int64 { return s.listing().Version },
+		vouch: func(n *relay.News) { n.Current, n.Revision = true, 7 }, heard: func(relay.News) {}, feed: relay.NewFeed("p-" + name),
+		hold: func() time.Duration { return 100 * time.Millisecond }, lost: time.Second, log: logr.Discard(), now: time.Now,
+		reached: func(name string) string {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.addresses[name]
+		},
 	}
-	require.NoError(t, r.open(make([]byte, peer.KeyBytes)))
-	t.Cleanup(r.close)
+	require.NoError(s.t, r.open(make([]byte, peer.KeyBytes)))
+	s.t.Cleanup(r.close)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses[name] = address
 	return r
 }
 
-// TestMembersAreToldByRelays asks as a new instance does: the first relay is gone, another has
-// the list only a moment later, and one that is not newer than what is known is not told.
+// follower is an instance that follows relays, and what it knows by them.
+type follower struct {
+	*relays
+	mu      sync.Mutex
+	entries *membership.Entries
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+func (s *relaySite) follow(name string) *follower {
+	f := &follower{relays: s.start(name), entries: membership.NewEntries(), ended: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	s.t.Cleanup(cancel)
+	go func() {
+		f.relays.follow(ctx, func(e membership.EntryEvent) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.entries.Step(time.Now(), e)
+		})
+		close(f.ended)
+	}()
+	return f
+}
+
+func (f *follower) names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := []string{}
+	for _, m := range f.entries.Listing().Members {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+const relayPatience = 20 * time.Second
+
+// TestMembersAreToldByRelays follows a relay through changes. The relay that is asked first is
+// gone; behind the end of the other one the store is to be asked.
 func TestMembersAreToldByRelays(t *testing.T) {
-	addresses := map[string]string{}
-	none, version := "", "7"
-	var known, nothing atomic.Pointer[string]
-	known.Store(&none)
-	nothing.Store(&none)
-	asker := startRelays(t, "i50", addresses, &nothing)
-	order := relay.Order("i50", relay.Of("z", asker.fleet()))
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	order := relay.Order("i50", relay.Of("z", s.fleet()))
 	require.Len(t, order, relay.PerDomain)
-	teller := startRelays(t, order[1], addresses, &known)
-	addresses[order[1]] = teller.address
-	require.True(t, teller.tells())
-	require.False(t, asker.tells())
-
-	time.AfterFunc(100*time.Millisecond, func() { known.Store(&version) })
-	s, told := asker.ask(context.Background(), "")
-	require.True(t, told)
-	require.Equal(t, "7", s.Version)
-	require.NotNil(t, s.Members[0].Resident, "it is known to hold nothing")
-	_, told = asker.ask(context.Background(), "6")
-	require.True(t, told)
+	teller := s.start(order[1])
+	s.list("a", "b")
+	f := s.follow("i50")
+	require.Eventually(t, func() bool { return len(f.names()) == 2 }, relayPatience, 10*time.Millisecond)
+	require.Eventually(t, f.tells, relayPatience, 10*time.Millisecond, "its word vouches")
+	s.list("b", "c", "d")
+	require.Eventually(t, func() bool {
+		names := f.names()
+		return len(names) == 3 && f.following.Load()
+	}, relayPatience, 10*time.Millisecond)
+	require.ElementsMatch(t, []string{"b", "c", "d"}, f.names())
+	require.False(t, teller.worthAsking(), "a relay asks the store")
+	teller.close()
+	<-f.ended
+	require.False(t, f.worthAsking(), "the store is asked for a while")
+}
 
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	_, told = asker.ask(ctx, "7")
-	require.False(t, told, "the store is asked")
-	_, told = teller.ask(context.Background(), "")
-	require.False(t, told, "a relay asks the store")
+// TestNoneGoInCircles asks one that follows another itself.
+func TestNoneGoInCircles(t *testing.T) {
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	order := relay.Order("i50", relay.Of("z", s.fleet()))
+	s.list("a")
+	s.start(order[0]).following.Store(true)
+	f := s.follow("i50")
+	<-f.ended
+	require.Empty(t, f.names())
 }
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -20,9 +20,6 @@
 	Member *Member
 }
 
-// EntriesAsOf says that all that the store held at a version has come with the events before.
-type EntriesAsOf struct{ Version string }
-
 // StoreLost says that the store gave no answer.
 type StoreLost struct{}
 
@@ -39,7 +36,6 @@
 
 func (EntriesListed) isEntryEvent()  {}
 func (EntriesChanged) isEntryEvent() {}
-func (EntriesAsOf) isEntryEvent()    {}
 func (StoreLost) isEntryEvent()      {}
 func (StoreHeard) isEntryEvent()     {}
 func (StoreCopied) isEntryEvent()    {}
@@ -67,8 +63,6 @@
 	lost    bool
 	// returnedAt is when the store was last back after it was lost.
 	returnedAt time.Time
-	// asOf is the version of the store that the members are as of; empty for none.
-	asOf string
 	// dropped holds when members have gone lately, and ended what is known to have ended, or
 	// to leave, although a copy of the store may show it as live.
 	dropped map[string]time.Time
@@ -99,8 +93,6 @@
 		changed = s.listed(now, e.Members)
 	case EntriesChanged:
 		changed = s.changedTo(now, e.Changes)
-	case EntriesAsOf:
-		s.asOf = e.Version
 	case StoreLost:
 		s.lost = true
 	case StoreHeard:
@@ -270,20 +262,11 @@
 	return changed
 }
 
-// AsOf is the version of the store that the members are as of; empty for none.
-func (s *Entries) AsOf() string { return s.asOf }
+// Listing returns the members, those included whose entries are missing and may come back.
+func (s *Entries) Listing() Listing { return s.listing() }
 
-// Stored returns the members that the store held at a version; an empty version means that
-// nothing is known. Entries that are kept although they are missing there are none of them.
-func (s *Entries) Stored() (version string, members []Member) {
-	members = make([]Member, 0, len(s.members))
-	for name, m := range s.members {
-		if _, missing := s.missing[name]; !missing {
-			members = append(members, m)
-		}
-	}
-	return s.asOf, members
-}
+// Version grows with each change; 0 means that nothing is known.
+func (s *Entries) Version() int64 { return s.version }
 
 func (s *Entries) listing() Listing {
 	l := Listing{Version: s.version, Members: make([]Member, 0, len(s.members))}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -23,13 +24,16 @@
 	Chunk string `cbor:"2,keyasint,omitempty"`
 	// Claim asks a shard of idempotency keys about an entry.
 	Claim *ClaimQuestion `cbor:"3,keyasint,omitempty"`
-	// Members asks for the list of members as of a version of the store.
+	// Members asks for the members that a peer knows.
 	Members *MembersQuestion `cbor:"4,keyasint,omitempty"`
 }
 
-// MembersQuestion asks for a list that is newer than a version; empty for any.
+// MembersQuestion asks for the news of members of who was told up to a change of a process;
+// the zero values ask for all. Hold is for how long the answer may wait for news.
 type MembersQuestion struct {
-	After string `cbor:"1,keyasint,omitempty"`
+	Process string        `cbor:"1,keyasint,omitempty"`
+	Seq     int64         `cbor:"2,keyasint,omitempty"`
+	Hold    time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // ClaimQuestion is an encoded entry for a shard.
@@ -61,9 +65,10 @@
 
 // StreamServer answers peers over QUIC.
 type StreamServer struct {
-	listener *quic.Listener
-	identity atomic.Pointer[Identity]
-	answer   Answerer
+	transport *quic.Transport
+	listener  *quic.Listener
+	identity  atomic.Pointer[Identity]
+	answer    Answerer
 }
 
 // The size that quic-go wants of the system's buffers is far beyond what peers need, and it
@@ -81,11 +86,19 @@
 		MinVersion: tls.VersionTLS13, NextProtos: []string{protocolName},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.identity.Load().serverConfig(), nil },
 	}
-	l, err := quic.ListenAddr(address, config, quicConfig)
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", udp)
 	if err != nil {
 		return nil, err
 	}
-	s.listener = l
+	s.transport = &quic.Transport{Conn: conn}
+	if s.listener, err = s.transport.Listen(config, quicConfig); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	go s.accept()
 	return s, nil
 }
@@ -93,8 +106,12 @@
 // SetIdentity replaces the certificates for connections to come.
 func (s *StreamServer) SetIdentity(id *Identity) { s.identity.Store(id) }
 
-// Close ends serving.
-func (s *StreamServer) Close() { s.listener.Close() }
+// Close ends serving, also over connections that are open.
+func (s *StreamServer) Close() {
+	s.listener.Close()
+	s.transport.Close()
+	s.transport.Conn.Close()
+}
 
 func (s *StreamServer) accept() {
 	for {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,9 +5,12 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
+	_ "github.com/eiderspring/eiderspring/internal/seeded"
 	"github.com/eiderspring/eiderspring/membership"
 )
 
@@ -72,18 +75,76 @@
 	}
 }
 
-func TestSnapshotIsReadAsItWas(t *testing.T) {
-	s := Snapshot{Version: "3/991"}
-	for i := range 40 {
-		s.Members = append(s.Members, entry(i))
+func TestNewsIsReadAsItWas(t *testing.T) {
+	for _, members := range []int{0, 1, 40} {
+		n := News{Process: "p", Seq: 9, Current: true, Revision: 4, Removed: []string{"gone"}}
+		for i := range members {
+			n.Members = append(n.Members, entry(i))
+		}
+		packed, err := Encode(n)
+		require.NoError(t, err)
+		got, err := Decode(packed)
+		require.NoError(t, err)
+		require.Equal(t, n, got)
+		_, err = Decode(packed[:len(packed)/2])
+		require.Error(t, err)
 	}
-	packed, err := Encode(s)
-	require.NoError(t, err)
-	got, err := Decode(packed)
-	require.NoError(t, err)
-	require.Equal(t, s, got)
-	_, err = Decode(packed[:len(packed)/2])
-	require.Error(t, err)
+	_, err := Decode([]byte{9})
+	require.ErrorIs(t, err, ErrForm)
+}
+
+// TestFollowersEndWithTheSameMembers changes members at random, and lets two instances follow,
+// at times after many changes, at times from another process of the teller.
+func TestFollowersEndWithTheSameMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		feed := NewFeed("p0")
+		now := time.Unix(1000, 0)
+		members := map[string]membership.Member{}
+		version := int64(0)
+		type follower struct {
+			entries *membership.Entries
+			process string
+			seq     int64
+		}
+		followers := []*follower{{entries: membership.NewEntries()}, {entries: membership.NewEntries()}}
+		take := func() {
+			version++
+			l := membership.Listing{Version: version}
+			for _, m := range members {
+				l.Members = append(l.Members, m)
+			}
+			feed.Take(l)
+		}
+		follow := func(f *follower) {
+			n := feed.Since(f.process, f.seq)
+			if !n.Empty() {
+				f.entries.Step(now, n.Event())
+			}
+			f.process, f.seq = n.Process, n.Seq
+		}
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprint("e", rapid.IntRange(0, 5).Draw(t, "member"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				delete(members, name)
+			case 1:
+				feed = NewFeed(fmt.Sprint("p", i+1))
+			case 2:
+				follow(followers[rapid.IntRange(0, 1).Draw(t, "follower")])
+			default:
+				members[name] = membership.Member{Name: name, Incarnation: name, State: membership.Live, Slots: i}
+			}
+			take()
+		}
+		for _, f := range followers {
+			follow(f)
+			got := map[string]membership.Member{}
+			for _, m := range f.entries.Listing().Members {
+				got[m.Name] = m
+			}
+			require.Equal(t, members, got)
+		}
+	})
 }
 
 // storeBytes is what an entry takes in the store's list, about.
@@ -94,14 +155,14 @@
 // grew with the square of the fleet, and took a link of 1,000 Mbit/s 13 s at 984.
 func TestCommonStartLeavesTheStoresLinkFree(t *testing.T) {
 	const link = 125e6
-	for _, n := range []int{6, 90, 301, 984, 1968} {
-		fleet := fleetOf(n)
-		endpoints := 4 * n
-		s := Snapshot{Version: "1"}
+	for _, size := range []int{6, 90, 301, 984, 1968} {
+		fleet := fleetOf(size)
+		endpoints := 4 * size
+		n := News{Whole: true}
 		for i := range endpoints {
-			s.Members = append(s.Members, entry(i))
+			n.Members = append(n.Members, entry(i))
 		}
-		packed, err := Encode(s)
+		packed, err := Encode(n)
 		require.NoError(t, err)
 		readers, askers := 0, map[string]int{}
 		for _, i := range fleet {
@@ -118,7 +179,7 @@
 		}
 		store := float64(readers*endpoints*storeBytes) / link
 		relay := float64(busiest*len(packed)) / link
-		t.Logf("%d instances, %d endpoints: %d read the store (%.2f s of its link), one tells %d (%d KB, %.2f s)", n, endpoints, readers, store, busiest, len(packed)/1000, relay)
+		t.Logf("%d instances, %d endpoints: %d read the store (%.2f s of its link), one tells %d (%d KB, %.2f s)", size, endpoints, readers, store, busiest, len(packed)/1000, relay)
 		require.Less(t, store, 0.6)
 		require.Less(t, relay, 0.6)
 	}
--- a/store/client.go
+++ b/store/client.go
@@ -54,22 +54,10 @@
 	// changes: what the handler knows then was current a moment ago. Nil tells
 	// nobody.
 	Confirmed func()
-	// Relayed asks another instance for the whole list as of a version after least. It has
-	// handed the list over itself if it reports true, and the watch goes on from the version.
-	// Nil means that the store is asked.
-	Relayed func(ctx context.Context, least string) (version string, told bool)
 	// Now stamps when calls are made, in Event.AskedAt and List.AskedAt; nil stamps none.
 	Now func() time.Time
 }
 
-// relayed asks another instance for the whole list, where one may tell it.
-func (o WatchOptions) relayed(ctx context.Context, least string) (version string, told bool) {
-	if o.Relayed == nil {
-		return "", false
-	}
-	return o.Relayed(ctx, least)
-}
-
 // Stamp is when a call is made.
 func (o WatchOptions) Stamp() time.Time {
 	if o.Now == nil {
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -90,12 +90,6 @@
 // the watch breaks. It tells whether the store has answered anything. A version
 // that the store no longer keeps is forgotten.
 func (r *Reflector) listAndWatch(ctx context.Context) (progress bool, err error) {
-	if r.version == "" {
-		if version, told := r.options.relayed(ctx, r.least); told {
-			r.version, r.least = version, version
-			progress = true
-		}
-	}
 	if r.version == "" {
 		list, behind, err := r.list(ctx)
 		if err != nil {
