--- a/daemon/evacuated.go
+++ b/daemon/evacuated.go
@@ -76,3 +76,25 @@
 		v.Open[m.Pool][e.Region] = true
 	}
 }
+
+// evacuationStats is what operators see of evacuated failure domains.
+type evacuationStats struct {
+	FailureDomains []string `json:"failure_domains"`
+	// Running is how many requests of this instance still run there: a domain is empty once all
+	// instances show none.
+	Running int64 `json:"running"`
+}
+
+// evacuationStats tells which failure domains are evacuated, by the platform or by the settings.
+func (n *Node) evacuationStats() evacuationStats {
+	s := evacuationStats{FailureDomains: n.mesh.evacuations.inForce()}
+	if c := n.catalog.Load(); c != nil {
+		s.FailureDomains = append(s.FailureDomains, c.Tree.Evacuated...)
+	}
+	for _, e := range n.router.View().Named {
+		if slices.Contains(s.FailureDomains, e.FailureDomain) {
+			s.Running += e.Own()
+		}
+	}
+	return s
+}
--- a/daemon/evacuations.go
+++ b/daemon/evacuations.go
@@ -38,6 +38,16 @@
 	s.changed(in.Domains)
 }
 
+// inForce returns the domains that are evacuated.
+func (s *evacuations) inForce() []string {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.keeper.InForce().Domains)
+}
+
 // maxEvacuatedBytes bounds what one packet tells of evacuated domains.
 const maxEvacuatedBytes = 300
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -176,6 +176,7 @@
 		fleet: n.mesh.fleet, reached: n.mesh.streamsOf, holds: n.mesh.holds, vouch: n.vouchFor, heard: n.vouchedFor, feed: relay.NewFeed(n.mesh.process),
 		hold: n.relayHold, lost: n.cfg.Fresh.relayLost(), listedVersion: n.mesh.knownVersion, log: n.log, now: n.now,
 	}
+	n.vars.Set("evacuated", expvar.Func(func() any { return n.evacuationStats() }))
 	n.vars.Set("relays", expvar.Func(func() any { return n.relays.stats() }))
 	n.vars.Set("limits", expvar.Func(func() any { return n.permits.stats() }))
 	n.vars.Set("mesh", expvar.Func(func() any { return n.mesh.stats() }))
--- /dev/null
+++ b/pipeline/refused_test.go
@@ -0,0 +1,46 @@
+package pipeline
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/admission"
+	"github.com/eiderspring/eiderspring/outcome"
+	"github.com/eiderspring/eiderspring/routing"
+)
+
+// promises are the statuses that promise a request has not run and never will.
+var promises = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+// TestRefusalsPromiseOnlyWhatIsTrue goes through all failures: a status that promises that the
+// request has not run goes with an outcome that says so, tells when to come back, and no other
+// status does.
+func TestRefusalsPromiseOnlyWhatIsTrue(t *testing.T) {
+	cause := errors.New("cause")
+	failures := []Failure{
+		&DecodeError{Status: http.StatusBadRequest}, &DecodeError{Status: http.StatusRequestEntityTooLarge},
+		&AuthError{Status: http.StatusUnauthorized}, &AuthError{Status: http.StatusForbidden}, &StaleError{},
+		&AllowanceError{RetryAfter: time.Second}, &ResolveError{}, &OutdatedError{}, &ClaimError{Err: cause}, &ClaimError{Reused: true, Err: cause},
+		&QuarantineError{Err: cause}, &RouteError{Err: routing.ErrClosed}, &RouteError{Err: routing.ErrNoneLeft},
+		&DispatchError{NotStarted: true, Err: cause}, &DispatchError{TimedOut: true, Err: cause}, &DispatchError{Err: cause},
+		&RelayError{Err: cause}, &RelayError{TimedOut: true, Err: cause}, &RelayError{CallerGone: true, Err: cause},
+	}
+	for _, reason := range []admission.Reason{admission.ReasonQueueFull, admission.ReasonTooMany, admission.ReasonStopping} {
+		failures = append(failures, refusalOf(&admission.RefusedError{Reason: reason}, routing.ErrNoRoom))
+	}
+	for _, f := range failures {
+		a := f.Answer()
+		if slices.Contains(promises, a.Status) {
+			require.Equal(t, outcome.NotRun, f.Outcome(), "%T: %d", f, a.Status)
+			require.Positive(t, a.RetryAfter, "%T: %d", f, a.Status)
+			require.True(t, a.NotRun(), "%T: %d", f, a.Status)
+			continue
+		}
+		require.NotEqual(t, outcome.NotRun, f.Outcome(), "%T: %d", f, a.Status)
+	}
+}
