Relays pack news once for all who ask for the same

Cause: while 4,000 entries come in, each of 65 askers got a packing of its own of every change, by arithmetic 1.5 s of processor time a second of a relay's 0.8. Change: changes gather for 250 ms, so that askers stand at the same change, and what was packed is told again for 100 ms.

--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -62,9 +62,11 @@
 	// ranked is whom to ask, by what was listed at a version.
 	ranked        []string
 	rankedVersion int64
-	// whole is the whole of wholeSeq, packed.
-	whole    []byte
-	wholeSeq int64
+	// takenAt is when feed took the listing last, packed what was told since packedAt, by the
+	// change up to which the asker had been told; -1 stands for the whole.
+	takenAt  time.Time
+	packed   map[int64][]byte
+	packedAt time.Time
 }
 
 const (
@@ -76,6 +78,10 @@
 	relayFirst = 2 * time.Second
 	// relayLook is the time between two looks of a relay at whether there is news.
 	relayLook = 100 * time.Millisecond
+	// relayGather is for how long changes gather, so that those who ask are told the same, and
+	// it is packed once for all; what was packed is told again for packedKept.
+	relayGather = 250 * time.Millisecond
+	packedKept  = 100 * time.Millisecond
 	// mostRelaysAsked is how many are tried before the store is asked.
 	mostRelaysAsked = 2
 	// relayRetry is for how long the store is asked behind a failure of all, worthLook the time
@@ -286,9 +292,7 @@
 func (r *relays) news(q peer.MembersQuestion, over bool) (packed []byte, told bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version := r.version(); version != r.feed.Taken() {
-		r.feed.Take(r.listing())
-	}
+	r.take()
 	if r.feed.Taken() == 0 {
 		return nil, false
 	}
@@ -296,24 +300,39 @@
 	if news.Empty() && !over {
 		return nil, false
 	}
-	if news.Whole && news.Seq == r.wholeSeq {
-		return r.whole, true
+	key := q.Seq
+	if news.Whole {
+		key = wholeKey
 	}
-	if !news.Whole {
-		// The whole is told for some time; the next answer vouches.
-		r.vouch(&news)
+	if packed, known := r.packed[key]; known {
+		return packed, true
 	}
+	r.vouch(&news)
 	packed, err := relay.Encode(news)
 	if err != nil {
 		r.log.Error(err, "members not packed")
 		return nil, false
 	}
-	if news.Whole {
-		r.whole, r.wholeSeq = packed, news.Seq
-	}
+	r.packed[key] = packed
 	return packed, true
 }
 
+// wholeKey stands for the whole among what was packed.
+const wholeKey = -1
+
+// take takes the listing if it has changed, now and then; mu must be held.
+func (r *relays) take() {
+	now := r.now()
+	changed := r.version() != r.feed.Taken() && now.Sub(r.takenAt) >= relayGather
+	if changed {
+		r.feed.Take(r.listing())
+		r.takenAt = now
+	}
+	if changed || now.Sub(r.packedAt) >= packedKept {
+		r.packed, r.packedAt = map[int64][]byte{}, now
+	}
+}
+
 // relayStats is what operators see of who tells whom.
 type relayStats struct {
 	// Following is whether another instance tells this one, Answered how many questions of
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -151,3 +151,31 @@
 	<-f.ended
 	require.Empty(t, f.names())
 }
+
+// TestNewsIsPackedOnceForAll has many instances ask for the same news: 65 of them each had a
+// packing of its own of every change, more than a relay's processor bears while entries come in.
+func TestNewsIsPackedOnceForAll(t *testing.T) {
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	r := s.start("i0")
+	now := time.Unix(1000, 0)
+	r.now = func() time.Time { return now }
+	s.list("a")
+	whole, told := r.news(peer.MembersQuestion{}, false)
+	require.True(t, told)
+	again, _ := r.news(peer.MembersQuestion{}, false)
+	require.Same(t, &whole[0], &again[0])
+	n, err := relay.Decode(whole)
+	require.NoError(t, err)
+	known := peer.MembersQuestion{Process: n.Process, Seq: n.Seq}
+	s.list("a", "b")
+	_, told = r.news(known, false)
+	require.False(t, told, "changes gather")
+	now = now.Add(relayGather)
+	first, told := r.news(known, false)
+	require.True(t, told)
+	second, _ := r.news(known, false)
+	require.Same(t, &first[0], &second[0])
+	now = now.Add(packedKept)
+	later, _ := r.news(known, false)
+	require.NotSame(t, &first[0], &later[0], "what vouches is not told for long")
+}
--- a/permit/doc.go
+++ b/permit/doc.go
@@ -15,6 +15,9 @@
 // below one and a half times the limit. A rate of next to nothing is raised to leastRate, as
 // only an answer tells that the limit has ended.
 //
+// What an endpoint takes while it is cold is kept in the same way, but ends by time, and grows
+// in steps (Cold, Warm).
+//
 // Nothing is kept: an issuer begins with an empty bucket, and an endpoint that is started
 // again is another endpoint. Local is a state machine without goroutine, clock, random
 // source or I/O.
