--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -19,7 +19,7 @@
 // failure domain that follows the store, and tells them to those that ask this one. A nil one
 // does neither.
 type relays struct {
-	instance, domain, process string
+	instance, domain string
 	// address is where this instance answers; empty if it does not.
 	address string
 	// fleet is the instances that are listed, known tells whether that list has been read, and
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -63,7 +63,7 @@
 	address := conn.LocalAddr().String()
 	require.NoError(s.t, conn.Close())
 	r := &relays{
-		instance: name, domain: "z", process: "p-" + name, address: address, fleet: s.fleet, known: func() bool { return true }, listedVersion: func() int64 { return 1 },
+		instance: name, domain: "z", address: address, fleet: s.fleet, known: func() bool { return true }, listedVersion: func() int64 { return 1 },
 		holds: func() bool { return false }, listing: s.listing, version: func() int64 { return s.listing().Version },
 		vouch: func(n *relay.News) { n.Current, n.Revision = true, 7 }, heard: func(relay.News) {}, feed: relay.NewFeed("p-" + name),
 		hold: func() time.Duration { return 100 * time.Millisecond }, lost: time.Second, log: logr.Discard(), now: time.Now,
