--- a/daemon/evacuated_test.go
+++ b/daemon/evacuated_test.go
@@ -29,7 +29,7 @@
 			Pools:     map[string]*settings.Pool{"plain": {ColdPerSecond: 9.6, ColdStartMS: 3000}},
 			Evacuated: evacuated,
 		}
-		h.step(settingsAccepted{&revision.Accepted{Entry: revision.Entry{Revision: n}, Tree: tree}})
+		h.step(settingsAccepted{accepted: &revision.Accepted{Entry: revision.Entry{Revision: n}, Tree: tree}})
 	}
 	revise(1)
 	l := membership.Listing{Version: 1}
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/eiderspring/eiderspring/engine"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
@@ -11,7 +13,22 @@
 type event interface{ isEvent() }
 
 // settingsAccepted is a newer revision of the settings.
-type settingsAccepted struct{ accepted *revision.Accepted }
+type settingsAccepted struct {
+	accepted *revision.Accepted
+	// by is what brought it, and at when that was; zero where nobody notes it.
+	by settingsSource
+	at time.Time
+}
+
+// settingsSource is what brings settings.
+type settingsSource string
+
+// Sources of settings.
+const (
+	byWatch   settingsSource = "watch"
+	byList    settingsSource = "list"
+	byRequest settingsSource = "request"
+)
 
 // membersListed is a newer answer of the platform's list.
 type membersListed struct{ listing membership.Listing }
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -72,7 +72,7 @@
 			return
 		}
 		for _, e := range changes.take() {
-			d.found(ctx, e.Object)
+			d.found(ctx, e.Object, byWatch)
 		}
 		d.shown(e.AskedAt)
 		cancel()
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	d.found(ctx, o)
+	d.found(ctx, o, byList)
 	d.shown(asked)
 	return nil
 }
@@ -119,7 +119,7 @@
 			wait.For(ctx, jitter(confirmPause))
 			continue
 		}
-		d.found(ctx, o)
+		d.found(ctx, o, byRequest)
 		// Until they are in force, every packet says again that they are newer.
 		wait.For(ctx, confirmSettle)
 		select {
@@ -153,7 +153,7 @@
 			listed.Store(true)
 			d.version.Store(&l.ResourceVersion)
 			for _, o := range l.Items {
-				d.found(ctx, o)
+				d.found(ctx, o, byList)
 			}
 			d.shown(l.AskedAt)
 		},
@@ -163,7 +163,7 @@
 				d.link.heard()
 				d.version.Store(&e.Object.Metadata.ResourceVersion)
 				for _, e := range changes.take() {
-					d.found(ctx, e.Object)
+					d.found(ctx, e.Object, byWatch)
 				}
 				d.shown(e.AskedAt)
 				if e.Behind && d.inForce != nil {
@@ -180,7 +180,15 @@
 	r.Run(ctx)
 }
 
-func (d *configDuty) found(ctx context.Context, o store.Object) {
+// stamp is the time, zero where nobody notes it.
+func (d *configDuty) stamp() time.Time {
+	if d.now == nil {
+		return time.Time{}
+	}
+	return d.now()
+}
+
+func (d *configDuty) found(ctx context.Context, o store.Object, by settingsSource) {
 	if o.Metadata.Name != d.name {
 		return
 	}
@@ -196,7 +204,7 @@
 			break
 		}
 	}
-	_ = d.events.Put(ctx, settingsAccepted{accepted})
+	_ = d.events.Put(ctx, settingsAccepted{accepted: accepted, by: by, at: d.stamp()})
 }
 
 // entriesDuty follows the entries of members in the store.
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -350,6 +350,16 @@
 	m.newest.Store(revision)
 }
 
+// heardAgo is how long ago another instance was first heard to have a revision of the settings,
+// or a later one; neverConfirmed if none was.
+func (m *mesh) heardAgo(revision int64) time.Duration {
+	at := m.newestAt.Load()
+	if at == nil || m.newest.Load() < revision {
+		return neverConfirmed
+	}
+	return m.now().Sub(*at)
+}
+
 // outdatedFor is for how long settings that are known to be newer are waited for: they may be
 // such that this release cannot read, or may have been lost with the store.
 const outdatedFor = 10 * time.Second
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -321,7 +321,7 @@
 		Dialect: dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, Unreachable: n.mesh.hurry,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
-		Outdated: n.mesh.outdated, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits.local,
+		Outdated: n.mesh.outdated, Revisions: n.revisions, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.local, Permits: n.permits.local,
 	})
 	n.overdue = handler.EndOverdue
 	for _, s := range []struct {
@@ -422,7 +422,7 @@
 		cells: n.placers.update, peers: func(*membership.List) {},
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
 		catalog: n.adopt, leaving: n.mesh.withdraw, listed: n.mesh.endpoints.Store, differs: n.mesh.listsOthers,
-		cold: n.endpointCold,
+		cold: n.endpointCold, heardAgo: n.mesh.heardAgo,
 	}
 	config := &configDuty{
 		client: objects, kind: n.ports.SettingsKind, name: n.ports.SettingsName, decode: n.ports.DecodeSettings,
@@ -468,6 +468,13 @@
 	return 0
 }
 
+// revisions are those of the settings in force, and of the newest that any instance is known
+// to have.
+func (n *Node) revisions() pipeline.Revisions {
+	inForce := n.revision()
+	return pipeline.Revisions{InForce: inForce, Newest: max(inForce, n.mesh.newest.Load())}
+}
+
 // adopt puts a configuration in force.
 func (n *Node) adopt(a *revision.Accepted) *settings.Catalog {
 	a.Tree.Regions = n.cfg.Regions
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -71,7 +71,7 @@
 		return nil
 	}
 	d.newest = accepted.Entry.Revision
-	return d.events.Put(ctx, settingsAccepted{accepted})
+	return d.events.Put(ctx, settingsAccepted{accepted: accepted})
 }
 
 func (d *settingsDuty) fetchFromPeer(ctx context.Context, address string) (*revision.Accepted, error) {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -26,6 +26,9 @@
 	now    func() time.Time
 	// applied is told of events that are in force; nil tells nobody.
 	applied *applied
+	// heardAgo is how long ago another instance was first heard to have a revision or a later
+	// one, neverConfirmed if none was; nil means that nobody knows.
+	heardAgo func(revision int64) time.Duration
 	// catalog puts a revision in force.
 	catalog func(*revision.Accepted) *settings.Catalog
 	// cells gives the settings and the list to the cells.
@@ -168,7 +171,7 @@
 func (d *viewDuty) applyMembers(e event) bool {
 	switch e := e.(type) {
 	case settingsAccepted:
-		return d.accept(e.accepted) && d.inform()
+		return d.accept(e) && d.inform()
 	case domainsEvacuated:
 		d.told = e.domains
 		return d.evacuate() && d.inform()
@@ -204,17 +207,31 @@
 }
 
 // accept takes a revision, never one below that in force.
-func (d *viewDuty) accept(a *revision.Accepted) bool {
+func (d *viewDuty) accept(e settingsAccepted) bool {
+	a := e.accepted
 	if d.accepted != nil && a.Entry.Revision <= d.accepted.Entry.Revision {
 		return false
 	}
 	d.accepted = a
 	d.resolved = d.catalog(a)
 	d.evacuate()
-	d.log.Info("settings in force", "revision", a.Entry.Revision, "author", a.Entry.Author)
+	values := []any{"revision", a.Entry.Revision, "author", a.Entry.Author}
+	if !e.at.IsZero() {
+		values = append(values, "by", e.by, "waited_ms", d.now().Sub(e.at).Milliseconds(), "heard_ms", d.heardMS(a.Entry.Revision))
+	}
+	d.log.Info("settings in force", values...)
 	return true
 }
 
+// heardMS is how long ago, in milliseconds, another instance was first heard to have a revision
+// or a later one; -1 if none was.
+func (d *viewDuty) heardMS(revision int64) int64 {
+	if d.heardAgo == nil {
+		return -1
+	}
+	return ageMS(d.heardAgo(revision))
+}
+
 func (d *viewDuty) report(e loadReported) bool {
 	endpoint, known := d.endpoints[e.endpoint]
 	if !known || endpoint.Incarnation != e.report.Incarnation {
--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -41,7 +41,7 @@
 		leaving: h.told.withdraw,
 	}
 	h.told.router = h.router
-	h.step(settingsAccepted{&revision.Accepted{Tree: &settings.Tree{Pools: map[string]*settings.Pool{"plain": {}}}}})
+	h.step(settingsAccepted{accepted: &revision.Accepted{Tree: &settings.Tree{Pools: map[string]*settings.Pool{"plain": {}}}}})
 	return h
 }
 
--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -134,10 +134,18 @@
 
 // OutdatedError is a name that stands for nothing here, where newer settings are known to be
 // accepted. No endpoint has started the request.
-type OutdatedError struct{ Name string }
+type OutdatedError struct {
+	Name      string
+	Revisions Revisions
+}
+
+// Revisions are those of the settings in force at an instance, and of the newest that any
+// instance is known to have.
+type Revisions struct{ InForce, Newest int64 }
 
 func (e *OutdatedError) Error() string {
-	return fmt.Sprintf("resolve: nothing is named %q, and newer settings are not in force yet", e.Name)
+	return fmt.Sprintf("resolve: nothing is named %q, and newer settings are not in force yet: revision %d of %d",
+		e.Name, e.Revisions.InForce, e.Revisions.Newest)
 }
 func (e *OutdatedError) Outcome() outcome.Outcome { return outcome.NotRun }
 
--- a/pipeline/metrics.go
+++ b/pipeline/metrics.go
@@ -47,6 +47,10 @@
 	}
 }
 
+// countOutdated counts a request that was refused because newer settings than those in force
+// may know its name: the settings are late at this instance.
+func (m *Metrics) countOutdated() { m.vars.Add("requests_outdated", 1) }
+
 // latencies is a histogram that is an expvar.Var.
 type latencies struct {
 	mu   sync.Mutex
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -53,6 +53,8 @@
 	// Outdated tells whether newer settings are known to be accepted than those in force;
 	// nil means never.
 	Outdated func() bool
+	// Revisions tells which settings that concerns; nil means that nobody knows.
+	Revisions func() Revisions
 	// Retries bounds second attempts; nil means DefaultRetryLimits.
 	Retries *RetryBudgets
 	// Quarantine holds back requests that end endpoints; nil holds none.
@@ -158,11 +160,19 @@
 // unlessOutdated says of a name that is not known whether newer settings may know it.
 func (p *Pipeline) unlessOutdated(err error) error {
 	if unknown := (*ResolveError)(nil); errors.As(err, &unknown) && p.cfg.Outdated() {
-		return &OutdatedError{Name: unknown.Name}
+		return &OutdatedError{Name: unknown.Name, Revisions: p.revisions()}
 	}
 	return err
 }
 
+// revisions tells which settings are in force; nothing where nobody knows.
+func (p *Pipeline) revisions() Revisions {
+	if p.cfg.Revisions == nil {
+		return Revisions{}
+	}
+	return p.cfg.Revisions()
+}
+
 // allow counts a request against its caller's allowance.
 func (p *Pipeline) allow(x *Exchange) error {
 	limit := x.Caller.Allowance
