A whole list of the store, the link between instances and the first endpoints are logged, with times

The time line of a common start had no line between a process's start and its first members: who read a list, how large it was and how long it took, when the key was known, when the first view had endpoints. Lists that may be behind are stamped too.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -148,7 +148,7 @@
 	var changes batch
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
-			d.link.heard()
+			d.link.listed(d.kind, l)
 			changes.take()
 			listed.Store(true)
 			d.version.Store(&l.ResourceVersion)
@@ -277,10 +277,10 @@
 func (d *entriesDuty) watchStore(ctx context.Context) {
 	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
 	var changes batch
-	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }}
+	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }, Now: d.now}
 	r := store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
-			d.link.heard()
+			d.link.listed(d.kind, l)
 			changes.take()
 			put(membership.StoreHeard{Since: d.returned()})
 			put(membership.EntriesListed{Members: d.members(l.Items)})
--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -119,6 +119,7 @@
 		return nil
 	}
 	d.ownKey = key
+	d.log.Info("link between instances opens")
 	return d.opened(key)
 }
 
@@ -191,9 +192,9 @@
 
 // watch follows the other instances.
 func (d *presenceDuty) watch(ctx context.Context) {
-	r := store.NewReflector(d.client, store.KindInstance, store.WatchOptions{Behind: whoIsThereMayBeOld},
+	r := store.NewReflector(d.client, store.KindInstance, store.WatchOptions{Behind: whoIsThereMayBeOld, Now: d.link.now},
 		func(l store.List) {
-			d.link.heard()
+			d.link.listed(store.KindInstance, l)
 			d.listed(l)
 		},
 		func(e store.Event) {
--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -207,6 +207,7 @@
 // followOne follows one relay for as long as it answers and is to be asked. It tells whether it
 // has answered at all.
 func (r *relays) followOne(ctx context.Context, name string, put func(membership.EntryEvent)) (answered bool) {
+	began := r.now()
 	session, err := r.dial(ctx, name)
 	if err != nil {
 		r.failed(name, err)
@@ -221,7 +222,7 @@
 			return answered
 		}
 		if !answered {
-			r.log.Info("members told", "by", name, "members", len(news.Members))
+			r.log.Info("members told", "by", name, "members", len(news.Members), "took_ms", r.now().Sub(began).Milliseconds())
 			put(membership.StoreHeard{})
 		}
 		answered = true
--- a/daemon/storelink.go
+++ b/daemon/storelink.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// listed notes that the store has answered with a whole list, and logs how long that took.
+func (l *storeLink) listed(kind store.Kind, list store.List) {
+	l.heard()
+	if !list.BeganAt.IsZero() {
+		l.log.Info("list read", "kind", kind, "objects", len(list.Items), "took_ms", l.now().Sub(list.BeganAt).Milliseconds())
+	}
+}
+
 // answered notes that the store has answered a call.
 func (l *storeLink) answered() {
 	l.mu.Lock()
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -363,6 +363,9 @@
 	d.warming, d.coldSaid = nil, nil
 	d.replicas.keep(v.Named)
 	v.Replicas = d.replicas.give()
+	if len(d.router.View().Named) == 0 && len(v.Named) > 0 {
+		d.log.Info("endpoints known", "endpoints", len(v.Named), "units", len(v.Replicas))
+	}
 	d.router.SetView(v)
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -54,7 +54,7 @@
 	// changes: what the handler knows then was current a moment ago. Nil tells
 	// nobody.
 	Confirmed func()
-	// Now stamps when calls are made, in Event.AskedAt and List.AskedAt; nil stamps none.
+	// Now stamps when calls are made, in Event.AskedAt, List.AskedAt and List.BeganAt; nil stamps none.
 	Now func() time.Time
 }
 
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -121,13 +121,15 @@
 func (r *Reflector) list(ctx context.Context) (l List, behind bool, err error) {
 	reader, offered := r.client.(BehindReader)
 	if offered && r.options.MayBeBehind() {
+		asked := r.options.Stamp()
 		l, err = reader.ListBehind(ctx, r.kind, r.least)
+		l.BeganAt = asked
 		if !errors.Is(err, ErrOlder) {
 			return l, true, err
 		}
 	}
 	asked := r.options.Stamp()
 	l, err = r.client.List(ctx, r.kind)
-	l.AskedAt = asked
+	l.AskedAt, l.BeganAt = asked, asked
 	return l, false, err
 }
