--- /dev/null
+++ b/daemon/settingspath_test.go
@@ -0,0 +1,306 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/lease"
+	"github.com/eiderspring/eiderspring/membership"
+	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/placement/counted"
+	"github.com/eiderspring/eiderspring/revision"
+	"github.com/eiderspring/eiderspring/ring"
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// sharedLink is a link in virtual time: what is sent waits for what was sent before.
+type sharedLink struct {
+	bytesPerSecond float64
+
+	mu   sync.Mutex
+	free time.Time
+}
+
+// send returns when so many bytes have been sent.
+func (l *sharedLink) send(bytes int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	return time.Until(l.free)
+}
+
+// settingsBytes is what settings with some hundred routes take in an answer of the store.
+const settingsBytes = 45_000
+
+// settingsClient is an instance's way to the settings in a store whose link all share.
+type settingsClient struct {
+	*lateClient
+	link *sharedLink
+}
+
+// Get implements store.Client.
+func (c settingsClient) Get(context.Context, store.Kind, string) (store.Object, error) {
+	time.Sleep(answerLatency + c.link.send(settingsBytes))
+	return c.store.list().Items[0], nil
+}
+
+// answerLatency is how long the store takes for an answer.
+const answerLatency = 4 * time.Millisecond
+
+// settingsInstance is what of an instance learns of settings and puts them in force.
+type settingsInstance struct {
+	name   string
+	link   *storeLink
+	mesh   *mesh
+	config *configDuty
+	view   *viewDuty
+
+	mu      sync.Mutex
+	inForce int64
+	// since is when each revision came into force.
+	since map[int64]time.Time
+}
+
+func (i *settingsInstance) revision() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.inForce
+}
+
+// inForceSince is when a revision came into force.
+func (i *settingsInstance) inForceSince(revision int64) (at time.Time, known bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	at, known = i.since[revision]
+	return at, known
+}
+
+func (i *settingsInstance) adopt(a *revision.Accepted) *settings.Catalog {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.inForce = a.Entry.Revision
+	i.since[a.Entry.Revision] = time.Now()
+	return settings.NewCatalog(a.Tree)
+}
+
+// decodeSettings returns settings with a pool of engines, whose revision is the store's.
+func decodeSettings(o store.Object) (*revision.Accepted, error) {
+	n, err := strconv.ParseInt(o.Metadata.ResourceVersion, 10, 64)
+	tree := &settings.Tree{Pools: map[string]*settings.Pool{"pool": {Kind: settings.KindEngine}}}
+	return &revision.Accepted{Entry: revision.Entry{Revision: n}, Tree: tree}, err
+}
+
+// settingsFleet is instances that share a store; the first one holds the lease.
+type settingsFleet struct {
+	store     *lateStore
+	storeLink *sharedLink
+	instances []*settingsInstance
+	placers   *placers
+	busy      *placer
+}
+
+// fleetSize is how large a fleet is, and what its instances have.
+type fleetSize struct {
+	instances, endpoints int
+	mbits, cores         float64
+}
+
+func newSettingsFleet(t *testing.T, size fleetSize) *settingsFleet {
+	f := &settingsFleet{store: newLateStore(staleAnswers), storeLink: &sharedLink{bytesPerSecond: 1000 * bytesPerMbit}}
+	f.store.record(store.EventModified, store.Object{Kind: "settings", Metadata: store.Metadata{Name: "main"}, Spec: json.RawMessage(`{}`)})
+	f.busy = &placer{
+		events: ring.New[counted.Event](placerEvents, ring.Block), runner: lease.NewRunner(lease.RunnerConfig{}), log: logr.Discard(),
+		controller: counted.NewController(counted.Config{}), place: func([]placedNews) {},
+		now: func() time.Time {
+			time.Sleep(busyStep)
+			return time.Now()
+		},
+	}
+	f.placers = &placers{running: map[string]*placer{"pool": f.busy}, log: logr.Discard()}
+	for n := range size.instances {
+		f.instances = append(f.instances, f.newInstance(t, fmt.Sprintf("i%d", n), n == 0, size))
+	}
+	listed := map[string]presence{}
+	for _, i := range f.instances {
+		listed[i.name] = presence{Datagrams: i.name}
+	}
+	f.instances[0].mesh.listed = listed
+	f.instances[0].mesh.datagrams = &fleetWire{fleet: f, link: &sharedLink{bytesPerSecond: size.mbits * bytesPerMbit}}
+	return f
+}
+
+// busyStep is what the placer takes for one report: with thousands of endpoints its processor
+// bears fewer reports than come.
+const busyStep = 5 * time.Millisecond
+
+// reportEvery is the time between two reports of an endpoint.
+const reportEvery = 5 * time.Second
+
+func (f *settingsFleet) newInstance(t *testing.T, name string, first bool, size fleetSize) *settingsInstance {
+	fresh := DefaultNodeConfig().Fresh
+	link := &storeLink{log: logr.Discard(), now: time.Now}
+	i := &settingsInstance{name: name, link: link, since: map[int64]time.Time{}}
+	sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
+	require.NoError(t, err)
+	events := ring.New[event](eventsCapacity, ring.Block)
+	lag := newApplied(events.Added, time.Now)
+	i.mesh = &mesh{
+		instance: name, now: time.Now, log: logr.Discard(), sealer: sealer, withdrawn: map[string]withdrawal{}, listed: map[string]presence{},
+		self: presence{Cores: size.cores}, linkBytes: size.mbits * bytesPerMbit, counted: func(int) {}, newer: make(chan struct{}, 1),
+		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], nil), revision: i.revision,
+		holds: func() bool { return first },
+		current: func() bool {
+			return link.settled() && link.age("settings")+lag.lag() < fresh.vouchAge()
+		},
+	}
+	i.view = &viewDuty{
+		events: events, router: i.mesh.router, log: logr.Discard(), now: time.Now, applied: lag, catalog: i.adopt, kick: func() {},
+		cells: func(*settings.Catalog, *membership.List) {}, peers: func(*membership.List) {}, heardAgo: i.mesh.heardAgo,
+		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
+	}
+	if first {
+		i.view.cells = f.placers.update
+	}
+	i.config = &configDuty{
+		client: settingsClient{&lateClient{store: f.store, link: link, fresh: fresh, cut: make(chan struct{})}, f.storeLink},
+		kind:   "settings", name: "main", decode: decodeSettings, newer: i.mesh.newer, behind: i.mesh.holderTells, inForce: i.mesh.settingsInForce,
+		now: time.Now, events: events, link: link, log: logr.Discard(),
+	}
+	return i
+}
+
+// run starts the instances, the placer, and the reports of the endpoints to it.
+func (f *settingsFleet) run(ctx context.Context, endpoints int) {
+	for _, i := range f.instances {
+		go i.view.run(ctx)
+		go i.config.run(ctx)
+		go i.config.confirm(ctx)
+	}
+	go f.busy.run(ctx)
+	go f.changeEndpoints(ctx)
+	for n := range endpoints {
+		go func() {
+			time.Sleep(reportEvery * time.Duration(n) / time.Duration(endpoints))
+			for ctx.Err() == nil {
+				_ = f.busy.events.Put(ctx, counted.Tick{})
+				time.Sleep(reportEvery)
+			}
+		}()
+	}
+	go func() {
+		holder := f.instances[0].mesh
+		for ctx.Err() == nil {
+			holder.tellSum()
+			time.Sleep(holder.hubPause())
+		}
+	}()
+}
+
+// changeEndpoints lets an endpoint start again and again, of which the holder's view tells the
+// placer.
+func (f *settingsFleet) changeEndpoints(ctx context.Context) {
+	for n := int64(1); ctx.Err() == nil; n++ {
+		m := membership.Member{Name: "e", Incarnation: strconv.FormatInt(n, 10), StartedAtMS: n, Pool: "pool", State: membership.Live}
+		_ = f.instances[0].view.events.Put(ctx, membersListed{membership.Listing{Version: n, Members: []membership.Member{m}}})
+		time.Sleep(entriesGather)
+	}
+}
+
+// fleetWire carries the holder's packets to all others over its link.
+type fleetWire struct {
+	fleet *settingsFleet
+	link  *sharedLink
+
+	mu     sync.Mutex
+	opened map[string]bool
+	packet peer.Packet
+}
+
+// Send implements peer.Datagrams.
+func (w *fleetWire) Send(address string, sealed []byte) {
+	p := w.open(sealed)
+	n, err := strconv.Atoi(address[1:])
+	if err != nil || n == 0 {
+		return
+	}
+	to := w.fleet.instances[n].mesh
+	time.AfterFunc(w.link.send(len(sealed))+time.Millisecond, func() {
+		to.totals.take(time.Now(), p)
+		to.hearRevision(p.Revision)
+	})
+}
+
+// open opens a packet once for all who get it.
+func (w *fleetWire) open(sealed []byte) peer.Packet {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.opened[string(sealed)] {
+		return w.packet
+	}
+	plain, err := w.fleet.instances[1].mesh.sealer.Open(sealed)
+	if err != nil {
+		panic(err)
+	}
+	if w.packet, err = peer.DecodePacket(plain); err != nil {
+		panic(err)
+	}
+	w.opened = map[string]bool{string(sealed): true}
+	return w.packet
+}
+
+// Close implements peer.Datagrams.
+func (*fleetWire) Close() {}
+
+// TestSettingsAreInForceAtTheLastInstanceInTime guards against settings that are late at the
+// holder of the lease itself, or at those who rest on its word: it follows settings from their
+// acknowledgement through watch, word, read, ring and view, while the placer gets more reports
+// than it bears.
+func TestSettingsAreInForceAtTheLastInstanceInTime(t *testing.T) {
+	for _, size := range []fleetSize{{6, 15, 1000, 0.4}, {90, 140, 200, 0.8}, {301, 3000, 1000, 0.4}, {301, 3000, 200, 0.8}, {984, 4000, 1000, 0.8}} {
+		t.Run(fmt.Sprintf("%d instances, %d endpoints, %v Mbit/s", size.instances, size.endpoints, size.mbits), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				f := newSettingsFleet(t, size)
+				f.run(ctx, size.endpoints)
+				time.Sleep(8 * time.Second)
+				began := time.Now()
+				f.store.record(store.EventModified, store.Object{Kind: "settings", Metadata: store.Metadata{Name: "main"}, Spec: json.RawMessage(`{}`)})
+				time.Sleep(10 * time.Second)
+				f.requireInTime(t, began)
+				stop()
+				// The placer ends when its ring is empty.
+				time.Sleep(reportEvery + (placerEvents+2)*busyStep)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// requireInTime requires that all instances have the second revision in force as soon as the
+// users ask.
+func (f *settingsFleet) requireInTime(t *testing.T, began time.Time) {
+	t.Helper()
+	bound := milliseconds(DefaultNodeConfig().Fresh.SettingsMS)
+	var last time.Duration
+	for _, i := range f.instances {
+		at, known := i.inForceSince(2)
+		require.True(t, known, "%s has no newer settings in force after %v", i.name, time.Since(began))
+		last = max(last, at.Sub(began))
+	}
+	t.Logf("in force at the last instance after %v", last)
+	require.Less(t, last, bound)
+}
