Members that a relay tells are not taken where they are older than those known here

Cause: news of members did not say as of which version of the store it is. Change: it does, and never of a later one than its members; who knows of a later version asks for it, waits 0.4 s, and else stays with the store, whose watch goes on from where it was in place of a new list, for as long as the store keeps changes. Tests: TestOlderMembersOfARelayAreNotTaken (fails without the comparison), TestNewsTellsNoLaterVersionThanItsMembers. An older release that tells no version is taken as before.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/evacuation"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/revision"
 	"github.com/eiderspring/eiderspring/ring"
@@ -215,6 +216,11 @@
 	// mu guards entries, which run alone changes.
 	mu      sync.Mutex
 	entries *membership.Entries
+	// listed is the version of the store as of which entries are known, heard the newest one
+	// that was heard of; mu guards both.
+	listed, heard evacuation.Version
+	// parse reads a version of the store; nil where versions are not compared.
+	parse func(resourceVersion string) (evacuation.Version, error)
 	// relays asks another instance for the list; nil where none tells it.
 	relays *relays
 	inputs *ring.Ring[membership.EntryEvent]
@@ -261,39 +267,98 @@
 // watch follows the entries: by the word of another instance that tells them, or else by the
 // store.
 func (d *entriesDuty) watch(ctx context.Context) {
+	var watch *store.Reflector
+	var watchedAt time.Time
+	unlessTold, cancel := ctx, context.CancelFunc(func() {})
 	for ctx.Err() == nil {
-		d.relays.follow(ctx, func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) })
-		unlessTold, cancel := context.WithCancel(ctx)
-		go func() {
-			d.relays.awaitWorthAsking(unlessTold)
+		d.relays.follow(ctx, func(e membership.EntryEvent) { d.put(ctx, e) })
+		if watch == nil || d.now().Sub(watchedAt) >= untilTold {
+			// The store may not keep changes for longer.
+			watch = d.storeWatch(ctx, func() context.Context { return unlessTold })
+		}
+		unlessTold, cancel = context.WithCancel(ctx)
+		go func(ctx context.Context, cancel context.CancelFunc) {
+			d.relays.awaitWorthAsking(ctx)
 			cancel()
-		}()
-		d.watchStore(unlessTold)
+		}(unlessTold, cancel)
+		watch.Run(unlessTold)
+		watchedAt = d.now()
 		cancel()
 	}
 }
 
-// watchStore follows the entries in the store.
-func (d *entriesDuty) watchStore(ctx context.Context) {
-	put := func(e membership.EntryEvent) { _ = d.inputs.Put(ctx, e) }
+// entriesAt is an event behind which entries are known as of a version of the store.
+type entriesAt struct {
+	membership.EntryEvent
+	version evacuation.Version
+}
+
+// put passes on an event, and notes of which version of the store it tells.
+func (d *entriesDuty) put(ctx context.Context, e membership.EntryEvent) {
+	if at, told := e.(entriesAt); told {
+		d.mu.Lock()
+		d.heard = laterVersion(d.heard, at.version)
+		d.mu.Unlock()
+	}
+	_ = d.inputs.Put(ctx, e)
+}
+
+// at adds the version of the store to an event that an answer of the store has brought.
+func (d *entriesDuty) at(resourceVersion string, e membership.EntryEvent) membership.EntryEvent {
+	if d.parse == nil {
+		return e
+	}
+	version, err := d.parse(resourceVersion)
+	if err != nil {
+		d.log.Error(err, "version of the store unreadable", "version", resourceVersion)
+		return e
+	}
+	return entriesAt{EntryEvent: e, version: version}
+}
+
+func laterVersion(a, b evacuation.Version) evacuation.Version {
+	if a.Compare(b) < 0 {
+		return b
+	}
+	return a
+}
+
+// listedAt is the version of the store as of which the members are known here, heardAt the
+// newest one that was heard of.
+func (d *entriesDuty) listedAt() evacuation.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+func (d *entriesDuty) heardAt() evacuation.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heard
+}
+
+// storeWatch returns what follows the entries in the store, and pauses for as long as the
+// context lasts in which it does.
+func (d *entriesDuty) storeWatch(ctx context.Context, following func() context.Context) *store.Reflector {
+	put := func(e membership.EntryEvent) { d.put(ctx, e) }
 	var changes batch
 	options := store.WatchOptions{Behind: d.behind, Wait: d.closeWait, Confirmed: func() { d.link.confirmed(d.kind) }, Now: d.now}
-	r := store.NewReflector(d.client, d.kind, options,
+	return store.NewReflector(d.client, d.kind, options,
 		func(l store.List) {
 			d.link.listed(d.kind, l)
 			changes.take()
 			put(membership.StoreHeard{Since: d.returned()})
-			put(membership.EntriesListed{Members: d.members(l.Items)})
+			put(d.at(l.ResourceVersion, membership.EntriesListed{Members: d.members(l.Items)}))
 		},
 		func(e store.Event) {
 			switch e.Type {
 			case store.EventBookmark:
 				d.link.heard()
 				put(membership.StoreHeard{Since: d.returned()})
-				put(membership.EntriesChanged{Changes: d.changes(changes.take())})
+				put(d.at(e.Object.Metadata.ResourceVersion, membership.EntriesChanged{Changes: d.changes(changes.take())}))
 				// Endpoints change many times a second as units come and go, and
 				// each answer of the store costs a call: changes gather meanwhile.
-				d.gather(ctx, e.Behind)
+				d.gather(following(), e.Behind)
 			default:
 				changes.add(e)
 			}
@@ -304,7 +369,6 @@
 				put(membership.StoreLost{})
 			}
 		})
-	r.Run(ctx)
 }
 
 // returned is since when the store is back: by its answers to this instance, or by the
@@ -351,6 +415,10 @@
 func (d *entriesDuty) step(e membership.EntryEvent) (membership.Listing, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if at, told := e.(entriesAt); told {
+		d.listed = laterVersion(d.listed, at.version)
+		e = at.EntryEvent
+	}
 	return d.entries.Step(d.now(), e)
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -430,13 +430,13 @@
 		confirmed: n.rights.confirmed, now: n.now, wait: n.settingsWait,
 	}
 	entries := &entriesDuty{
-		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(),
+		client: objects, kind: n.ports.MembersKind, decode: n.ports.DecodeMember, entries: membership.NewEntries(), parse: n.ports.StoreVersion,
 		inputs: entryInputs, applied: n.entriesApplied, events: n.events, link: n.link, log: n.log, now: n.now,
 		behind: n.entriesMayBeBehind, same: n.mesh.listsTheSame, closeWait: n.cfg.Fresh.entriesWait(),
 		relays:     n.relays,
 		storeThere: func() time.Time { return n.mesh.totals.storeThere(n.now()) },
 	}
-	n.relays.listing, n.relays.version = entries.listing, entries.version
+	n.relays.listing, n.relays.version, n.relays.listedAt, n.relays.heardAt = entries.listing, entries.version, entries.listedAt, entries.heardAt
 	evacuations := &evacuationsDuty{
 		client: objects, kind: n.ports.EvacuationsKind, version: n.ports.StoreVersion, known: n.mesh.evacuations, told: n.evacuationsTold,
 		wait: n.settingsWait, now: n.now, link: n.link, log: n.log,
--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/eiderspring/eiderspring/evacuation"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/relay"
@@ -34,6 +35,9 @@
 	// listing is the members as this instance knows them, version grows with their changes.
 	listing func() membership.Listing
 	version func() int64
+	// listedAt is the version of the store as of which listing knows the members, heardAt the
+	// newest version that was heard of, by the store or by others; zero for none.
+	listedAt, heardAt func() evacuation.Version
 	// vouch adds to news what this instance knows besides, and whether that is current, heard
 	// is told of what others add.
 	vouch func(*relay.News)
@@ -62,6 +66,8 @@
 	// ranked is whom to ask, by what was listed at a version.
 	ranked        []string
 	rankedVersion int64
+	// fedAt is the version of the store as of which feed knows the members.
+	fedAt evacuation.Version
 	// takenAt is when feed took the listing last, packed what was told since packedAt, by the
 	// change up to which the asker had been told; -1 stands for the whole.
 	takenAt  time.Time
@@ -76,6 +82,8 @@
 	relayTime = 700 * time.Millisecond
 	// relayFirst is for how long a relay may take to have a list at all.
 	relayFirst = 2 * time.Second
+	// relayAgain is the same where the one who asks has a list.
+	relayAgain = 400 * time.Millisecond
 	// relayLook is the time between two looks of a relay at whether there is news.
 	relayLook = 100 * time.Millisecond
 	// relayGather is for how long changes gather, so that those who ask are told the same, and
@@ -214,13 +222,17 @@
 		return false
 	}
 	defer session.Close()
-	asked := peer.MembersQuestion{Hold: relayFirst}
+	asked := r.firstQuestion()
 	for ctx.Err() == nil && len(r.order()) > 0 {
 		news, err := r.askOne(ctx, session, asked)
 		if err != nil {
 			r.failed(name, err)
 			return answered
 		}
+		if !answered && r.older(news) {
+			r.failed(name, errOlder)
+			return false
+		}
 		if !answered {
 			r.log.Info("members told", "by", name, "members", len(news.Members), "took_ms", r.now().Sub(began).Milliseconds())
 			put(membership.StoreHeard{})
@@ -228,7 +240,7 @@
 		answered = true
 		r.following.Store(true)
 		if !news.Empty() {
-			put(news.Event())
+			put(entriesAt{EntryEvent: news.Event(), version: storeVersionOf(news)})
 		}
 		r.heard(news)
 		if news.Current {
@@ -240,11 +252,35 @@
 	return answered
 }
 
+// firstQuestion asks for the whole, as of what is known here or later. One who knows members
+// already does not wait for long, as nobody tells it meanwhile who leaves.
+func (r *relays) firstQuestion() peer.MembersQuestion {
+	heard := r.heardAt()
+	if heard == (evacuation.Version{}) {
+		return peer.MembersQuestion{Hold: relayFirst}
+	}
+	return peer.MembersQuestion{Hold: relayAgain, StoreEra: heard.Era, StoreRevision: heard.Revision}
+}
+
 func (r *relays) failed(name string, err error) {
 	r.unanswered.Add(1)
 	r.log.Info("members not told", "by", name, "error", err.Error())
 }
 
+// errOlder is news of members as they were before what is known here.
+var errOlder = errors.New("its members are older than those known here")
+
+// older tells whether news is of members as they were before what is known here: a member that
+// has left would take requests again.
+func (r *relays) older(news relay.News) bool {
+	told := storeVersionOf(news)
+	return told != evacuation.Version{} && told.Compare(r.heardAt()) < 0
+}
+
+func storeVersionOf(news relay.News) evacuation.Version {
+	return evacuation.Version{Era: news.StoreEra, Revision: news.StoreRevision}
+}
+
 // errNotOpen is an instance that cannot be asked yet.
 var errNotOpen = errors.New("no stream to the instance")
 
@@ -298,7 +334,8 @@
 		return nil, false
 	}
 	news := r.feed.Since(q.Process, q.Seq)
-	if news.Empty() && !over {
+	heard := evacuation.Version{Era: q.StoreEra, Revision: q.StoreRevision}
+	if !over && (news.Empty() || r.fedAt.Compare(heard) < 0) {
 		return nil, false
 	}
 	key := q.Seq
@@ -308,6 +345,7 @@
 	if packed, known := r.packed[key]; known {
 		return packed, true
 	}
+	news.StoreEra, news.StoreRevision = r.fedAt.Era, r.fedAt.Revision
 	r.vouch(&news)
 	packed, err := relay.Encode(news)
 	if err != nil {
@@ -324,11 +362,16 @@
 // take takes the listing if it has changed, now and then; mu must be held.
 func (r *relays) take() {
 	now := r.now()
-	changed := r.version() != r.feed.Taken() && now.Sub(r.takenAt) >= relayGather
+	// What is listed later is of this version or a later one.
+	at, differs := r.listedAt(), r.version() != r.feed.Taken()
+	changed := differs && now.Sub(r.takenAt) >= relayGather
 	if changed {
 		r.feed.Take(r.listing())
 		r.takenAt = now
 	}
+	if changed || !differs {
+		r.fedAt = at
+	}
 	if changed || now.Sub(r.packedAt) >= packedKept {
 		r.packed, r.packedAt = map[int64][]byte{}, now
 	}
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eiderspring/eiderspring/evacuation"
 	"github.com/eiderspring/eiderspring/membership"
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/relay"
@@ -55,6 +56,10 @@
 	return s.members
 }
 
+func (s *relaySite) versionAt() evacuation.Version {
+	return evacuation.Version{Revision: s.listing().Version}
+}
+
 // start starts an instance's part.
 func (s *relaySite) start(name string) *relays {
 	s.t.Helper()
@@ -67,6 +72,7 @@
 		holds: func() bool { return false }, listing: s.listing, version: func() int64 { return s.listing().Version },
 		vouch: func(n *relay.News) { n.Current, n.Revision = true, 7 }, heard: func(relay.News) {}, feed: relay.NewFeed("p-" + name),
 		hold: func() time.Duration { return 100 * time.Millisecond }, lost: time.Second, log: logr.Discard(), now: time.Now,
+		listedAt: s.versionAt, heardAt: func() evacuation.Version { return evacuation.Version{} },
 		reached: func(name string) string {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -99,6 +105,9 @@
 		f.relays.follow(ctx, func(e membership.EntryEvent) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			if at, told := e.(entriesAt); told {
+				e = at.EntryEvent
+			}
 			f.entries.Step(time.Now(), e)
 		})
 		close(f.ended)
@@ -179,3 +188,56 @@
 	later, _ := r.news(known, false)
 	require.NotSame(t, &first[0], &later[0], "what vouches is not told for long")
 }
+
+// TestOlderMembersOfARelayAreNotTaken has an instance know by the store that an endpoint has
+// left, and a relay that is behind: the endpoint took requests again.
+func TestOlderMembersOfARelayAreNotTaken(t *testing.T) {
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	s.list("leaves", "stays")
+	for _, name := range relay.Of("z", s.fleet()) {
+		s.start(name)
+	}
+	f := &follower{relays: s.start("i50"), entries: membership.NewEntries()}
+	f.heardAt = func() evacuation.Version { return evacuation.Version{Revision: 2} }
+	follow := func(ctx context.Context, put func(membership.EntryEvent)) { f.relays.follow(ctx, put) }
+	follow(context.Background(), func(e membership.EntryEvent) { require.Fail(t, "older members", "%v", e) })
+	require.EqualValues(t, mostRelaysAsked, f.unanswered.Load())
+	s.list("stays")
+	ctx, cancel := context.WithTimeout(context.Background(), relayPatience)
+	defer cancel()
+	var told []membership.EntryEvent
+	follow(ctx, func(e membership.EntryEvent) {
+		told = append(told, e)
+		if at, whole := e.(entriesAt); whole {
+			require.Equal(t, evacuation.Version{Revision: 2}, at.version)
+			cancel()
+		}
+	})
+	require.NotEmpty(t, told)
+}
+
+// TestNewsTellsNoLaterVersionThanItsMembers changes the members of a relay that gathers changes:
+// its news must not claim to be of the store as it is by then.
+func TestNewsTellsNoLaterVersionThanItsMembers(t *testing.T) {
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	r := s.start("i0")
+	now := time.Unix(1000, 0)
+	r.now = func() time.Time { return now }
+	told := func() relay.News {
+		packed, _ := r.news(peer.MembersQuestion{}, true)
+		n, err := relay.Decode(packed)
+		require.NoError(t, err)
+		return n
+	}
+	s.list("a")
+	require.EqualValues(t, 1, told().StoreRevision)
+	s.list("a", "b")
+	now = now.Add(packedKept)
+	n := told()
+	require.EqualValues(t, 1, n.StoreRevision)
+	require.Len(t, n.Members, 1)
+	now = now.Add(relayGather)
+	n = told()
+	require.EqualValues(t, 2, n.StoreRevision)
+	require.Len(t, n.Members, 2)
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -34,6 +34,10 @@
 	Process string        `cbor:"1,keyasint,omitempty"`
 	Seq     int64         `cbor:"2,keyasint,omitempty"`
 	Hold    time.Duration `cbor:"3,keyasint,omitempty"`
+	// StoreEra and StoreRevision are the version of the store that the asker has heard of: it
+	// does not go by members as they were before; zero for none.
+	StoreEra      int64 `cbor:"4,keyasint,omitempty"`
+	StoreRevision int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ClaimQuestion is an encoded entry for a shard.
--- a/relay/feed.go
+++ b/relay/feed.go
@@ -80,6 +80,10 @@
 	Evacuated         []string `cbor:"8,keyasint,omitempty"`
 	EvacuatedEra      int64    `cbor:"9,keyasint,omitempty"`
 	EvacuatedRevision int64    `cbor:"10,keyasint,omitempty"`
+	// StoreEra and StoreRevision are the version of the store as of which the teller knows the
+	// members, zero where it does not tell.
+	StoreEra      int64 `cbor:"11,keyasint,omitempty"`
+	StoreRevision int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Empty tells whether there is nothing new among the members.
