The key of the link between instances is not read behind the instance's entry

Cause: two small calls one behind the other, while the lists of all fill the store's link. Change: they are made at once. Test: TestKeyIsNotReadBehindTheEntry (1 s on the former code, at once now).

--- a/daemon/presence.go
+++ b/daemon/presence.go
@@ -70,9 +70,11 @@
 func (d *presenceDuty) run(ctx context.Context) {
 	d.running.Lock()
 	defer d.running.Unlock()
-	// The others are to know of this instance before one of them campaigns.
-	d.until(ctx, "presence", d.register)
-	d.until(ctx, "key", d.key)
+	// Neither waits for the other: behind a common start each call waits for the store's link.
+	var both sync.WaitGroup
+	both.Go(func() { d.until(ctx, "presence", d.register) })
+	both.Go(func() { d.until(ctx, "key", d.key) })
+	both.Wait()
 }
 
 // until makes a call until it succeeds.
--- a/daemon/presence_test.go
+++ b/daemon/presence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/store"
 )
 
@@ -150,3 +152,34 @@
 		require.Less(t, s.closely, instances/2)
 	})
 }
+
+// slowEntryStore answers for entries of instances late.
+type slowEntryStore struct{ *keyStore }
+
+func (s slowEntryStore) GetBehind(ctx context.Context, kind store.Kind, name string) (store.Object, error) {
+	if kind == store.KindInstance {
+		time.Sleep(time.Second)
+	}
+	return s.keyStore.GetBehind(ctx, kind, name)
+}
+
+// TestKeyIsNotReadBehindTheEntry guards against a link between instances that opens a call later
+// than it can: behind a common start of hundreds of instances each call takes a tenth of a second
+// and more.
+func TestKeyIsNotReadBehindTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		made, err := store.NewObject(store.KindPeerKey, peerKeyName, peerKey{Key: hex.EncodeToString(make([]byte, peer.KeyBytes))})
+		require.NoError(t, err)
+		s := slowEntryStore{&keyStore{key: &made}}
+		time.Sleep(keyShownAfter)
+		began := time.Now()
+		var opened time.Duration
+		d := &presenceDuty{client: s, writer: store.NewWriter(s), instance: "i", log: logr.Discard(), opened: func([]byte) error {
+			opened = time.Since(began)
+			return nil
+		}}
+		d.run(t.Context())
+		require.GreaterOrEqual(t, time.Since(began), time.Second, "the entry was looked at")
+		require.Less(t, opened, 100*time.Millisecond)
+	})
+}
