Instances that others ask for the endpoints look closely from their start

What callers would meet: an endpoint that leaves right behind a common start is asked for seconds, as nobody vouches yet and all watches may be behind until shortly before an instance counts as in contact. In a large fleet all others go by what a few relays know. Test: TestRelaysLookCloselyFromTheirStart (fails on the former code).

--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -97,9 +97,10 @@
 
 // starting tells whether this process began so lately that it does not count as in
 // contact yet: until then it waits for the word of a holder rather than look closely.
-// All instances start together at times, and would make some ten calls each.
+// All instances start together at times, and would make some ten calls each. The few that the
+// others ask for the endpoints look closely from the beginning.
 func (n *Node) starting() bool {
-	if n.mesh.holds() || n.mesh.totals.vouchedAge(n.now()) != neverConfirmed {
+	if n.relays.asked() || n.mesh.holds() || n.mesh.totals.vouchedAge(n.now()) != neverConfirmed {
 		return false
 	}
 	return n.now().Sub(n.startedAt) < milliseconds(n.cfg.Fresh.ContactMS)-contactReserve
--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,8 +64,10 @@
 	server *peer.StreamServer
 	client *peer.StreamClient
 	feed   *relay.Feed
-	// ranked is whom to ask, by what was listed at a version.
+	// ranked is whom to ask, by what was listed at a version, isAsked whether this instance is
+	// one of those who are asked.
 	ranked        []string
+	isAsked       bool
 	rankedVersion int64
 	// fedAt is the version of the store as of which feed knows the members.
 	fedAt evacuation.Version
@@ -139,15 +142,34 @@
 	if r.holds() || !r.known() {
 		return nil
 	}
-	version := r.listedVersion()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version != r.rankedVersion {
-		r.ranked, r.rankedVersion = relay.Order(r.instance, relay.Of(r.domain, r.fleet())), version
-	}
+	r.rank()
 	return r.ranked
 }
 
+// asked tells whether this instance is one of those that the others ask.
+func (r *relays) asked() bool {
+	if r == nil || r.address == "" || !r.known() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rank()
+	return r.isAsked
+}
+
+// rank finds whom to ask, where another fleet is listed than before; mu must be held.
+func (r *relays) rank() {
+	version := r.listedVersion()
+	if version == r.rankedVersion {
+		return
+	}
+	asked := relay.Of(r.domain, r.fleet())
+	r.ranked, r.rankedVersion = relay.Order(r.instance, asked), version
+	r.isAsked = slices.Contains(asked, r.instance)
+}
+
 // worthAsking tells whether another instance is to be asked.
 func (r *relays) worthAsking() bool {
 	if at := r.failedAt.Load(); at != nil && r.now().Sub(*at) < relayRetry {
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -262,3 +262,27 @@
 		require.GreaterOrEqual(t, time.Since(began), firstWait, "the others wait for relays")
 	})
 }
+
+// TestRelaysLookCloselyFromTheirStart guards against endpoints that leave right behind a common
+// start and are not known to for seconds: nobody vouches yet, and all others go by the relays.
+func TestRelaysLookCloselyFromTheirStart(t *testing.T) {
+	s := &relaySite{t: t}
+	now := time.Now()
+	for _, c := range []struct {
+		instance string
+		starting bool
+	}{{relay.Of("z", s.fleet())[0], false}, {"i50", true}} {
+		n := vouchingNode(&now)
+		n.startedAt, n.mesh.holds = now, func() bool { return false }
+		n.relays = &relays{
+			instance: c.instance, domain: "z", address: "127.0.0.1:1", fleet: s.fleet, listedVersion: func() int64 { return 1 },
+			known: func() bool { return true }, holds: func() bool { return false }, now: n.now,
+		}
+		require.Equal(t, c.starting, n.starting(), c.instance)
+		require.Equal(t, c.starting, n.entriesMayBeBehind(), c.instance)
+		require.Equal(t, c.starting, n.settingsMayBeBehind(), c.instance)
+	}
+	small := vouchingNode(&now)
+	small.startedAt, small.mesh.holds = now, func() bool { return false }
+	require.True(t, small.starting(), "in a small fleet nobody asks others")
+}
