--- a/pipeline/metrics.go
+++ b/pipeline/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"expvar"
 	"sync"
 	"time"
@@ -47,9 +48,18 @@
 	}
 }
 
-// countOutdated counts a request that was refused because newer settings than those in force
-// may know its name: the settings are late at this instance.
-func (m *Metrics) countOutdated() { m.vars.Add("requests_outdated", 1) }
+// countLate counts a request that was refused for what this instance knows late: newer settings
+// than those in force may know its name, or may have taken its key away.
+func (m *Metrics) countLate(err error) {
+	var outdated *OutdatedError
+	var stale *StaleError
+	switch {
+	case errors.As(err, &outdated):
+		m.vars.Add("requests_outdated", 1)
+	case errors.As(err, &stale):
+		m.vars.Add("requests_stale_keys", 1)
+	}
+}
 
 // latencies is a histogram that is an expvar.Var.
 type latencies struct {
--- a/pipeline/outdated_test.go
+++ b/pipeline/outdated_test.go
@@ -45,4 +45,7 @@
 	require.Contains(t, line, "revision 6 of 7")
 	f.report(x, &ResolveError{Name: "m"})
 	require.Equal(t, "1", vars.Get("requests_outdated").String(), "a name that nobody knows")
+	require.Nil(t, vars.Get("requests_stale_keys"))
+	f.report(x, &StaleError{})
+	require.Equal(t, "1", vars.Get("requests_stale_keys").String())
 }
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -91,9 +91,7 @@
 func (f settle) report(x *Exchange, err error) {
 	took := f.now().Sub(x.Received)
 	f.metrics.count(x, took)
-	if outdated := (*OutdatedError)(nil); errors.As(err, &outdated) {
-		f.metrics.countOutdated()
-	}
+	f.metrics.countLate(err)
 	values := []any{
 		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "from", x.from(), "fingerprint", x.Fingerprint.String(), "name", x.Call.Name, "unit", x.Target.Unit,
 		"revision", x.Revision, "again", x.again, "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
