A relay that does not follow the store is left while nobody else tells who leaves

What callers would meet: some instances are turned away by the store, a relay and the holder of the lease among them; all that go by that relay, and are in touch with the store themselves, ask endpoints that have left for as long as it lasts: it answers, with nothing new. Found by reading, as the same fault elsewhere: a word that rests on something that may stand still. Change: a relay says whether it follows the store closely, or the holder's word; it is left behind 0.7 s in which it does neither, the holder is not heard and the store answers the one who asks. In an outage for all everybody stays. Test: TestRelayThatDoesNotFollowTheStoreIsLeft (on the former code the relay is never left).

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -173,7 +173,7 @@
 	n.permits.connect(n.mesh, n.gates.Kick)
 	n.relays = &relays{
 		instance: n.cfg.Instance, domain: n.cfg.FailureDomain, address: n.mesh.self.Streams,
-		fleet: n.mesh.fleet, reached: n.mesh.streamsOf, holds: n.mesh.holds, vouch: n.vouchFor, heard: n.vouchedFor, feed: relay.NewFeed(n.mesh.process),
+		fleet: n.mesh.fleet, reached: n.mesh.streamsOf, holds: n.mesh.holds, holderTells: n.mesh.holderTells, storeAnswers: n.storeAnswers, vouch: n.vouchFor, heard: n.vouchedFor, feed: relay.NewFeed(n.mesh.process),
 		hold: n.relayHold, lost: n.cfg.Fresh.relayLost(), listedVersion: n.mesh.knownVersion, log: n.log, now: n.now,
 	}
 	n.vars.Set("evacuated", expvar.Func(func() any { return n.evacuationStats() }))
--- a/daemon/nodefresh.go
+++ b/daemon/nodefresh.go
@@ -42,6 +42,7 @@
 	var p peer.Packet
 	told := !n.mesh.holds() && n.mesh.totals.vouchedAge(n.now()) < n.cfg.Fresh.relayLost()
 	news.Current = (told || n.current()) && n.mesh.evacuations.tell(&p)
+	news.Follows = told || n.followsStore()
 	news.Evacuated, news.EvacuatedEra, news.EvacuatedRevision = p.Evacuated, p.EvacuatedEra, p.EvacuatedRevision
 }
 
@@ -122,6 +123,20 @@
 	return age != neverConfirmed && age+n.lag() < n.cfg.Fresh.vouchAge()
 }
 
+// followsStore tells whether this instance knows of endpoints in time, by its own watch, but for
+// entries that may be on their way back.
+func (n *Node) followsStore() bool {
+	age := n.link.age(n.ports.MembersKind)
+	return age != neverConfirmed && age+n.lag() < n.cfg.Fresh.vouchAge()
+}
+
+// storeAnswers tells whether the store answers the close watch on settings, which every instance
+// has while nobody vouches.
+func (n *Node) storeAnswers() bool {
+	age := n.link.age(n.ports.SettingsKind)
+	return age != neverConfirmed && age < n.cfg.Fresh.settingsWait()+2*answerTime
+}
+
 // lag is for how long answers of the store have waited here to be in force.
 func (n *Node) lag() time.Duration { return n.entriesApplied.lag() + n.eventsApplied.lag() }
 
--- a/daemon/relays.go
+++ b/daemon/relays.go
@@ -43,6 +43,10 @@
 	// is told of what others add.
 	vouch func(*relay.News)
 	heard func(relay.News)
+	// holderTells tells whether the holder of the lease tells this instance who leaves.
+	holderTells func() bool
+	// storeAnswers tells whether the store answers close calls of this instance.
+	storeAnswers func() bool
 	// hold is for how long one who is asked may wait for news now, lost for how long a word that
 	// vouches counts.
 	hold func() time.Duration
@@ -87,6 +91,11 @@
 	relayFirst = 2 * time.Second
 	// relayAgain is the same where the one who asks has a list.
 	relayAgain = 400 * time.Millisecond
+	// relayBlind is for how long a relay may follow neither the store nor the holder of the lease,
+	// while this instance does not hear the holder and the store answers it: the relay may be cut
+	// off. Behind the holder's end, or an outage, it looks closely some tenths of a second later
+	// than others.
+	relayBlind = 700 * time.Millisecond
 	// relayLook is the time between two looks of a relay at whether there is news.
 	relayLook = 100 * time.Millisecond
 	// relayGather is for how long changes gather, so that those who ask are told the same, and
@@ -244,7 +253,7 @@
 		return false
 	}
 	defer session.Close()
-	asked := r.firstQuestion()
+	asked, seesAt := r.firstQuestion(), time.Time{}
 	for ctx.Err() == nil && len(r.order()) > 0 {
 		news, err := r.askOne(ctx, session, asked)
 		if err != nil {
@@ -255,6 +264,13 @@
 			r.failed(name, errOlder)
 			return false
 		}
+		if news.Current || news.Follows || r.holderTells() || !r.storeAnswers() {
+			seesAt = r.now()
+		}
+		if r.now().Sub(seesAt) >= relayBlind {
+			r.failed(name, errBlind)
+			return false
+		}
 		if !answered {
 			r.log.Info("members told", "by", name, "members", len(news.Members), "took_ms", r.now().Sub(began).Milliseconds())
 			put(membership.StoreHeard{})
@@ -292,6 +308,9 @@
 // errOlder is news of members as they were before what is known here.
 var errOlder = errors.New("its members are older than those known here")
 
+// errBlind is a relay that does not follow the store itself, and nobody else's word.
+var errBlind = errors.New("it does not follow the store")
+
 // older tells whether news is of members as they were before what is known here: a member that
 // has left would take requests again.
 func (r *relays) older(news relay.News) bool {
--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,14 @@
 	// addresses are where instances answer, members what those know that follow the store.
 	addresses map[string]string
 	members   membership.Listing
+	// blind is set while those that are asked do not follow the store, holderTells while the
+	// holder of the lease is heard, storeAnswers while the store answers the one that follows.
+	blind, holderTells, storeAnswers atomic.Bool
+}
+
+// vouch adds what one who is asked says of itself.
+func (s *relaySite) vouch(n *relay.News) {
+	n.Current, n.Follows, n.Revision = !s.blind.Load(), !s.blind.Load(), 7
 }
 
 func (s *relaySite) fleet() []relay.Instance {
@@ -71,7 +80,7 @@
 	r := &relays{
 		instance: name, domain: "z", address: address, fleet: s.fleet, known: func() bool { return true }, listedVersion: func() int64 { return 1 },
 		holds: func() bool { return false }, listing: s.listing, version: func() int64 { return s.listing().Version },
-		vouch: func(n *relay.News) { n.Current, n.Revision = true, 7 }, heard: func(relay.News) {}, feed: relay.NewFeed("p-" + name),
+		vouch: s.vouch, holderTells: s.holderTells.Load, storeAnswers: s.storeAnswers.Load, heard: func(relay.News) {}, feed: relay.NewFeed("p-" + name),
 		hold: func() time.Duration { return 100 * time.Millisecond }, lost: time.Second, log: logr.Discard(), now: time.Now,
 		listedAt: s.versionAt, heardAt: func() evacuation.Version { return evacuation.Version{} },
 		reached: func(name string) string {
@@ -286,3 +295,33 @@
 	small.startedAt, small.mesh.holds = now, func() bool { return false }
 	require.True(t, small.starting(), "in a small fleet nobody asks others")
 }
+
+// TestRelayThatDoesNotFollowTheStoreIsLeft cuts relays off from the store while nobody holds the
+// lease: who went by them did not hear of endpoints that leave, though the store would have
+// told it.
+func TestRelayThatDoesNotFollowTheStoreIsLeft(t *testing.T) {
+	s := &relaySite{t: t, addresses: map[string]string{}}
+	for _, name := range relay.Of("z", s.fleet()) {
+		s.start(name)
+	}
+	s.list("a")
+	f := s.follow("i50")
+	require.Eventually(t, f.tells, relayPatience, 10*time.Millisecond)
+	s.holderTells.Store(true)
+	s.blind.Store(true)
+	require.Eventually(t, func() bool { return !f.tells() }, relayPatience, 10*time.Millisecond, "it does not vouch")
+	require.True(t, f.following.Load(), "the holder's word tells who leaves")
+	s.holderTells.Store(false)
+	time.Sleep(2 * relayBlind)
+	require.True(t, f.following.Load(), "the store is away for all")
+	s.storeAnswers.Store(true)
+	require.Eventually(t, func() bool {
+		select {
+		case <-f.ended:
+			return true
+		default:
+			return false
+		}
+	}, relayPatience, 10*time.Millisecond)
+	require.EqualValues(t, mostRelaysAsked, f.unanswered.Load(), "the store is asked")
+}
