daemon: test a read of newer settings that gets no answer

The test fails: settings are in force 2.77, 2.82 and 2.99 s behind their acknowledgement (3 runs, bound 2 s) at an instance whose first read of them gets no answer, while its watch, by the holder's attestations, gets stale answers (3 s old in the test's store). With two such reads it is 3 s, when the stale watch brings them: where stale answers are older, it would be later.

--- /dev/null
+++ b/daemon/settingsorder_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// silentReads is a client of which the next reads get no answer, as on a connection that has
+// become silent. They end with the client's own timeout at the latest.
+type silentReads struct {
+	store.Client
+	silent atomic.Int64
+}
+
+// Get implements store.Client.
+func (c *silentReads) Get(ctx context.Context, kind store.Kind, name string) (store.Object, error) {
+	if c.silent.Add(-1) < 0 {
+		return c.Client.Get(ctx, kind, name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return store.Object{}, &store.UnansweredError{Kind: kind, Name: name, Err: ctx.Err()}
+}
+
+// change records a further revision of the settings, and returns how long after that the given
+// instance has it in force; ten seconds if it has not by then.
+func (f *settingsFleet) change(instance int) time.Duration {
+	began, last := time.Now(), f.instances[instance].revision()
+	f.store.record(store.EventModified, store.Object{Kind: "settings", Metadata: store.Metadata{Name: "main"}, Spec: json.RawMessage(`{}`)})
+	time.Sleep(10 * time.Second)
+	at, known := f.instances[instance].inForceSince(last + 1)
+	if !known {
+		return time.Since(began)
+	}
+	return at.Sub(began)
+}
+
+// TestUnansweredReadOfSettingsIsRepeatedInTime guards against an instance that waits for one
+// read of newer settings, which another has announced, while its watch gets stale answers.
+func TestUnansweredReadOfSettingsIsRepeatedInTime(t *testing.T) {
+	var delay time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		size := fleetSize{instances: 6, endpoints: 15, mbits: 1000, cores: 0.4}
+		f := newSettingsFleet(t, size)
+		late := f.instances[3].config
+		reads := &silentReads{Client: late.client}
+		late.client = reads
+		f.run(ctx, size.endpoints)
+		time.Sleep(8 * time.Second)
+		reads.silent.Store(1)
+		delay = f.change(3)
+		stop()
+		// The placer ends when its ring is empty.
+		time.Sleep(reportEvery + (placerEventsCapacity+2)*busyStep)
+		synctest.Wait()
+	})
+	require.Less(t, delay, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
+}
