daemon: end a read of newer settings that gets no answer early

Callers of one instance got 404 or the former service, seconds behind the acknowledgement of new settings that the others had in force (suspected as a cause of that; shown is the delay below).

Cause: an instance that others announce to has a stale watch and reads newer settings once another is known to have them. That read waited for the client's 2 s, the whole bound; none other was made meanwhile, and a stale watch may bring them seconds later.

Change: the first read ends after checkStoreTimeout, 0.7 s, and is repeated without the grace for the watch. The end of a call by its deadline closes the idle connections, so the repeated read dials a new one; it has the client's whole timeout, so that a store that is merely slow is not asked again and again.

--- a/daemon/followsettings.go
+++ b/daemon/followsettings.go
@@ -96,24 +96,27 @@
 	return nil
 }
 
-// checkStoreTimeout bounds the call of checkStore: a slow store needs up to 0.4 s.
+// checkStoreTimeout bounds the call of checkStore, and the first read of newer settings: a slow
+// store needs up to 0.4 s.
 const checkStoreTimeout = 700 * time.Millisecond
 
 // readNewer reads the settings when another instance is known to have newer ones: a watch may
 // have broken unnoticed.
 func (d *settingsWatch) readNewer(ctx context.Context) {
+	failed := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.newer:
 		}
-		if d.hasNewest != nil && wait.For(ctx, watchGrace) && d.hasNewest() {
+		if d.hasNewest != nil && (failed || wait.For(ctx, watchGrace)) && d.hasNewest() {
 			// The watch has delivered them.
+			failed = false
 			continue
 		}
-		o, err := d.client.Get(ctx, d.kind, d.name)
-		if err != nil {
+		o, err := d.readOnce(ctx, failed)
+		if failed = err != nil; failed {
 			d.log.Info("newer settings not read", "error", err.Error())
 			wait.For(ctx, jitter(settingsRetryDelay))
 			continue
@@ -128,6 +131,18 @@
 	}
 }
 
+// readOnce reads the settings once. The first read ends early if it gets no answer: it may have
+// been sent on a connection that has become silent, and the next one uses another. A repeated
+// read has the client's whole timeout, as the store may just be slow.
+func (d *settingsWatch) readOnce(ctx context.Context, repeated bool) (store.Object, error) {
+	if !repeated {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, checkStoreTimeout)
+		defer cancel()
+	}
+	return d.client.Get(ctx, d.kind, d.name)
+}
+
 // watchGrace is how long the watch may take to deliver newer settings, by an answer that may
 // be stale and costs a tenth of a fresh read, before they are read.
 const watchGrace = 250 * time.Millisecond
