daemon, counted: changes of the lease never wait for a busy placer

An instance that acquired a lease while its placer's ring was full did not renew it and went on to consider itself the holder: it announced and answered as the coordinator beside its successor. That this made settings late at callers is not shown.

Cause: the lease's runner reports Acquired and Lost on the goroutine that renews, and they were put into the placer's ring, which blocks when full, behind all other senders that wait.

Change: they are inputs that the placer takes before its next event, the last one counts. They now overtake what is queued, so the controller ignores reports that were requested before it acquired the lease, which another holder's orders may have outdated; answers to orders of an earlier tenure were ignored already.

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -76,21 +76,22 @@
 // put queues an event that the placer itself caused, and blocks while the ring is full.
 func (p *placer) put(e counted.Event) { _ = p.events.Put(context.Background(), e) }
 
-// notify passes an event from outside to the placer, and never blocks.
+// notify passes an event from outside, or a change of the lease, to the placer, and never blocks.
 func (p *placer) notify(e counted.Event) {
 	p.inputs.add(e)
 	// If the ring is full, the placer is busy and takes its inputs with the next event.
 	p.events.Offer(counted.Tick{})
 }
 
+// leaseChanged is called on the goroutine that renews the lease, which must not wait.
 func (p *placer) leaseChanged(a lease.Action) {
 	switch a := a.(type) {
 	case lease.Acquired:
 		p.log.Info("lease acquired", "epoch", a.Epoch)
-		p.put(counted.LeaseAcquired{Epoch: a.Epoch, HasPredecessor: a.Epoch > 1, OrderDelay: p.takeoverWait(a.Expired)})
+		p.notify(counted.LeaseAcquired{Epoch: a.Epoch, HasPredecessor: a.Epoch > 1, OrderDelay: p.takeoverWait(a.Expired)})
 	case lease.Lost:
 		p.log.Info("lease lost", "epoch", a.Epoch)
-		p.put(counted.LeaseLost{})
+		p.notify(counted.LeaseLost{})
 	}
 }
 
--- a/daemon/placerinputs.go
+++ b/daemon/placerinputs.go
@@ -8,15 +8,17 @@
 	"github.com/eiderspring/eiderspring/placement/counted"
 )
 
-// placerInputs buffers events from outside until a placer takes them, keeping the last of each
-// kind. Senders never wait for the placer, whose planning may take long: a sender that waited
-// blocked the tasks of the whole instance.
+// placerInputs buffers events from outside, and changes of the lease, until a placer takes them,
+// keeping the last of each kind. Senders never wait for the placer, whose planning may take long: a sender that waited
+// blocked the tasks of the whole instance, or the renewal of the lease.
 type placerInputs struct {
 	mu        sync.Mutex
 	settings  *counted.CellSettings
 	members   *counted.MemberList
 	isolation *counted.IsolationChanged
 	demand    *counted.DemandReport
+	// lease is the last change of the lease: LeaseAcquired or LeaseLost.
+	lease counted.Event
 	// replaced maps endpoints to the start time of the replaced incarnation, in Unix
 	// milliseconds; failed holds the endpoints at which requests failed.
 	replaced map[string]int64
@@ -36,6 +38,8 @@
 		n.isolation = &e
 	case counted.DemandReport:
 		n.demand = &e
+	case counted.LeaseAcquired, counted.LeaseLost:
+		n.lease = e
 	case counted.EndpointsReplaced:
 		n.addReplaced(e)
 	case counted.RequestsFailed:
@@ -77,9 +81,12 @@
 	if n.isolation != nil {
 		events = append(events, *n.isolation)
 	}
+	if n.lease != nil {
+		events = append(events, n.lease)
+	}
 	if n.demand != nil {
 		events = append(events, *n.demand)
 	}
-	n.settings, n.members, n.isolation, n.demand, n.replaced, n.failed = nil, nil, nil, nil, nil, nil
+	n.settings, n.members, n.isolation, n.lease, n.demand, n.replaced, n.failed = nil, nil, nil, nil, nil, nil, nil
 	return events
 }
--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -84,6 +84,8 @@
 	isolated bool
 	holding  bool
 	epoch    int64
+	// acquiredAt is when the lease was acquired.
+	acquiredAt time.Time
 	// ordersAllowedFrom is when the first order may be sent.
 	ordersAllowedFrom time.Time
 	nextPlanAt        time.Time
@@ -225,7 +227,7 @@
 }
 
 func (c *Controller) leaseAcquired(now time.Time, e LeaseAcquired) []Action {
-	c.holding, c.epoch, c.ordersAllowedFrom, c.ownOrdersOnlyFrom = true, e.Epoch, now, time.Time{}
+	c.holding, c.epoch, c.acquiredAt, c.ordersAllowedFrom, c.ownOrdersOnlyFrom = true, e.Epoch, now, now, time.Time{}
 	if e.HasPredecessor {
 		c.ownOrdersOnlyFrom = now.Add(maxOrderDelay)
 		c.ordersAllowedFrom = now.Add(e.OrderDelay)
@@ -266,7 +268,8 @@
 
 func (c *Controller) reportReceived(now time.Time, r ReportReply) []Action {
 	e := c.endpoints[r.Endpoint]
-	if e == nil || r.StartedAtMS < e.StartedAtMS {
+	if e == nil || r.StartedAtMS < e.StartedAtMS || r.RequestedAt.Before(c.acquiredAt) {
+		// A report requested before the lease was acquired may precede orders of another holder.
 		return nil
 	}
 	e.reportPending = false
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -435,3 +435,17 @@
 	require.NotNil(t, find(moves, OpLoad, "u07"), "its replicas have ten times the load")
 	require.Nil(t, find(moves, OpLoad, "u08"))
 }
+
+// TestReportsOfAnEarlierTenureAreIgnored guards against a new holder that goes by a report which
+// was requested before it acquired the lease: another holder may have sent orders since.
+func TestReportsOfAnEarlierTenureAreIgnored(t *testing.T) {
+	c := NewController(Config{})
+	requested := time.Unix(1000, 0)
+	acquired := requested.Add(time.Second)
+	c.Step(requested, MemberList{Members: []Member{{Name: "e"}}})
+	c.Step(acquired, LeaseAcquired{Epoch: 1})
+	c.Step(acquired, ReportReply{Endpoint: "e", RequestedAt: requested, Report: &Report{}})
+	require.False(t, c.endpoints["e"].stateKnown)
+	c.Step(acquired, ReportReply{Endpoint: "e", RequestedAt: acquired, Report: &Report{}})
+	require.True(t, c.endpoints["e"].stateKnown)
+}
