daemon: an attestation counts from when its packet was received

Cause: packets wait in a queue of 256, of which the oldest is dropped. At an instance that takes them more slowly than they arrive each is as old as the queue is long, 256 divided by the rate of arrival, and an attestation counted from when it was taken. So the instance rested by its settings although the announcement of newer ones waited in its own queue. Its packets wait where placements wait for the view's ring, or where the lock behind holds() is held.

Change: each packet carries when it was received, and its attestation counts from then. An instance whose queue is longer than an attestation lasts now follows the store itself. Contact with the coordinator, and loads, still count from when they are applied.

--- a/daemon/attestation_test.go
+++ b/daemon/attestation_test.go
@@ -26,19 +26,19 @@
 	m := &mesh{now: func() time.Time { return now }, isHolder: func() bool { return holds }}
 	require.False(t, m.holderAttests(), "no announcement was received")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	require.True(t, m.holderAttests())
 	now = now.Add(minHolderTimeout)
 	require.False(t, m.holderAttests(), "silence")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	for range 3 {
 		now = now.Add(minHolderTimeout / 2)
-		m.totals.receive(now, holderAnnouncement(false))
+		m.totals.receive(now, now, holderAnnouncement(false))
 	}
 	require.False(t, m.holderAttests(), "the holder announces but has lost the store")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	holds = true
 	require.False(t, m.holderAttests(), "the holder itself must follow the store")
 }
@@ -171,7 +171,7 @@
 		n.storeLink.callStarted(0)
 		n.storeLink.watchConfirmed(n.platform.MembersKind)
 		n.storeLink.watchConfirmed(n.platform.SettingsKind)
-		n.mesh.totals.receive(now, holderAnnouncement(true))
+		n.mesh.totals.receive(now, now, holderAnnouncement(true))
 	}
 	answer()
 	for since := time.Duration(0); since < settleTime; since += leaseRenewal {
--- a/daemon/leavedelay_test.go
+++ b/daemon/leavedelay_test.go
@@ -100,10 +100,10 @@
 		follower.follow(ctx)
 		silent := time.Now().Add(5*time.Second + last)
 		for time.Now().Before(silent) {
-			follower.mesh.totals.receive(time.Now(), holderAnnouncement(true))
+			follower.mesh.totals.receive(time.Now(), time.Now(), holderAnnouncement(true))
 			time.Sleep(min(minAnnounceInterval, time.Until(silent)))
 		}
-		follower.mesh.totals.receive(time.Now(), holderAnnouncement(true))
+		follower.mesh.totals.receive(time.Now(), time.Now(), holderAnnouncement(true))
 		began := time.Now()
 		s.put("e", membership.Leaving)
 		time.Sleep(staleAnswers + 5*time.Second)
@@ -241,8 +241,8 @@
 		successor := newEntriesInstance(s, "successor", holds.Load)
 		other := newEntriesInstance(s, "other", func() bool { return false })
 		receiveAttestation := func() {
-			successor.mesh.totals.receive(time.Now(), holderAnnouncement(true))
-			other.mesh.totals.receive(time.Now(), holderAnnouncement(true))
+			successor.mesh.totals.receive(time.Now(), time.Now(), holderAnnouncement(true))
+			other.mesh.totals.receive(time.Now(), time.Now(), holderAnnouncement(true))
 		}
 		successor.follow(ctx)
 		successor.announceTo(ctx, other)
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -86,7 +86,7 @@
 	// newestRevisionAt is when newestRevision was first reported; nil if never.
 	newestRevisionAt atomic.Pointer[time.Time]
 
-	inputs *ring.Ring[peer.Packet]
+	inputs *ring.Ring[receivedPacket]
 	// urgent holds at most one request to send without waiting for the next tick.
 	urgent chan struct{}
 	totals totals
@@ -199,6 +199,13 @@
 	bytesPerMbit = 1e6 / 8
 )
 
+// receivedPacket is a packet and when it was received. It may wait in the queue behind others:
+// what it attests was current when it was received, not when it is applied.
+type receivedPacket struct {
+	peer.Packet
+	at time.Time
+}
+
 // open starts to listen once the key is known, or switches to another key. Packets sealed with
 // the previous key are still accepted, as instances do not switch at the same moment.
 func (m *mesh) open(key []byte) error {
@@ -242,7 +249,7 @@
 		m.log.Info("invalid packet dropped", "error", err.Error())
 		return
 	}
-	_ = m.inputs.Put(context.Background(), p)
+	_ = m.inputs.Put(context.Background(), receivedPacket{Packet: p, at: m.now()})
 }
 
 // updateInstance records an instance's entry in the store; nil means that it was removed.
@@ -267,10 +274,11 @@
 func (m *mesh) run(ctx context.Context) {
 	go m.tick(ctx)
 	for {
-		p, err := m.inputs.Take(ctx)
+		received, err := m.inputs.Take(ctx)
 		if err != nil {
 			return
 		}
+		p := received.Packet
 		if p.From == m.instance && p.Process != m.process {
 			// A late packet of an earlier process of this instance.
 			continue
@@ -286,14 +294,15 @@
 		}
 		if m.fleetView.Receive(m.now(), p) {
 			m.allowances.receive(p)
-			m.applyPacket(p)
+			m.applyPacket(received)
 		}
 	}
 }
 
 // applyPacket passes on the contents of a packet. This instance's own packet is applied as
 // well, once per tick.
-func (m *mesh) applyPacket(p peer.Packet) {
+func (m *mesh) applyPacket(received receivedPacket) {
+	p := received.Packet
 	if len(p.Placements) > 0 {
 		m.onPlacements(p.Placements)
 	}
@@ -301,7 +310,7 @@
 		m.evacuations.receive(p)
 	}
 	if p.Instances > 0 && p.From != m.instance {
-		m.totals.receive(m.now(), p)
+		m.totals.receive(m.now(), received.at, p)
 		m.updateRoutingFor(p.Totals)
 	}
 	if len(p.Refused) > 0 && p.From != m.instance {
--- a/daemon/mesh_bench_test.go
+++ b/daemon/mesh_bench_test.go
@@ -32,7 +32,7 @@
 		instance: "coordinator", process: "coordinator", now: time.Now, listed: map[string]presence{}, onInstanceCount: func(int) {}, router: router,
 		isHolder: holder, allowances: a, keyAuthority: &keyAuthority{responds: holder, tracker: authority.NewTracker(time.Second), now: time.Now, exactNow: time.Now, log: logr.Discard(), revision: func() int64 { return 1 }}, eras: &store.Eras{}, refusals: &pipeline.Refusals{}, log: logr.Discard(),
 		quarantine: quarantine.NewManager(quarantine.Config{Now: time.Now, Log: logr.Discard(), Wake: func() {}, Persist: func(quarantine.Report) {}}),
-		revision:   func() int64 { return 1 }, fleetView: peer.NewFleetView(), inputs: ring.New[peer.Packet](meshInputCapacity, ring.DropOldest),
+		revision:   func() int64 { return 1 }, fleetView: peer.NewFleetView(), inputs: ring.New[receivedPacket](meshInputCapacity, ring.DropOldest),
 		onDemand: func(map[string]peer.Demand) {}, onPartition: func(bool) {}, onSuspects: func([]string) {},
 	}
 	m.permits = newPermits("coordinator", router, logr.Discard(), time.Now)
@@ -74,10 +74,11 @@
 				sealed := sealer.Seal(data)
 				b.StartTimer()
 				m.receive(sealed)
-				p, _ := m.inputs.Take(b.Context())
+				received, _ := m.inputs.Take(b.Context())
+				p := received.Packet
 				if !m.permits.receive(p) && !m.keyAuthority.receive(p, m.process) && m.fleetView.Receive(m.now(), p) {
 					m.allowances.receive(p)
-					m.applyPacket(p)
+					m.applyPacket(received)
 				}
 			}
 		})
@@ -102,7 +103,7 @@
 				}
 				for b.Loop() {
 					if !isHolder {
-						m.totals.receive(m.now(), peer.Packet{Address: "coordinator", Instances: size.instances, StoreCurrent: true, Totals: totals})
+						m.totals.receive(m.now(), m.now(), peer.Packet{Address: "coordinator", Instances: size.instances, StoreCurrent: true, Totals: totals})
 					}
 					m.publish()
 				}
--- a/daemon/meshsend.go
+++ b/daemon/meshsend.go
@@ -82,7 +82,7 @@
 	if !m.summaryUnchanged(p, to) {
 		m.send(p, to)
 	}
-	_ = m.inputs.Put(ctx, p)
+	_ = m.inputs.Put(ctx, receivedPacket{Packet: p, at: m.now()})
 	m.announceIfDue()
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -242,7 +242,7 @@
 		onPartition:  func(alone bool) { n.placers.setIsolated(alone) },
 		leaving:      func() bool { return n.stopping.Load() != nil },
 		storeCurrent: n.current,
-		inputs:       ring.New[peer.Packet](meshInputCapacity, ring.DropOldest), urgent: make(chan struct{}, 1),
+		inputs:       ring.New[receivedPacket](meshInputCapacity, ring.DropOldest), urgent: make(chan struct{}, 1),
 		listed: map[string]presence{}, fleetView: peer.NewFleetView(),
 		self: presence{
 			Datagrams: address, Streams: n.streamsAddress(host), FailureDomain: n.cfg.FailureDomain, Cores: n.cfg.Limits.CPUShare * n.cfg.Limits.CoreSpeed,
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -21,7 +21,7 @@
 		instance: "weak", now: time.Now, self: presence{Cores: 0.2}, listed: map[string]presence{},
 		onInstanceCount: func(int) {}, fleetView: peer.NewFleetView(),
 	}
-	n.mesh.totals.receive(time.Now(), peer.Packet{Address: "coordinator", Instances: 1})
+	n.mesh.totals.receive(time.Now(), time.Now(), peer.Packet{Address: "coordinator", Instances: 1})
 	require.True(t, n.campaigns("pool", false), "no other instance is known")
 	n.mesh.updateInstance("strong", &presence{Cores: 0.8})
 	n.mesh.updateInstance("stronger", &presence{Cores: 0.9})
@@ -39,10 +39,10 @@
 	n := &Node{now: func() time.Time { return now }, startedAt: now}
 	n.cfg.Instance = "weak"
 	n.mesh = &mesh{instance: "weak", now: n.now, self: presence{Cores: 0.2}, listed: map[string]presence{}, onInstanceCount: func(int) {}}
-	n.mesh.totals.receive(now, peer.Packet{Address: "coordinator", Instances: 1})
+	n.mesh.totals.receive(now, now, peer.Packet{Address: "coordinator", Instances: 1})
 	require.False(t, n.campaigns("pool", false))
 	now = now.Add(campaignDelay)
-	n.mesh.totals.receive(now, peer.Packet{Address: "coordinator", Instances: 1})
+	n.mesh.totals.receive(now, now, peer.Packet{Address: "coordinator", Instances: 1})
 	require.True(t, n.campaigns("pool", false), "no other instance is known")
 	n.mesh.updateInstance("strong", &presence{Cores: 0.8})
 	n.mesh.updateInstance("stronger", &presence{Cores: 0.9})
@@ -74,7 +74,7 @@
 		instance: "weak", now: n.now, self: presence{Cores: 0.2}, onInstanceCount: func(int) {},
 		listed: map[string]presence{"gone1": {Cores: 1}, "gone2": {Cores: 1}, "gone3": {Cores: 1}},
 	}
-	n.mesh.totals.receive(now, peer.Packet{Address: "coordinator", Instances: 1})
+	n.mesh.totals.receive(now, now, peer.Packet{Address: "coordinator", Instances: 1})
 	require.False(t, n.campaigns("pool", false))
 	now = now.Add(coordinatorTimeout + 4*campaignRankDelay)
 	require.True(t, n.campaigns("pool", false))
--- a/daemon/settingsdelay_test.go
+++ b/daemon/settingsdelay_test.go
@@ -239,7 +239,7 @@
 	}
 	to := w.fleet.instances[n].mesh
 	time.AfterFunc(w.link.send(len(sealed))+time.Millisecond, func() {
-		to.totals.receive(time.Now(), p)
+		to.totals.receive(time.Now(), time.Now(), p)
 		to.receiveRevision(p.Revision)
 	})
 }
--- a/daemon/stalestore_test.go
+++ b/daemon/stalestore_test.go
@@ -328,7 +328,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.to.mesh.totals.receive(time.Now(), p)
+	w.to.mesh.totals.receive(time.Now(), time.Now(), p)
 	for _, name := range p.Withdrawn {
 		w.to.markLeaving(name)
 	}
--- a/daemon/storecut_test.go
+++ b/daemon/storecut_test.go
@@ -47,7 +47,7 @@
 		go func() {
 			for ctx.Err() == nil {
 				if receiving.Load() {
-					i.mesh.totals.receive(time.Now(), holderAnnouncement(true))
+					i.mesh.totals.receive(time.Now(), time.Now(), holderAnnouncement(true))
 				}
 				time.Sleep(minAnnounceInterval)
 			}
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -41,16 +41,17 @@
 	endpointTotalExpiry = 5 * time.Second
 )
 
-// receive applies one packet of an announcement, which may span several.
-func (t *totals) receive(now time.Time, p peer.Packet) {
+// receive applies one packet of an announcement, which may span several. What it attests was
+// current when it was received.
+func (t *totals) receive(now, receivedAt time.Time, p peer.Packet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.coordinator, t.receivedAt = p.Address, now
 	if p.StoreCurrent {
-		if now.Sub(t.attestedAt) >= t.attestationLifetime() {
-			t.attestedSince = now
+		if receivedAt.Sub(t.attestedAt) >= t.attestationLifetime() {
+			t.attestedSince = receivedAt
 		}
-		t.attestedAt, t.endpointsDigest = now, p.EndpointsDigest
+		t.attestedAt, t.endpointsDigest = receivedAt, p.EndpointsDigest
 	}
 	if t.loads == nil {
 		t.loads = map[string]totalLoad{}
