daemon: test what is attested while newer settings are known

The test fails: a relay that has heard of revision 2, and has revision 1 in force, goes on to attest that it is current. It stops there; that the lease holder does so too is by the code.

--- a/daemon/attestation_test.go
+++ b/daemon/attestation_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/relay"
+	"github.com/eiderspring/eiderspring/settings"
 	"github.com/eiderspring/eiderspring/store"
 	"github.com/eiderspring/eiderspring/wait"
 )
@@ -189,3 +191,29 @@
 	answer()
 	require.False(t, n.mesh.storeCurrent())
 }
+
+// TestNobodyAttestsOlderSettingsThanItKnowsOf guards against a lease holder or a relay that
+// attests while it knows of newer settings that it does not have in force yet: the instances that
+// rely on it would rest by the older ones.
+func TestNobodyAttestsOlderSettingsThanItKnowsOf(t *testing.T) {
+	now := time.Now()
+	n := attestingNode(&now)
+	n.placers = &placers{}
+	n.catalog.Store(&settings.Catalog{Revision: 1})
+	relayAttests := func() bool {
+		n.mesh.totals.receive(now, now, holderAnnouncement(true))
+		var delta relay.Delta
+		n.addAttestation(&delta)
+		return delta.Current
+	}
+	require.True(t, relayAttests())
+	n.storeLink.watchConfirmed(n.platform.MembersKind)
+	n.storeLink.watchConfirmed(n.platform.SettingsKind)
+	require.True(t, n.mesh.storeCurrent())
+	n.mesh.receiveRevision(2)
+	require.False(t, relayAttests())
+	require.False(t, n.mesh.storeCurrent())
+	n.catalog.Store(&settings.Catalog{Revision: 2})
+	require.True(t, relayAttests())
+	require.True(t, n.mesh.storeCurrent())
+}
