daemon: attest nothing while newer settings are known

Cause: a relay passed on the holder's attestation, and a holder attested by the age of its own watch, although another instance had told them of newer settings.

Test: TestNobodyAttestsOlderSettingsThanItKnowsOf failed before; the tests of attestations, holders, settings, relays and nodes pass with -race.

--- a/daemon/nodefreshness.go
+++ b/daemon/nodefreshness.go
@@ -41,7 +41,7 @@
 	delta.Revision = n.revision()
 	var p peer.Packet
 	attested := !n.mesh.isHolder() && n.mesh.totals.attestationAge(n.now()) < n.cfg.Fresh.relayAttestationLifetime()
-	delta.Current = (attested || n.current()) && n.mesh.evacuations.addTo(&p)
+	delta.Current = (attested && !n.mesh.outdated() || n.current()) && n.mesh.evacuations.addTo(&p)
 	delta.FollowsStore = attested || n.followsStore()
 	delta.Evacuated, delta.EvacuatedEra, delta.EvacuatedRevision = p.Evacuated, p.EvacuatedEra, p.EvacuatedRevision
 }
@@ -114,8 +114,9 @@
 // to which it attests if it holds the lease. Only answers to the watches on them prove that: one
 // of these may hang while all other calls are answered.
 func (n *Node) current() bool {
-	if !n.storeLink.settled() {
-		// Entries that are retained now may have expired or been removed.
+	if !n.storeLink.settled() || n.mesh.outdated() {
+		// Entries that are retained now may have expired or been removed, or newer settings are
+		// known that are not in force here yet.
 		return false
 	}
 	age := max(n.storeLink.confirmedAge(n.platform.MembersKind), n.storeLink.confirmedAge(n.platform.SettingsKind))
