daemon: test that views are built under steady events

The test fails: with an event each 5 ms that takes 5 ms to apply, the endpoints of settings in force are not routed to within 2 s, as the queue is never empty.

--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -147,3 +147,40 @@
 		h.router.SetView(&view)
 	}
 }
+
+// TestViewIsRebuiltUnderSteadyEvents guards against settings whose new endpoints are not routed to
+// while events arrive as fast as they are applied.
+func TestViewIsRebuiltUnderSteadyEvents(t *testing.T) {
+	const step = 5 * time.Millisecond
+	routed := false
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		h := newViewHarness()
+		h.events = ring.New[event](eventsCapacity, ring.Block)
+		h.updatePeers = func(*membership.List) { time.Sleep(step) }
+		list := func(version int64) event {
+			return membersListed{membership.Listing{Version: version, Members: []membership.Member{
+				{Name: "busy", Incarnation: fmt.Sprint(version), StartedAtMS: version, Pool: "plain", State: membership.Live},
+				{Name: "added", Incarnation: "a", Pool: "added", State: membership.Live},
+			}}}
+		}
+		for version := range int64(10) {
+			require.True(t, h.events.Offer(list(version+1)))
+		}
+		go h.run(ctx)
+		go func() {
+			for version := int64(11); ctx.Err() == nil; version++ {
+				_ = h.events.Put(ctx, list(version))
+				time.Sleep(step)
+			}
+		}()
+		tree := &settings.Tree{Pools: map[string]*settings.Pool{"plain": {}, "added": {}}}
+		_ = h.events.Put(ctx, settingsAccepted{accepted: &revision.Accepted{Entry: revision.Entry{Revision: 2}, Tree: tree}})
+		time.Sleep(milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
+		routed = len(h.router.View().Pools["added"]) > 0
+		stop()
+		time.Sleep(eventsCapacity * step)
+		synctest.Wait()
+	})
+	require.True(t, routed, "the endpoints of the settings in force are not routed to")
+}
