daemon: build a view for the events that are queued, not for all that follow

Settings in force whose endpoints the router does not know yet are answered as if these were missing.

Cause: events were applied until the queue was empty, and only then a view was built: never, while they arrive as fast as they are applied (at no instance measured; by the code).

Change: those are applied that are queued when it begins.

Test: TestViewIsRebuiltUnderSteadyEvents failed before; the tests of views, evacuations and settings pass with -race, 3 runs.

--- a/daemon/view.go
+++ b/daemon/view.go
@@ -99,13 +99,13 @@
 // processor time on views that the next packet made obsolete.
 const placementBatchDelay = 15 * time.Millisecond
 
-// drainEvents applies the events that are queued after e. It returns their number, and whether
-// the view must be rebuilt for them.
+// drainEvents applies the events that are queued after e, but not those that arrive meanwhile, as
+// these may never end. It returns their number, and whether the view must be rebuilt for them.
 func (d *viewTask) drainEvents(ctx context.Context, e event) (taken int64, changed bool) {
 	if _, placed := e.(placementsReceived); placed {
 		wait.For(ctx, placementBatchDelay)
 	}
-	for d.events.Len() > 0 {
+	for range d.events.Len() {
 		e, err := d.events.Take(ctx)
 		if err != nil {
 			return taken, changed
