daemon: a relay's attestation counts from when it was received

Cause: the members are put into a queue that blocks when full, and only then was the revision that came with them received, and the attestation, as of that later time.

Change: the revision and the evacuated domains are received first, and the attestation counts from when the delta was received.

--- a/daemon/relaysfollow.go
+++ b/daemon/relaysfollow.go
@@ -58,6 +58,7 @@
 			r.recordFailure(name, err)
 			return answered
 		}
+		receivedAt := r.now()
 		if !answered && r.isOutdated(delta) {
 			r.recordFailure(name, errOutdatedMembers)
 			return false
@@ -69,8 +70,10 @@
 			r.recordFailure(name, errNotFollowingStore)
 			return false
 		}
+		// The members may wait for room in a queue; nothing else that came with them does.
+		r.onDelta(delta)
 		if !answered {
-			r.log.Info("following relay", "by", name, "members", len(delta.Members), "took_ms", r.now().Sub(start).Milliseconds())
+			r.log.Info("following relay", "by", name, "members", len(delta.Members), "took_ms", receivedAt.Sub(start).Milliseconds())
 			apply(membership.StoreAnswered{})
 		}
 		answered = true
@@ -78,10 +81,8 @@
 		if !delta.Empty() {
 			apply(versionedEvent{EntryEvent: delta.Event(), version: storeVersionOf(delta)})
 		}
-		r.onDelta(delta)
 		if delta.Current {
-			now := r.now()
-			r.attestedAt.Store(&now)
+			r.attestedAt.Store(&receivedAt)
 		}
 		request = peer.MembersRequest{Process: delta.Process, Seq: delta.Seq, Hold: r.holdTime()}
 	}
