daemon: test settings behind a full queue of events

The test fails: settings that are read are in force 5.13, 5.135 and 5.13 s later (3 runs, bound 2 s) where the view's queue is full of events that take 5 ms each and 50 senders wait.

--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -17,6 +17,7 @@
 	"github.com/eiderspring/eiderspring/ring"
 	"github.com/eiderspring/eiderspring/routing"
 	"github.com/eiderspring/eiderspring/settings"
+	"github.com/eiderspring/eiderspring/store"
 )
 
 // viewHarness is a view task with one pool and a clock.
@@ -148,6 +149,15 @@
 	}
 }
 
+// busyListing returns a list in which one endpoint has been restarted, and another one belongs to
+// a pool of later settings.
+func busyListing(version int64) event {
+	return membersListed{membership.Listing{Version: version, Members: []membership.Member{
+		{Name: "busy", Incarnation: fmt.Sprint(version), StartedAtMS: version, Pool: "plain", State: membership.Live},
+		{Name: "added", Incarnation: "a", Pool: "added", State: membership.Live},
+	}}}
+}
+
 // TestViewIsRebuiltUnderSteadyEvents guards against settings whose new endpoints are not routed to
 // while events arrive as fast as they are applied.
 func TestViewIsRebuiltUnderSteadyEvents(t *testing.T) {
@@ -158,19 +168,13 @@
 		h := newViewHarness()
 		h.events = ring.New[event](eventsCapacity, ring.Block)
 		h.updatePeers = func(*membership.List) { time.Sleep(step) }
-		list := func(version int64) event {
-			return membersListed{membership.Listing{Version: version, Members: []membership.Member{
-				{Name: "busy", Incarnation: fmt.Sprint(version), StartedAtMS: version, Pool: "plain", State: membership.Live},
-				{Name: "added", Incarnation: "a", Pool: "added", State: membership.Live},
-			}}}
-		}
 		for version := range int64(10) {
-			require.True(t, h.events.Offer(list(version+1)))
+			require.True(t, h.events.Offer(busyListing(version+1)))
 		}
 		go h.run(ctx)
 		go func() {
 			for version := int64(11); ctx.Err() == nil; version++ {
-				_ = h.events.Put(ctx, list(version))
+				_ = h.events.Put(ctx, busyListing(version))
 				time.Sleep(step)
 			}
 		}()
@@ -184,3 +188,39 @@
 	})
 	require.True(t, routed, "the endpoints of the settings in force are not routed to")
 }
+
+// TestSettingsDoNotWaitBehindOtherEvents guards against settings that are in force late because the
+// view's queue is full of other events, for which further senders wait.
+func TestSettingsDoNotWaitBehindOtherEvents(t *testing.T) {
+	const step, senders = 5 * time.Millisecond, 50
+	var delay time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		h := newViewHarness()
+		h.events = ring.New[event](eventsCapacity, ring.Block)
+		h.step(busyListing(1))
+		h.updatePeers = func(*membership.List) { time.Sleep(step) }
+		for version := range int64(eventsCapacity) {
+			require.True(t, h.events.Offer(busyListing(version+2)))
+		}
+		for n := range int64(senders) {
+			go func() { _ = h.events.Put(ctx, busyListing(eventsCapacity+n+2)) }()
+		}
+		tree := &settings.Tree{Pools: map[string]*settings.Pool{"plain": {}, "added": {}}}
+		watch := &settingsWatch{name: "main", events: h.events, log: logr.Discard(), decode: func(store.Object) (*revision.Accepted, error) {
+			return &revision.Accepted{Entry: revision.Entry{Revision: 2}, Tree: tree}, nil
+		}}
+		synctest.Wait()
+		began := time.Now()
+		go h.run(ctx)
+		go watch.accept(ctx, store.Object{Metadata: store.Metadata{Name: "main"}}, sourceWatch)
+		for len(h.router.View().Pools["added"]) == 0 && time.Since(began) < time.Minute {
+			time.Sleep(step)
+		}
+		delay = time.Since(began)
+		stop()
+		time.Sleep((eventsCapacity + senders) * step)
+		synctest.Wait()
+	})
+	require.Less(t, delay, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
+}
