daemon, ring: settings are put in force before all other queued events

Callers of an instance whose view has much to apply would get answers by older settings until all of it is applied (suspected, not shown that the queue is full at any instance).

Cause: settings waited in the view's queue of 1,024 behind lists and placements, and behind the senders that wait for room; then the view was built only after the rest of the queue.

Change: they are put first, which never waits (ring.PutFirst), and the view is built at once when they are in force. They still count for the lag that ends a holder's attestation.

--- a/daemon/followsettings.go
+++ b/daemon/followsettings.go
@@ -71,7 +71,7 @@
 			return
 		}
 		for _, e := range changes.take() {
-			d.accept(ctx, e.Object, sourceWatch)
+			d.accept(e.Object, sourceWatch)
 		}
 		d.reportConfirmed(e.FreshAsOf)
 		cancel()
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	d.accept(ctx, o, sourceList)
+	d.accept(o, sourceList)
 	d.reportConfirmed(calledAt)
 	return nil
 }
@@ -121,7 +121,7 @@
 			wait.For(ctx, jitter(settingsRetryDelay))
 			continue
 		}
-		d.accept(ctx, o, sourceRequest)
+		d.accept(o, sourceRequest)
 		// Until they are in force, every packet signals again that they are newer.
 		wait.For(ctx, settingsApplyDelay)
 		select {
@@ -167,7 +167,7 @@
 			listed.Store(true)
 			d.version.Store(&l.ResourceVersion)
 			for _, o := range l.Items {
-				d.accept(ctx, o, sourceList)
+				d.accept(o, sourceList)
 			}
 			d.reportConfirmed(l.FreshAsOf)
 		},
@@ -177,7 +177,7 @@
 				d.storeLink.markReachable()
 				d.version.Store(&e.Object.Metadata.ResourceVersion)
 				for _, e := range changes.take() {
-					d.accept(ctx, e.Object, sourceWatch)
+					d.accept(e.Object, sourceWatch)
 				}
 				d.reportConfirmed(e.FreshAsOf)
 				if e.Stale && d.hasNewest != nil {
@@ -202,7 +202,7 @@
 	return d.now()
 }
 
-func (d *settingsWatch) accept(ctx context.Context, o store.Object, by settingsSource) {
+func (d *settingsWatch) accept(o store.Object, by settingsSource) {
 	if o.Metadata.Name != d.name {
 		return
 	}
@@ -218,5 +218,6 @@
 			break
 		}
 	}
-	_ = d.events.Put(ctx, settingsAccepted{accepted: accepted, source: by, receivedAt: d.timestamp()})
+	// Whatever else is queued, settings must be in force in time.
+	_ = d.events.PutFirst(settingsAccepted{accepted: accepted, source: by, receivedAt: d.timestamp()})
 }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -106,8 +106,12 @@
 		wait.For(ctx, placementBatchDelay)
 	}
 	for range d.events.Len() {
-		e, err := d.events.Take(ctx)
-		if err != nil {
+		if _, accepted := e.(settingsAccepted); accepted {
+			// They are in force, so that the view must follow at once.
+			break
+		}
+		var err error
+		if e, err = d.events.Take(ctx); err != nil {
 			return taken, changed
 		}
 		taken++
--- a/daemon/view_test.go
+++ b/daemon/view_test.go
@@ -213,7 +213,7 @@
 		synctest.Wait()
 		began := time.Now()
 		go h.run(ctx)
-		go watch.accept(ctx, store.Object{Metadata: store.Metadata{Name: "main"}}, sourceWatch)
+		go watch.accept(store.Object{Metadata: store.Metadata{Name: "main"}}, sourceWatch)
 		for len(h.router.View().Pools["added"]) == 0 && time.Since(began) < time.Minute {
 			time.Sleep(step)
 		}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -107,6 +107,28 @@
 	return true, nil
 }
 
+// PutFirst adds an item that is taken before all others, and never waits: a full ring, whatever
+// its policy, grows by one. It is meant for items that are rare and must not queue.
+func (r *Ring[T]) PutFirst(item T) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return ErrClosed
+	}
+	if r.size == len(r.items) {
+		grown := make([]T, len(r.items)+1)
+		n := copy(grown, r.items[r.head:])
+		copy(grown[n:], r.items[:r.head])
+		r.items, r.head = grown, 0
+	}
+	r.head = (r.head + len(r.items) - 1) % len(r.items)
+	r.items[r.head] = item
+	r.size++
+	r.added++
+	notify(r.notEmpty)
+	return nil
+}
+
 // Take returns the oldest item. It fails with ErrClosed once the ring is
 // closed and empty, or with ctx's error.
 func (r *Ring[T]) Take(ctx context.Context) (T, error) {
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -78,3 +78,28 @@
 	require.True(t, r.Offer(4))
 	require.EqualValues(t, 3, r.Added())
 }
+
+// TestPutFirstOvertakes mixes PutFirst with Put and Take, also where the ring is full.
+func TestPutFirstOvertakes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New[int](rapid.IntRange(1, 5).Draw(t, "capacity"), Reject)
+		var model []int
+		for i := range 50 {
+			switch op := rapid.SampledFrom([]string{"put", "put first", "take"}).Draw(t, "op"); {
+			case op == "put":
+				if r.Put(context.Background(), i) == nil {
+					model = append(model, i)
+				}
+			case op == "put first":
+				require.NoError(t, r.PutFirst(i))
+				model = append([]int{i}, model...)
+			case len(model) > 0:
+				got, err := r.Take(context.Background())
+				require.NoError(t, err)
+				require.Equal(t, model[0], got)
+				model = model[1:]
+			}
+			require.Equal(t, len(model), r.Len())
+		}
+	})
+}
