--- a/daemon/followsettings_test.go
+++ b/daemon/followsettings_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"testing"
@@ -55,3 +56,50 @@
 		require.EqualValues(t, 2, client.reads.Load(), "even newer settings")
 	})
 }
+
+// listingStore records which kind of list is read first.
+type listingStore struct {
+	store.Client
+	first string
+}
+
+// List implements store.Client.
+func (c *listingStore) List(context.Context, store.Kind) (store.List, error) {
+	c.first = cmp.Or(c.first, "fresh")
+	return store.List{ResourceVersion: "1"}, nil
+}
+
+// ListStale implements store.StaleReader.
+func (c *listingStore) ListStale(context.Context, store.Kind, string) (store.List, error) {
+	c.first = cmp.Or(c.first, "stale")
+	return store.List{ResourceVersion: "1"}, nil
+}
+
+// GetStale implements store.StaleReader.
+func (c *listingStore) GetStale(context.Context, store.Kind, string) (store.Object, error) {
+	return store.Object{}, errStoreAway
+}
+
+// Watch implements store.Client.
+func (c *listingStore) Watch(ctx context.Context, _ store.Kind, _ string, _ store.WatchOptions, _ func(store.Event)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestNewProcessBeginsWithFreshSettings guards against a process that is started again and begins
+// with settings from a stale list, although another instance announces newer ones to it.
+func TestNewProcessBeginsWithFreshSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		client := &listingStore{}
+		d := &settingsWatch{
+			client: client, name: "main", log: logr.Discard(), events: ring.New[event](8, ring.Block), now: time.Now,
+			allowStale: func() bool { return true }, storeLink: &storeLink{log: logr.Discard(), now: time.Now},
+		}
+		go d.run(ctx)
+		time.Sleep(time.Second)
+		stop()
+		synctest.Wait()
+		require.Equal(t, "fresh", client.first)
+	})
+}
--- a/daemon/settingsorder_test.go
+++ b/daemon/settingsorder_test.go
@@ -66,3 +66,49 @@
 	})
 	require.Less(t, delay, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
 }
+
+// lostWire delivers nothing.
+type lostWire struct{}
+
+// Send implements peer.Datagrams.
+func (lostWire) Send(string, []byte) {}
+
+// Close implements peer.Datagrams.
+func (lostWire) Close() {}
+
+// TestSettingsAreInTimeWhenTheHolderIsLost guards against instances that rest by their settings
+// after the holder of the lease, which announced newer ones to them, was lost before or after the
+// change.
+func TestSettingsAreInTimeWhenTheHolderIsLost(t *testing.T) {
+	var last time.Duration
+	for lostAfter := -700 * time.Millisecond; lostAfter <= 500*time.Millisecond; lostAfter += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			size := fleetSize{instances: 6, endpoints: 15, mbits: 1000, cores: 0.4}
+			f := newSettingsFleet(t, size)
+			f.run(ctx, size.endpoints)
+			holder := f.instances[0].mesh
+			time.AfterFunc(8*time.Second+lostAfter, func() {
+				holder.mu.Lock()
+				defer holder.mu.Unlock()
+				holder.datagrams = lostWire{}
+			})
+			time.Sleep(8 * time.Second)
+			began := time.Now()
+			last = max(last, f.change(1))
+			for _, i := range f.instances[2:] {
+				at, known := i.inForceSince(2)
+				if !known {
+					at = time.Now()
+				}
+				last = max(last, at.Sub(began))
+			}
+			stop()
+			// The placer ends when its ring is empty.
+			time.Sleep(reportEvery + (placerEventsCapacity+2)*busyStep)
+			synctest.Wait()
+		})
+	}
+	t.Logf("in force at the last instance after %v", last)
+	require.Less(t, last, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
+}
