daemon: test the time for settings through a relay whose holder is lost

It takes a holder that loses the store right before a change. What would make it pass: the delta carries the age of the attestation on which it rests, and the follower counts from there; that changes how often followers ask the store, and is to be measured.

--- a/daemon/attestation_test.go
+++ b/daemon/attestation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/peer"
@@ -107,6 +108,18 @@
 	}
 }
 
+// TestSettingsAreInTimeWhenTheHolderOfARelayIsLost adds up the same for settings at an instance
+// that follows a relay, whose attestation rests on the one of the lost holder: the relay may send
+// one that it encoded a little before, and that counts as long again at its follower.
+func TestSettingsAreInTimeWhenTheHolderOfARelayIsLost(t *testing.T) {
+	for _, ms := range changeBoundsMS {
+		f := NodeFreshness{LeavingMS: ms, SettingsMS: ms, ContactMS: 4000}
+		relayed := f.relayAttestationLifetime() + encodedLifetime + f.relayAttestationLifetime()
+		noticed := f.maxAttestedAge() + relayed + wait.PollInterval
+		assert.LessOrEqual(t, noticed+applyReserve, milliseconds(ms), "%d ms", ms)
+	}
+}
+
 // TestHungWatchIsReplacedInTime checks the bounds on the longest time until a fresh watch that is
 // never answered is repeated, and until the next answer to a healthy holder.
 func TestHungWatchIsReplacedInTime(t *testing.T) {
