--- a/daemon/attestation_test.go
+++ b/daemon/attestation_test.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/peer"
+	"github.com/eiderspring/eiderspring/relay"
+	"github.com/eiderspring/eiderspring/settings"
 	"github.com/eiderspring/eiderspring/store"
 	"github.com/eiderspring/eiderspring/wait"
 )
@@ -26,19 +29,19 @@
 	m := &mesh{now: func() time.Time { return now }, isHolder: func() bool { return holds }}
 	require.False(t, m.holderAttests(), "no announcement was received")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	require.True(t, m.holderAttests())
 	now = now.Add(minHolderTimeout)
 	require.False(t, m.holderAttests(), "silence")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	for range 3 {
 		now = now.Add(minHolderTimeout / 2)
-		m.totals.receive(now, holderAnnouncement(false))
+		m.totals.receive(now, now, holderAnnouncement(false))
 	}
 	require.False(t, m.holderAttests(), "the holder announces but has lost the store")
 
-	m.totals.receive(now, holderAnnouncement(true))
+	m.totals.receive(now, now, holderAnnouncement(true))
 	holds = true
 	require.False(t, m.holderAttests(), "the holder itself must follow the store")
 }
@@ -105,6 +108,18 @@
 	}
 }
 
+// TestSettingsAreInTimeWhenTheHolderOfARelayIsLost adds up the same for settings at an instance
+// that follows a relay, whose attestation rests on the one of the lost holder: the relay may send
+// one that it encoded a little before, and that counts as long again at its follower.
+func TestSettingsAreInTimeWhenTheHolderOfARelayIsLost(t *testing.T) {
+	for _, ms := range changeBoundsMS {
+		f := NodeFreshness{LeavingMS: ms, SettingsMS: ms, ContactMS: 4000}
+		relayed := f.relayAttestationLifetime() + encodedLifetime + f.relayAttestationLifetime()
+		noticed := f.maxAttestedAge() + relayed + wait.PollInterval
+		assert.LessOrEqual(t, noticed+applyReserve, milliseconds(ms), "%d ms", ms)
+	}
+}
+
 // TestHungWatchIsReplacedInTime checks the bounds on the longest time until a fresh watch that is
 // never answered is repeated, and until the next answer to a healthy holder.
 func TestHungWatchIsReplacedInTime(t *testing.T) {
@@ -171,7 +186,7 @@
 		n.storeLink.callStarted(0)
 		n.storeLink.watchConfirmed(n.platform.MembersKind)
 		n.storeLink.watchConfirmed(n.platform.SettingsKind)
-		n.mesh.totals.receive(now, holderAnnouncement(true))
+		n.mesh.totals.receive(now, now, holderAnnouncement(true))
 	}
 	answer()
 	for since := time.Duration(0); since < settleTime; since += leaseRenewal {
@@ -189,3 +204,29 @@
 	answer()
 	require.False(t, n.mesh.storeCurrent())
 }
+
+// TestNobodyAttestsOlderSettingsThanItKnowsOf guards against a lease holder or a relay that
+// attests while it knows of newer settings that it does not have in force yet: the instances that
+// rely on it would rest by the older ones.
+func TestNobodyAttestsOlderSettingsThanItKnowsOf(t *testing.T) {
+	now := time.Now()
+	n := attestingNode(&now)
+	n.placers = &placers{}
+	n.catalog.Store(&settings.Catalog{Revision: 1})
+	relayAttests := func() bool {
+		n.mesh.totals.receive(now, now, holderAnnouncement(true))
+		var delta relay.Delta
+		n.addAttestation(&delta)
+		return delta.Current
+	}
+	require.True(t, relayAttests())
+	n.storeLink.watchConfirmed(n.platform.MembersKind)
+	n.storeLink.watchConfirmed(n.platform.SettingsKind)
+	require.True(t, n.mesh.storeCurrent())
+	n.mesh.receiveRevision(2)
+	require.False(t, relayAttests())
+	require.False(t, n.mesh.storeCurrent())
+	n.catalog.Store(&settings.Catalog{Revision: 2})
+	require.True(t, relayAttests())
+	require.True(t, n.mesh.storeCurrent())
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -99,15 +99,19 @@
 // processor time on views that the next packet made obsolete.
 const placementBatchDelay = 15 * time.Millisecond
 
-// drainEvents applies the events that are queued after e. It returns their number, and whether
-// the view must be rebuilt for them.
+// drainEvents applies the events that are queued after e, but not those that arrive meanwhile, as
+// these may never end. It returns their number, and whether the view must be rebuilt for them.
 func (d *viewTask) drainEvents(ctx context.Context, e event) (taken int64, changed bool) {
 	if _, placed := e.(placementsReceived); placed {
 		wait.For(ctx, placementBatchDelay)
 	}
-	for d.events.Len() > 0 {
-		e, err := d.events.Take(ctx)
-		if err != nil {
+	for range d.events.Len() {
+		if _, accepted := e.(settingsAccepted); accepted {
+			// They are in force, so that the view must follow at once.
+			break
+		}
+		var err error
+		if e, err = d.events.Take(ctx); err != nil {
 			return taken, changed
 		}
 		taken++
