--- a/daemon/settingsdelay_test.go
+++ b/daemon/settingsdelay_test.go
@@ -104,13 +104,18 @@
 	return &revision.Accepted{Entry: revision.Entry{Revision: n}, Tree: tree}, err
 }
 
-// settingsFleet is a set of instances that share a store; the first one holds the lease.
+// settingsFleet is a set of instances that share a store. The first one has the busy placer, and
+// holds the lease unless another one does by now.
 type settingsFleet struct {
 	store      *staleStore
 	storeLink  *sharedLink
 	instances  []*settingsInstance
 	placers    *placers
 	busyPlacer *placer
+	// holder is the instance that holds the lease.
+	holder int
+	// reportsEnd is when the endpoints cease to report to the busy placer; never if zero.
+	reportsEnd time.Time
 }
 
 // fleetSize is the size of a fleet, with the bandwidth and processor cores of each instance.
@@ -119,8 +124,11 @@
 	mbits, cores         float64
 }
 
-func newSettingsFleet(t *testing.T, size fleetSize) *settingsFleet {
-	f := &settingsFleet{store: newStaleStore(staleAnswers), storeLink: &sharedLink{bytesPerSecond: 1000 * bytesPerMbit}}
+func newSettingsFleet(t *testing.T, size fleetSize) *settingsFleet { return newFleetHeldBy(t, size, 0) }
+
+// newFleetHeldBy returns a fleet in which the given instance holds the lease.
+func newFleetHeldBy(t *testing.T, size fleetSize, holder int) *settingsFleet {
+	f := &settingsFleet{holder: holder, store: newStaleStore(staleAnswers), storeLink: &sharedLink{bytesPerSecond: 1000 * bytesPerMbit}}
 	f.store.record(store.EventModified, store.Object{Kind: "settings", Metadata: store.Metadata{Name: "main"}, Spec: json.RawMessage(`{}`)})
 	f.busyPlacer = &placer{
 		events: ring.New[counted.Event](placerEventsCapacity, ring.Block), runner: lease.NewRunner(lease.RunnerConfig{}), log: logr.Discard(),
@@ -132,14 +140,14 @@
 	}
 	f.placers = &placers{running: map[string]*placer{"pool": f.busyPlacer}, log: logr.Discard()}
 	for n := range size.instances {
-		f.instances = append(f.instances, f.newInstance(t, fmt.Sprintf("i%d", n), n == 0, size))
+		f.instances = append(f.instances, f.newInstance(t, fmt.Sprintf("i%d", n), n, size))
 	}
 	listed := map[string]presence{}
 	for _, i := range f.instances {
 		listed[i.name] = presence{Datagrams: i.name}
 	}
-	f.instances[0].mesh.listed = listed
-	f.instances[0].mesh.datagrams = &fleetWire{fleet: f, link: &sharedLink{bytesPerSecond: size.mbits * bytesPerMbit}}
+	f.instances[holder].mesh.listed = listed
+	f.instances[holder].mesh.datagrams = &fleetWire{fleet: f, link: &sharedLink{bytesPerSecond: size.mbits * bytesPerMbit}}
 	return f
 }
 
@@ -150,7 +158,7 @@
 // reportEvery is the time between two reports of an endpoint.
 const reportEvery = 5 * time.Second
 
-func (f *settingsFleet) newInstance(t *testing.T, name string, first bool, size fleetSize) *settingsInstance {
+func (f *settingsFleet) newInstance(t *testing.T, name string, n int, size fleetSize) *settingsInstance {
 	fresh := DefaultNodeConfig().Fresh
 	link := &storeLink{log: logr.Discard(), now: time.Now}
 	i := &settingsInstance{name: name, storeLink: link, inForceAt: map[int64]time.Time{}}
@@ -162,7 +170,7 @@
 		instance: name, now: time.Now, log: logr.Discard(), sealer: sealer, withdrawn: map[string]withdrawal{}, listed: map[string]presence{},
 		self: presence{Cores: size.cores}, linkBytesPerSecond: size.mbits * bytesPerMbit, onInstanceCount: func(int) {}, newerSettings: make(chan struct{}, 1),
 		router: routing.NewRouter(routing.Policies()[routing.PolicyTimely], nil), revision: i.revision,
-		isHolder: func() bool { return first },
+		isHolder: func() bool { return n == f.holder },
 		storeCurrent: func() bool {
 			return link.settled() && link.confirmedAge("settings")+lag.lag() < fresh.maxAttestedAge()
 		},
@@ -172,7 +180,7 @@
 		updateCells: func(*settings.Catalog, *membership.List) {}, updatePeers: func(*membership.List) {}, sinceRevisionSeen: i.mesh.sinceRevisionSeen,
 		list: membership.NewList(), endpoints: map[string]*routing.Endpoint{}, residency: newResidency(), withdrawnUntil: map[string]withdrawal{},
 	}
-	if first {
+	if n == 0 {
 		i.view.updateCells = f.placers.update
 	}
 	i.config = &settingsWatch{
@@ -195,14 +203,14 @@
 	for n := range endpoints {
 		go func() {
 			time.Sleep(reportEvery * time.Duration(n) / time.Duration(endpoints))
-			for ctx.Err() == nil {
+			for ctx.Err() == nil && (f.reportsEnd.IsZero() || time.Now().Before(f.reportsEnd)) {
 				_ = f.busyPlacer.events.Put(ctx, counted.Tick{})
 				time.Sleep(reportEvery)
 			}
 		}()
 	}
 	go func() {
-		holder := f.instances[0].mesh
+		holder := f.instances[f.holder].mesh
 		for ctx.Err() == nil {
 			holder.announceTotals()
 			time.Sleep(holder.announceInterval())
@@ -234,7 +242,7 @@
 func (w *fleetWire) Send(address string, sealed []byte) {
 	p := w.open(sealed)
 	n, err := strconv.Atoi(address[1:])
-	if err != nil || n == 0 {
+	if err != nil || n == w.fleet.holder {
 		return
 	}
 	to := w.fleet.instances[n].mesh
@@ -251,7 +259,7 @@
 	if w.opened[string(sealed)] {
 		return w.packet
 	}
-	plain, err := w.fleet.instances[1].mesh.sealer.Open(sealed)
+	plain, err := w.fleet.instances[(w.fleet.holder+1)%2].mesh.sealer.Open(sealed)
 	if err != nil {
 		panic(err)
 	}
--- a/daemon/settingsorder_test.go
+++ b/daemon/settingsorder_test.go
@@ -112,3 +112,23 @@
 	t.Logf("in force at the last instance after %v", last)
 	require.Less(t, last, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
 }
+
+// TestSettingsAreInTimeAtAFormerHolder guards against an instance that has lost the lease, relies on
+// its successor, and is late because its placer is still busy with earlier reports.
+func TestSettingsAreInTimeAtAFormerHolder(t *testing.T) {
+	var delay time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		size := fleetSize{instances: 301, endpoints: 3000, mbits: 1000, cores: 0.4}
+		f := newFleetHeldBy(t, size, 1)
+		f.reportsEnd = time.Now().Add(7500 * time.Millisecond)
+		f.run(ctx, size.endpoints)
+		time.Sleep(8 * time.Second)
+		delay = f.change(0)
+		stop()
+		// The placer ends when its ring is empty.
+		time.Sleep(reportEvery + (placerEventsCapacity+2)*busyStep)
+		synctest.Wait()
+	})
+	require.Less(t, delay, milliseconds(DefaultNodeConfig().Fresh.SettingsMS))
+}
