daemon: who holds the lease is known without the lock of the placers

Cause: each packet and each call to the store asks whether this instance holds the lease, under the lock that is held while lists are passed to the placers. When a sender waited for the placer's full ring there, the renewal of the lease waited too.

Change: the leases of the running placers are read without the lock, so that nothing that is done under it can hold up the renewal or the settings' watch again.

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -235,6 +236,9 @@
 	running map[string]*placer
 	// isolated is the state that setIsolated set last.
 	isolated bool
+	// runners holds the leases of the running placers. It is read without mu, which is held
+	// while lists are copied: each packet and each call to the store asks for the holder.
+	runners atomic.Pointer[[]*lease.Runner]
 }
 
 // update passes the settings and the member list to every placer, and starts the placers of
@@ -244,7 +248,7 @@
 	defer p.mu.Unlock()
 	for _, pool := range enginePools(catalog) {
 		if p.running[pool] == nil {
-			p.running[pool] = p.start(pool)
+			p.add(pool, p.start(pool))
 		}
 	}
 	for pool, placer := range p.running {
@@ -255,12 +259,24 @@
 	}
 }
 
-// holds tells whether this instance holds the lease of any pool.
-func (p *placers) holds() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// add adds the placer of a pool; mu must be held.
+func (p *placers) add(pool string, started *placer) {
+	p.running[pool] = started
+	runners := make([]*lease.Runner, 0, len(p.running))
 	for _, placer := range p.running {
-		if _, held := placer.runner.Hold(); held {
+		runners = append(runners, placer.runner)
+	}
+	p.runners.Store(&runners)
+}
+
+// holds tells whether this instance holds the lease of any pool. It never waits.
+func (p *placers) holds() bool {
+	runners := p.runners.Load()
+	if runners == nil {
+		return false
+	}
+	for _, r := range *runners {
+		if _, held := r.Hold(); held {
 			return true
 		}
 	}
--- a/daemon/placer_test.go
+++ b/daemon/placer_test.go
@@ -21,7 +21,8 @@
 	for range placerEventsCapacity {
 		busy.put(counted.Tick{})
 	}
-	p := &placers{running: map[string]*placer{"pool": busy}}
+	p := &placers{running: map[string]*placer{}}
+	p.add("pool", busy)
 	catalog := settings.NewCatalog(&settings.Tree{Pools: map[string]*settings.Pool{"pool": {Kind: settings.KindEngine}}})
 	for i := range 3 {
 		p.update(catalog, membership.NewList())
--- a/daemon/placerlease_test.go
+++ b/daemon/placerlease_test.go
@@ -95,6 +95,33 @@
 	}
 }
 
+// TestHolderIsKnownWhileListsAreCopied guards against packets and calls to the store, the renewal
+// of the lease among them, that wait for the lock under which the placers' lists are copied. If
+// holds waits for it, the test does not end.
+func TestHolderIsKnownWhileListsAreCopied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		runner := lease.NewRunner(lease.RunnerConfig{
+			Name: "cell-pool", Client: &leaseStore{}, Now: time.Now, Changed: func(lease.Action) {}, Tick: leaseCheckInterval,
+			Campaign: func() bool { return true },
+			Lease:    lease.Config{Holder: "i0", Duration: leaseDuration, RenewEvery: leaseRenewal, ClockDrift: leaseDrift},
+		})
+		p := &placers{running: map[string]*placer{}}
+		require.False(t, p.holds(), "no pool is known")
+		p.add("pool", &placer{runner: runner})
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		require.False(t, p.holds(), "the lease is not acquired")
+		go runner.Run(ctx)
+		time.Sleep(leaseDuration)
+		require.True(t, p.holds())
+		stop()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.False(t, p.holds(), "the lease is released")
+	})
+}
+
 // newBusyPlacer returns a placer that takes busyStep for each event.
 func newBusyPlacer() *placer {
 	return &placer{
--- a/daemon/settingsdelay_test.go
+++ b/daemon/settingsdelay_test.go
@@ -138,7 +138,8 @@
 			return time.Now()
 		},
 	}
-	f.placers = &placers{running: map[string]*placer{"pool": f.busyPlacer}, log: logr.Discard()}
+	f.placers = &placers{running: map[string]*placer{}, log: logr.Discard()}
+	f.placers.add("pool", f.busyPlacer)
 	for n := range size.instances {
 		f.instances = append(f.instances, f.newInstance(t, fmt.Sprintf("i%d", n), n, size))
 	}
