--- a/daemon/relays_test.go
+++ b/daemon/relays_test.go
@@ -330,3 +330,30 @@
 	}, relayTestTimeout, 10*time.Millisecond)
 	require.EqualValues(t, maxRelayAttempts, f.unanswered.Load(), "the store is read")
 }
+
+// TestAttestationOfARelayCountsFromItsReceipt guards against a follower that rests by the
+// attestation of a relay for longer because the members that came with it waited in a full queue;
+// newer settings that the relay reports must not wait there either.
+func TestAttestationOfARelayCountsFromItsReceipt(t *testing.T) {
+	const waited = 5 * time.Second
+	s := &relayFleet{t: t, addresses: map[string]string{}}
+	s.list("e1")
+	for i := range relay.RelaysPerDomain {
+		s.start(fmt.Sprintf("i%d", i))
+	}
+	f := s.start("i50")
+	var passed atomic.Int64
+	f.now = func() time.Time { return time.Unix(1000+passed.Load(), 0) }
+	var reported, reportedBefore int64
+	f.onDelta = func(d relay.Delta) { reported = d.Revision }
+	ctx, cancel := context.WithCancel(t.Context())
+	for ctx.Err() == nil {
+		f.follow(ctx, func(membership.EntryEvent) {
+			passed.Add(int64(waited / time.Second))
+			reportedBefore = reported
+			cancel()
+		})
+	}
+	require.GreaterOrEqual(t, f.attestationAge(), waited)
+	require.EqualValues(t, 7, reportedBefore, "the revision that the relay reports")
+}
