daemon: settings, lists and lease changes never wait for a busy cell

An instance whose cell had more replies than it could process kept sending requests to leaving endpoints, did not route by new settings, and kept a lease that had expired: cells.update waited in the cell's ring with the instances locked, and the renewal of the lease waited there, too, and for that lock.

The last settings, list and change of the lease now wait beside the ring, as they do for a placer, and the cell takes them before its next event. Only the last of each counts: LeaseLost merely stops the controller, and LeaseAcquired resets what depends on the epoch.

--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -41,20 +41,30 @@
 	now        func() time.Time
 	controller *placement.Controller
 	events     *ring.Ring[placement.Event]
+	inputs     cellInputs
 	// running tells whether the controller makes decisions; it selects the tick interval.
 	running atomic.Bool
 }
 
+// put queues an event that the cell itself caused, and blocks while the ring is full.
 func (d *cellTask) put(e placement.Event) { _ = d.events.Put(context.Background(), e) }
 
+// notify passes settings, a list or a change of the lease to the cell, and never blocks.
+func (d *cellTask) notify(e placement.Event) {
+	d.inputs.add(e)
+	// If the ring is full, the cell is busy and takes its inputs with the next event.
+	d.events.Offer(placement.Tick{})
+}
+
+// leaseChanged is called on the goroutine that renews the lease, which must not wait.
 func (d *cellTask) leaseChanged(a lease.Action) {
 	switch a := a.(type) {
 	case lease.Acquired:
 		d.log.Info("lease acquired", "epoch", a.Epoch)
-		d.put(placement.LeaseAcquired{Epoch: a.Epoch})
+		d.notify(placement.LeaseAcquired{Epoch: a.Epoch})
 	case lease.Lost:
 		d.log.Info("lease lost", "epoch", a.Epoch)
-		d.put(placement.LeaseLost{})
+		d.notify(placement.LeaseLost{})
 	}
 }
 
@@ -66,13 +76,20 @@
 			d.events.Close()
 			return
 		}
-		for _, a := range d.controller.Step(d.now(), e) {
-			d.execute(ctx, a)
+		for _, input := range d.inputs.take() {
+			d.step(ctx, input)
 		}
+		d.step(ctx, e)
 		d.running.Store(d.controller.Running())
 	}
 }
 
+func (d *cellTask) step(ctx context.Context, e placement.Event) {
+	for _, a := range d.controller.Step(d.now(), e) {
+		d.execute(ctx, a)
+	}
+}
+
 func (d *cellTask) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.running.Load() {
--- a/daemon/cells.go
+++ b/daemon/cells.go
@@ -61,9 +61,9 @@
 	}
 	for name, cell := range c.running {
 		if catalog.Tree.Pools[name] != nil {
-			cell.put(cellSettings(catalog, name, len(pools)))
+			cell.notify(cellSettings(catalog, name, len(pools)))
 		}
-		cell.put(memberList(list, name))
+		cell.notify(memberList(list, name))
 	}
 }
 
