daemon: wait for the watch again after a failed read whose settings it delivered

A node of which one read of newer settings had failed while its watch delivered them began its next read, for a later revision, as a repeated one: at once, though the watch might deliver it for a tenth of the cost, and for up to 2 s on a connection that might be silent, which is the whole bound for settings. What ended that state was only a further signal for the earlier revision. After the pause the node now checks whether the settings are in force.

TestFirstReadOfEachRevisionEndsEarly failed with 2 s and passes with 950 ms (-count=2).

--- a/daemon/followsettings.go
+++ b/daemon/followsettings.go
@@ -119,6 +119,8 @@
 		if failed = err != nil; failed {
 			d.log.Info("newer settings not read", "error", err.Error())
 			wait.For(ctx, jitter(settingsRetryDelay))
+			// The watch may have delivered them meanwhile.
+			failed = d.hasNewest == nil || !d.hasNewest()
 			continue
 		}
 		d.accept(ctx, o, sourceRequest)
