daemon: a ring that is never empty has a lag of twice its waits at most

The lag of a ring grew for as long as some event was always in it, however soon each was applied. The lease holder would then attest nothing, as nothing proves that it is current, and all instances would follow the store by fresh watches; relays would be left by their followers. By reportInterval and announceInterval, 3,000 endpoints yield up to 600 announcements a second at the holder (not measured), so that one whose rebuilds take longer than the time between two is never seen without one.

The tracker now also remembers how many events had been added at some time, and that all events before that time are applied once as many have been.

--- a/daemon/lag.go
+++ b/daemon/lag.go
@@ -15,12 +15,18 @@
 
 	mu        sync.Mutex
 	processed int64
-	// caughtUpAt is when the consumer was last seen to have applied all events.
-	caughtUpAt time.Time
+	// appliedUntil is a time before which all events that were put into the ring have been
+	// applied.
+	appliedUntil time.Time
+	// Once target events have been applied, appliedUntil is at least targetAt: in a ring that is
+	// never empty, each event may still be applied in time.
+	target   int64
+	targetAt time.Time
 }
 
 func newLagTracker(added func() int64, now func() time.Time) *lagTracker {
-	return &lagTracker{enqueued: added, now: now, caughtUpAt: now()}
+	at := now()
+	return &lagTracker{enqueued: added, now: now, appliedUntil: at, target: added(), targetAt: at}
 }
 
 // markProcessed adds to the number of events that have been applied.
@@ -31,23 +37,32 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.processed += events
-	t.updateCaughtUp()
+	t.update(t.now())
 }
 
-// updateCaughtUp records the time if all events have been applied; mu must be held.
-func (t *lagTracker) updateCaughtUp() {
-	if t.processed >= t.enqueued() {
-		t.caughtUpAt = t.now()
+// update updates the time until which events have been applied; mu must be held.
+func (t *lagTracker) update(now time.Time) {
+	added := t.enqueued()
+	switch {
+	case t.processed >= added:
+		t.appliedUntil = now
+	case t.processed >= t.target:
+		t.appliedUntil = t.targetAt
+	default:
+		return
 	}
+	t.target, t.targetAt = added, now
 }
 
-// lag returns for how long events have been waiting, 0 if none are.
+// lag returns for how long events have been waiting, 0 if none are. It may be up to twice as long
+// as the longest wait.
 func (t *lagTracker) lag() time.Duration {
 	if t == nil {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.updateCaughtUp()
-	return t.now().Sub(t.caughtUpAt)
+	now := t.now()
+	t.update(now)
+	return now.Sub(t.appliedUntil)
 }
