daemon: a peer that is gone does not delay settings of the store

An instance that had begun to fetch a newer revision from a peer that then ended or froze put that revision in force only 3 s later (streamTimeout), or later still with several such peers in the queue, though its watch had delivered it with the root object: one goroutine fetched from both. Callers of new routes were refused meanwhile.

What the watch and the polls find now has a ring and a goroutine of its own. The fetcher's cache of chunks, which both share, is guarded by a mutex.

--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -308,6 +308,7 @@
 	}
 	i.settings = &settingsFetcher{
 		client: objects, streams: i.streamClient, fetcher: revision.NewFetcher(), candidates: i.peers.fetches,
+		roots:  ring.New[settingsCandidate](candidatesCapacity, ring.DropOldest),
 		events: i.events, contact: i.freshness, log: i.log,
 	}
 	members := &membersPoller{
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,12 +30,16 @@
 	client  store.Client
 	streams *peer.StreamClient
 	fetcher *revision.Fetcher
-	// candidates are the revisions found by the watch, the polls and the gossip.
-	candidates *ring.Ring[settingsCandidate]
-	events     *ring.Ring[event]
-	contact    *freshness
-	log        logr.Logger
-	newest     int64
+	// roots are the revisions found by the watch and the polls, candidates those found by the
+	// gossip. A peer that is gone must not delay what the store has delivered.
+	roots, candidates *ring.Ring[settingsCandidate]
+	events            *ring.Ring[event]
+	contact           *freshness
+	log               logr.Logger
+
+	mu sync.Mutex
+	// newest is the newest revision fetched; mu guards it.
+	newest int64
 }
 
 // candidatesCapacity bounds the queue of revisions to fetch; an older one is of no use once a
@@ -42,12 +47,20 @@
 const candidatesCapacity = 8
 
 func (f *settingsFetcher) run(ctx context.Context) {
+	var both sync.WaitGroup
+	both.Go(func() { f.fetchEach(ctx, f.roots) })
+	both.Go(func() { f.fetchEach(ctx, f.candidates) })
+	both.Wait()
+}
+
+// fetchEach fetches the revisions of a ring that are newer than the newest one fetched.
+func (f *settingsFetcher) fetchEach(ctx context.Context, candidates *ring.Ring[settingsCandidate]) {
 	for {
-		w, err := f.candidates.Take(ctx)
+		w, err := candidates.Take(ctx)
 		if err != nil {
 			return
 		}
-		if w.revision <= f.newest {
+		if !f.isNewer(w.revision) {
 			continue
 		}
 		if err := f.fetch(ctx, w); err != nil {
@@ -67,13 +80,30 @@
 	if err != nil {
 		return err
 	}
-	if accepted.Entry.Revision <= f.newest {
+	if !f.recordNewer(accepted.Entry.Revision) {
 		return nil
 	}
-	f.newest = accepted.Entry.Revision
 	return f.events.Put(ctx, settingsAccepted{accepted: accepted})
 }
 
+// isNewer reports whether a revision is newer than the newest one fetched.
+func (f *settingsFetcher) isNewer(revision int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return revision > f.newest
+}
+
+// recordNewer records a revision that was fetched, and reports whether it is the newest.
+func (f *settingsFetcher) recordNewer(revision int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.newest {
+		return false
+	}
+	f.newest = revision
+	return true
+}
+
 func (f *settingsFetcher) fetchFromPeer(ctx context.Context, address string) (*revision.Accepted, error) {
 	session, err := f.streams.Dial(ctx, address)
 	if err != nil {
@@ -110,7 +140,7 @@
 		f.log.Error(err, "settings root cannot be decoded")
 		return
 	}
-	_ = f.candidates.Put(ctx, settingsCandidate{root: &root, revision: root.Current.Revision})
+	_ = f.roots.Put(ctx, settingsCandidate{root: &root, revision: root.Current.Revision})
 }
 
 // confirmTimeout bounds a read of the root that confirms the revision in force.
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -58,6 +58,6 @@
 func newSettingsFetcher(client store.Client, streams *peer.StreamClient, events *ring.Ring[event]) *settingsFetcher {
 	return &settingsFetcher{
 		client: client, streams: streams, fetcher: revision.NewFetcher(), events: events,
-		candidates: ring.New[settingsCandidate](candidatesCapacity, ring.DropOldest),
+		roots: ring.New[settingsCandidate](candidatesCapacity, ring.DropOldest), candidates: ring.New[settingsCandidate](candidatesCapacity, ring.DropOldest),
 	}
 }
--- a/revision/root.go
+++ b/revision/root.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/eiderspring/eiderspring/settings"
@@ -87,9 +88,9 @@
 	}
 }
 
-// Fetcher reads revisions and caches the chunks of the last one. It is not safe for concurrent
-// use.
+// Fetcher reads revisions and caches the chunks of the last one. It is safe for concurrent use.
 type Fetcher struct {
+	mu     sync.Mutex
 	chunks map[string][]byte
 }
 
@@ -120,12 +121,17 @@
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.chunks = next
 	return &Accepted{Entry: e, Text: text, Tree: tree, Chunks: next}, nil
 }
 
 func (f *Fetcher) chunk(ctx context.Context, hash string, source Source) ([]byte, error) {
-	if text, kept := f.chunks[hash]; kept {
+	f.mu.Lock()
+	text, kept := f.chunks[hash]
+	f.mu.Unlock()
+	if kept {
 		return text, nil
 	}
 	text, err := source(ctx, hash)
