--- a/daemon/followsettingsretry_test.go
+++ b/daemon/followsettingsretry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,15 +35,16 @@
 func TestFirstReadOfEachRevisionEndsEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		reads, newer, hasNewest := &endlessReads{}, make(chan struct{}, 1), false
-		d := &settingsWatch{client: reads, newer: newer, hasNewest: func() bool { return hasNewest }, events: ring.New[event](eventsCapacity, ring.Block), log: logr.Discard()}
+		reads, newer := &endlessReads{}, make(chan struct{}, 1)
+		var hasNewest atomic.Bool
+		d := &settingsWatch{client: reads, newer: newer, hasNewest: hasNewest.Load, events: ring.New[event](eventsCapacity, ring.Block), log: logr.Discard()}
 		go d.readNewer(ctx)
 		newer <- struct{}{}
 		time.Sleep(watchGrace + checkStoreTimeout/2)
 		// The watch delivers the revision while it is read.
-		hasNewest = true
+		hasNewest.Store(true)
 		time.Sleep(time.Minute)
-		hasNewest = false
+		hasNewest.Store(false)
 		began := time.Now()
 		newer <- struct{}{}
 		time.Sleep(5 * time.Second)
