lease: a renewal that gets no answer is repeated before the lease ends

A pool lost its lease, and with a challenger for seconds its orders, when one renewal got no answer, as on a connection that has become silent, though the store answered all else: the call ended only with the client's timeout of 2 s, and a node's lease ends 1.1 s after the renewal is due. Meanwhile the instance still considered itself the holder (Hold does not expire by itself).

Each call of a runner now takes at most half of the time between a renewal and the lease's end: 550 ms on a node, 1.875 s elsewhere, so that the read that follows an unanswered write, and the next write, are in time. A store that takes longer than that for all its answers costs a node its lease, where 1.1 s did before; a slow one needs up to 0.4 s (checkStoreTimeout).

--- a/lease/runner.go
+++ b/lease/runner.go
@@ -23,7 +23,9 @@
 	// observe reports whether it is about to want it.
 	observe func() bool
 	tick    time.Duration
-	hold    atomic.Pointer[Hold]
+	// callTimeout bounds each call to the store.
+	callTimeout time.Duration
+	hold        atomic.Pointer[Hold]
 	// era returns the store's era; machineEra is the era that the machine was last given.
 	era        func() int64
 	machineEra int64
@@ -66,12 +68,16 @@
 		cfg.Era = func() int64 { return 0 }
 	}
 	return &Runner{
-		tick: cfg.Tick, era: cfg.Era,
+		tick: cfg.Tick, era: cfg.Era, callTimeout: callTimeout(cfg.Lease),
 		name: cfg.Name, machine: NewMachine(cfg.Lease), client: cfg.Client,
 		now: cfg.Now, changed: cfg.Changed, campaign: cfg.Campaign, observe: cfg.Observe,
 	}
 }
 
+// callTimeout returns how long a call may take: a renewal that gets no answer, as on a connection
+// that has become silent, is found out and repeated before the lease ends.
+func callTimeout(c Config) time.Duration { return (c.Duration - c.ClockDrift - c.RenewEvery) / 2 }
+
 // defaultTick is the default of RunnerConfig.Tick.
 const defaultTick = 400 * time.Millisecond
 
@@ -148,6 +154,8 @@
 }
 
 func (r *Runner) read(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
+	defer cancel()
 	o, err := r.client.Get(ctx, store.KindLease, r.name)
 	if store.IsNotFound(err) {
 		return Missing{}
@@ -166,6 +174,8 @@
 		return Wrote{Result: commit.Conflict}
 	}
 	o.Metadata.ResourceVersion = w.Version
+	ctx, cancel := context.WithTimeout(ctx, r.callTimeout)
+	defer cancel()
 	version, result := store.Put(ctx, r.client, o)
 	return Wrote{Result: result, Version: version, Revision: store.RevisionOf(version)}
 }
