Clock: time off the processor between two readings is no suspension

What was seen: on a busy machine an instance logged "woke from suspension slept_ms=65" although nothing had been suspended. It then cancelled its calls to the store ("store lost", "watch ended ... context canceled"), closed its idle connections to the endpoints, and its clock was ahead by the same time for good. TestDeadWorkerConnectionsAreAbandoned got 200 in place of 504 for this, as its muted connection had been closed.

Cause: the length of a suspension is the boot clock's reading less the monotonic clock's one before it. A process that loses the processor between the two readings for 20 ms or more measures its own wait.

Change: the monotonic clock is read before and after the boot clock, and the three are read again, up to 5 times, if the outer two are more than 1 ms apart. If all are, the upper bound counts, as it did before, since counting too much never extends a right to act. When the clock is made it is the lower bound: with the reading used so far, time off the processor there would have hidden as much of the first suspension.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -27,6 +27,14 @@
 // margin of several times as much.
 const minSuspension = 20 * time.Millisecond
 
+const (
+	// maxReadingSpan is the time between the monotonic readings before and after a reading of
+	// the boot clock at which the three count as taken at one moment.
+	maxReadingSpan = time.Millisecond
+	// maxReadings is how often the clocks are read until they are read at one moment.
+	maxReadings = 5
+)
+
 // Clock is a monotonic clock that includes suspension. Its times are the wall clock time at
 // which the clock was made, plus the time elapsed since: setting the wall clock does not change
 // them. They can be compared with each other, but not with time.Now. It is safe for concurrent
@@ -35,6 +43,7 @@
 	source   Source
 	base     time.Time
 	wallBase time.Duration
+	// bootBase is the time of the boot clock at base, or earlier if it is not known exactly.
 	bootBase time.Duration
 	// onWake is called for each suspension, on a goroutine of its own.
 	onWake func(suspended time.Duration)
@@ -58,7 +67,8 @@
 	c := &Clock{source: s, onWake: onWake, base: s.Now()}
 	c.wallBase = s.WallClock(c.base)
 	var err error
-	c.bootBase, err = s.Boot()
+	// A base that is too late would shorten the first suspension, and so extend a right to act.
+	c.bootBase, _, err = c.bootLead()
 	c.noBootClock = err != nil
 	return c
 }
@@ -83,6 +93,26 @@
 	return c.Now()
 }
 
+// bootLead returns bounds of how far the boot clock is ahead of the monotonic time since base.
+// The process may be off the processor between two readings, so that the second is later by any
+// time: readings that are further apart than maxReadingSpan are repeated, and the bounds are far
+// apart only if all of them are.
+func (c *Clock) bootLead() (low, high time.Duration, err error) {
+	for range maxReadings {
+		before := c.source.Now().Sub(c.base)
+		boot, err := c.source.Boot()
+		if err != nil {
+			return 0, 0, err
+		}
+		after := c.source.Now().Sub(c.base)
+		low, high = boot-after, boot-before
+		if high-low <= maxReadingSpan {
+			break
+		}
+	}
+	return low, high, nil
+}
+
 // detectSuspension checks whether the machine has been suspended.
 func (c *Clock) detectSuspension() {
 	c.mu.Lock()
@@ -90,15 +120,14 @@
 	if c.noBootClock {
 		return
 	}
-	// The monotonic clock is read first: a suspension between the two readings is counted, and
-	// counting one too early never extends a right to act.
-	monotonic := c.source.Now().Sub(c.base)
-	boot, err := c.source.Boot()
+	// The upper bound is used, as counting a suspension too early or too long never extends a
+	// right to act.
+	_, lead, err := c.bootLead()
 	if err != nil {
 		c.noBootClock = true
 		return
 	}
-	suspended := boot - c.bootBase - monotonic
+	suspended := lead - c.bootBase
 	added := suspended - time.Duration(c.suspended.Load())
 	if added < minSuspension {
 		return
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -14,6 +14,9 @@
 type machine struct {
 	monotonic, boot, wall time.Duration
 	broken                bool
+	// beforeBoot and afterBoot are called before and after each reading of the boot clock; may be
+	// nil.
+	beforeBoot, afterBoot func()
 }
 
 var epoch = time.Unix(1_000, 0)
@@ -26,7 +29,14 @@
 			if m.broken {
 				return 0, errors.ErrUnsupported
 			}
-			return m.boot, nil
+			if m.beforeBoot != nil {
+				m.beforeBoot()
+			}
+			boot := m.boot
+			if m.afterBoot != nil {
+				m.afterBoot()
+			}
+			return boot, nil
 		},
 	}
 }
@@ -88,6 +98,74 @@
 	require.Equal(t, epoch.Add(time.Second), c.NowExact())
 }
 
+// stallOnce makes the process lose the processor for d before the next reading of the boot clock.
+func (m *machine) stallOnce(d time.Duration) {
+	m.beforeBoot = func() {
+		m.beforeBoot = nil
+		m.run(d)
+	}
+}
+
+// TestStallBetweenReadingsIsNoSuspension takes the processor away from the process between its
+// readings of two clocks: the machine was not suspended, and no time is added.
+func TestStallBetweenReadingsIsNoSuspension(t *testing.T) {
+	for _, d := range []time.Duration{minSuspension, 65 * time.Millisecond, 10 * time.Second} {
+		m := &machine{}
+		c := New(m.source(), func(time.Duration) { t.Error("a suspension was reported") })
+		for range 3 {
+			m.run(time.Second)
+			m.stallOnce(d)
+			require.Equal(t, epoch.Add(m.monotonic+d), c.NowExact())
+		}
+		require.Zero(t, c.Suspensions())
+	}
+}
+
+// TestSuspensionBetweenReadingsIsDetected suspends the machine between the readings of two clocks.
+func TestSuspensionBetweenReadingsIsDetected(t *testing.T) {
+	m := &machine{}
+	c := New(m.source(), nil)
+	m.run(time.Second)
+	m.beforeBoot = func() {
+		m.beforeBoot = nil
+		m.suspend(minSuspension)
+	}
+	require.Equal(t, epoch.Add(m.monotonic+minSuspension), c.NowExact())
+	require.EqualValues(t, 1, c.Suspensions())
+}
+
+// TestStallWhileTheClockIsMadeHidesNoSuspension takes the processor away between the first readings:
+// a suspension afterwards counts in full.
+func TestStallWhileTheClockIsMadeHidesNoSuspension(t *testing.T) {
+	m := &machine{}
+	m.stallOnce(3 * time.Second)
+	c := New(m.source(), nil)
+	m.suspend(2 * time.Second)
+	require.Equal(t, epoch.Add(m.boot), c.NowExact())
+	require.EqualValues(t, 1, c.Suspensions())
+}
+
+// TestSuspensionIsNeverCountedTooShort takes the processor away before and after every reading of
+// the boot clock. More than the suspension may then be counted, but never less by minSuspension or
+// more.
+func TestSuspensionIsNeverCountedTooShort(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		m := &machine{}
+		stall := func() { m.run(time.Duration(random.Int64N(int64(100 * time.Millisecond)))) }
+		m.beforeBoot, m.afterBoot = stall, stall
+		c := New(m.source(), nil)
+		var suspended time.Duration
+		for range 50 {
+			d := time.Duration(random.Int64N(int64(time.Second)))
+			suspended += d
+			m.suspend(d)
+			c.NowExact()
+			require.Less(t, suspended-c.Suspended(), minSuspension, "seed %d", seed)
+		}
+	}
+}
+
 // TestClockFollowsTheBootClock runs, suspends and sets the wall clock at random: the time never
 // goes back, and lags behind the boot clock by less than minSuspension.
 func TestClockFollowsTheBootClock(t *testing.T) {
