--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,6 +17,8 @@
 	conns       map[*net.TCPConn]bool
 	// muted are connections that stay open but whose data is dropped.
 	muted map[*net.TCPConn]bool
+	// dropped counts the chunks of data from callers that were dropped.
+	dropped int
 }
 
 // proxyDelay is the delay of each chunk of data in the mode LinkDelay.
@@ -55,13 +57,23 @@
 	}
 }
 
-// isMuted reports whether data from a connection is dropped.
-func (p *Proxy) isMuted(c *net.TCPConn) bool {
+// drops reports whether data from a connection is dropped, and counts that of callers.
+func (p *Proxy) drops(c *net.TCPConn, forward bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.muted[c] && forward {
+		p.dropped++
+	}
 	return p.muted[c]
 }
 
+// Dropped returns how many chunks of data that callers sent on muted connections were dropped.
+func (p *Proxy) Dropped() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dropped
+}
+
 // Close closes the listener and resets the connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -113,7 +125,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !p.isMuted(from) {
+		if n > 0 && !p.drops(from, forward) {
 			p.waitForMode(forward)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
