--- a/daemon/placerinputs.go
+++ b/daemon/placerinputs.go
@@ -9,8 +9,8 @@
 )
 
 // placerInputs buffers events from outside, and changes of the lease, until a placer takes them,
-// keeping the last of each kind. Senders never wait for the placer, whose planning may take long: a sender that waited
-// blocked the tasks of the whole instance, or the renewal of the lease.
+// keeping the last of each kind. Senders never wait for the placer, whose planning may take long:
+// a sender that waited blocked the tasks of the whole instance, or the renewal of the lease.
 type placerInputs struct {
 	mu        sync.Mutex
 	settings  *counted.CellSettings
