daemon: test a link between instances that could not be opened

That it sends nothing then is guarded by TestMeshWithoutSocketSendsNothing, which fails by the panic before.

--- a/daemon/meshlock_test.go
+++ b/daemon/meshlock_test.go
@@ -42,3 +42,12 @@
 	})
 	require.Zero(t, locked, "the list of instances is locked while a packet is sent")
 }
+
+// TestMeshWithoutSocketSendsNothing guards against an instance that ends at its next packet because
+// it knows the key but could not open its socket.
+func TestMeshWithoutSocketSendsNothing(t *testing.T) {
+	sealer, err := peer.NewSealer([][]byte{make([]byte, peer.KeyBytes)})
+	require.NoError(t, err)
+	m := &mesh{sealer: sealer, log: logr.Discard()}
+	require.NotPanics(t, func() { m.send(peer.Packet{Version: peer.PacketVersion}, []string{"127.0.0.1:1"}) })
+}
--- a/daemon/presence_test.go
+++ b/daemon/presence_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,3 +184,25 @@
 		require.Less(t, opened, 100*time.Millisecond)
 	})
 }
+
+// TestLinkThatCouldNotBeOpenedIsOpenedAgain guards against an instance that has no contact with
+// the others for good, as its port was taken for a moment when it learned the key.
+func TestLinkThatCouldNotBeOpenedIsOpenedAgain(t *testing.T) {
+	opened := false
+	synctest.Test(t, func(t *testing.T) {
+		made, err := store.NewObject(store.KindPeerKey, peerKeyName, peerKey{Key: hex.EncodeToString(make([]byte, peer.KeyBytes))})
+		require.NoError(t, err)
+		attempts := 0
+		d := &presenceTask{client: &keyStore{key: &made}, log: logr.Discard(), onKey: func([]byte) error {
+			attempts++
+			opened = attempts > 1
+			if !opened {
+				return syscall.EADDRINUSE
+			}
+			return nil
+		}}
+		time.Sleep(keyVisibleAfter)
+		d.retry(t.Context(), "key", d.loadKey)
+	})
+	require.True(t, opened, "the link is not opened again")
+}
