daemon: fleets of tests run on one processor, as the race detector ends them otherwise

Of the tests of settings alone, 1 of 18 runs with -race ended with that CHECK.

A timer channel that expired while nobody waited for it is run by the goroutine that receives from it, with the race context of its bubble's timers (runtime: maybeRunChan, unlockAndRun). Goroutines that do so on several processors at once use one context at the same time. Evidence: 500 goroutines in a bubble, each with a ticker that expires before it is received from, and no code of this project: the same CHECK in 6 of 6 runs with -race on 2 processors, and on 8; 0 of 6 on one.

Change: the fleets of settings' tests, with hundreds of such tickers, run on one processor. No check and no bound is changed; the race detector compares orders of events, which needs no second processor.

--- a/daemon/settingsdelay_test.go
+++ b/daemon/settingsdelay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -126,8 +127,17 @@
 
 func newSettingsFleet(t *testing.T, size fleetSize) *settingsFleet { return newFleetHeldBy(t, size, 0) }
 
+// useOneProcessor lets goroutines run one at a time until the test ends. In a bubble of virtual time,
+// goroutines that receive from expired timers at once end the process by a CHECK of the race
+// detector, as Go keeps one race context for all timers of the bubble.
+func useOneProcessor(t *testing.T) {
+	previous := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(previous) })
+}
+
 // newFleetHeldBy returns a fleet in which the given instance holds the lease.
 func newFleetHeldBy(t *testing.T, size fleetSize, holder int) *settingsFleet {
+	useOneProcessor(t)
 	f := &settingsFleet{holder: holder, store: newStaleStore(staleAnswers), storeLink: &sharedLink{bytesPerSecond: 1000 * bytesPerMbit}}
 	f.store.record(store.EventModified, store.Object{Kind: "settings", Metadata: store.Metadata{Name: "main"}, Spec: json.RawMessage(`{}`)})
 	f.busyPlacer = &placer{
