--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -104,6 +104,9 @@
 	wasPromised, inSlot bool
 	// offset is the offset of the last relayed event; -1 for none.
 	offset int64
+	// unfinished is the number of bytes of an event that had been assembled when the body of the
+	// stream ended.
+	unfinished int
 	// recorder records the answer of a claimed request; nil for others.
 	recorder *recorder
 	// dispatched is set once any attempt may have started.
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -206,6 +206,7 @@
 
 // bodyEnded returns nil if the stream was complete when its body ended with err.
 func (s *eventRelay) bodyEnded(err error) error {
+	s.exchange.unfinished = len(s.pending)
 	if err != io.EOF {
 		return err
 	}
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -93,6 +93,7 @@
 	took := f.now().Sub(x.Received)
 	f.metrics.count(x, took)
 	f.metrics.countStaleSettings(err)
+	f.metrics.countFraming(x, err)
 	values := []any{
 		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "from", x.remoteHost(), "fingerprint", x.Fingerprint.String(), "name", x.Call.Name, "unit", x.Target.Unit,
 		"revision", x.Revision, "again", x.wasRefused, "slot", x.slot(), "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
@@ -103,6 +104,9 @@
 	if x.handedOver != nil {
 		values = append(values, "handed_from", x.handedOver.From)
 	}
+	if framing := x.answerFraming(); framing != "" {
+		values = append(values, "framing", framing, "unfinished_bytes", x.unfinished)
+	}
 	if err != nil {
 		values = append(values, "error", err.Error())
 	}
