--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -175,16 +175,17 @@
 	s.pending, s.pendingOffset = s.pending[:0], -1
 	for {
 		line, err := lines.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return s.bodyEnded(err)
-		}
+		// At the end of the body these are the bytes of a line without its end.
 		s.pending = append(s.pending, line...)
 		if len(s.pending) > maxEventBytes {
 			return bufio.ErrTooLong
 		}
-		if err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if err != nil {
+			return s.bodyEnded(err)
+		}
 		if len(bytes.TrimSpace(line)) > 0 {
 			s.parseField(line)
 			continue
