--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		if err != nil {
-			return s.bodyEnded(err)
+			return s.bodyEnded(resp, err)
 		}
 		if len(bytes.TrimSpace(line)) > 0 {
 			s.parseField(line)
@@ -205,13 +205,15 @@
 	return err == nil && bytes.Contains(arrived, eventEnd)
 }
 
-// bodyEnded returns nil if the stream was complete when its body ended with err.
-func (s *eventRelay) bodyEnded(err error) error {
+// bodyEnded returns nil if the stream was complete when its body ended with err. A body that only
+// the close frames shows that it began by its first event.
+func (s *eventRelay) bodyEnded(resp *http.Response, err error) error {
 	s.exchange.unfinished = len(s.pending)
 	if err != io.EOF {
 		return err
 	}
-	if s.dialect.StreamTerminator() != nil || len(s.pending) > 0 || !s.exchange.answerStarted {
+	empty := s.exchange.attempt().events == 0 && framingOf(resp) == framedByClose
+	if s.dialect.StreamTerminator() != nil || len(s.pending) > 0 || !s.exchange.answerStarted || empty {
 		return errTruncated
 	}
 	return nil
