--- a/engine/sendonce.go
+++ b/engine/sendonce.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 )
 
@@ -32,6 +33,10 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+
+	// writing is held by a write; writeErr is the error of the last one that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Write implements net.Conn. The count increases before the write, so that a partial
@@ -43,11 +48,36 @@
 			return 0, net.ErrClosed
 		}
 		if c.written.CompareAndSwap(n, n+int64(len(b))) {
-			return c.Conn.Write(b)
+			return c.write(b)
 		}
 	}
 }
 
+func (c *countingConn) write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. The kernel reports a reset once: if a write has received it, the next
+// read sees an end in place of it.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return n, c.writeErr
+	}
+	return n, io.EOF
+}
+
 // seal forbids all further writes if the count still is n, and reports whether it was.
 func (c *countingConn) seal(n int64) bool { return c.written.CompareAndSwap(n, sealed) }
 
