--- a/daemon/callerconn.go
+++ b/daemon/callerconn.go
@@ -114,6 +114,15 @@
 	return nil
 }
 
+// SetLinger sets what becomes of unsent bytes when the connection is closed, as for net.TCPConn: 0
+// drops them and sends a reset.
+func (c *callerConn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // peek returns 1 if a byte could be read without blocking, without consuming it.
 func peek(fd uintptr) (int, error) {
 	var first [1]byte
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -130,10 +130,35 @@
 	}
 	stream := strings.HasPrefix(x.Writer.Header().Get("Content-Type"), eventStreamType)
 	if !stream || !f.dialect.WriteStreamError(x.Writer, a) {
-		panic(http.ErrAbortHandler)
+		f.abort(x)
 	}
 }
 
+// abort breaks off an answer so that its caller sees that it is incomplete. A caller to whom neither
+// a length nor chunks are sent sees that only by a reset.
+func (f settle) abort(x *Exchange) {
+	framed := x.Request.ProtoAtLeast(1, 1) || x.Writer.Header().Get("Content-Length") != ""
+	if !framed {
+		if err := resetConn(x.Writer); err != nil {
+			f.log.Info("connection not reset", "request", x.ID, "error", err.Error())
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConn closes the connection of a request with a reset.
+func resetConn(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(0)
+	}
+	return nil
+}
+
 // WriteStopping answers a request that did not enter the pipeline because the instance is stopping.
 // Another instance can serve it at once.
 func WriteStopping(d Dialect, w http.ResponseWriter) {
