--- a/daemon/view.go
+++ b/daemon/view.go
@@ -397,10 +397,11 @@
 func (d *viewTask) endpoint(m membership.Member, concurrency int) *routing.Endpoint {
 	e := d.endpoints[m.Name]
 	previous := e
-	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency {
+	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency || e.SoftwareVersion != m.SoftwareVersion {
 		e = &routing.Endpoint{
 			Name: m.Name, Address: m.Address, Pool: m.Pool, FailureDomain: m.FailureDomain,
 			Region: d.resolved.Tree.Regions[m.FailureDomain], Incarnation: m.Incarnation, StartedAtMS: m.StartedAtMS, Concurrency: concurrency,
+			SoftwareVersion: m.SoftwareVersion,
 		}
 		e.AdoptStatements(previous)
 		d.logRestart(previous, e)
--- a/membership/member.go
+++ b/membership/member.go
@@ -34,6 +34,9 @@
 	// a restart under the same name it is later. 0 means that it is not reported.
 	StartedAtMS int64 `json:"startedAtMS,omitempty"`
 	State       State `json:"state"`
+	// SoftwareVersion is the version of the endpoint's software, which has nothing to do with its
+	// weights; empty if it is not reported. It belongs to the incarnation.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
 	// Slots is how many requests an endpoint runs at once; 0 means that only the settings
 	// define it.
 	Slots int `json:"slots,omitempty"`
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -122,7 +122,7 @@
 		ID: x.ID, Unit: x.Target.Unit, Model: x.Target.Model, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.triedEndpoints(),
 		PromptTokens: x.Call.PromptTokens, EventGapTarget: x.eventGapTarget(), FirstTokenBy: x.firstTokenBy(), Late: x.late(now), Regions: x.regions(),
-		Repeatable: x.Target.Policy.Repeatable,
+		Repeatable: x.Target.Policy.Repeatable, Continues: x.bound, SoftwareVersion: x.softwareVersion,
 	}
 	var decision routing.Decision
 	var pickErr error
@@ -144,7 +144,8 @@
 		}
 		// Waiting does not help if no endpoint is left to try; the error ends the wait
 		// below.
-		return pickErr == nil || errors.Is(pickErr, routing.ErrNoEndpointLeft) || errors.Is(pickErr, routing.ErrNoOpenRegion)
+		return pickErr == nil || errors.Is(pickErr, routing.ErrNoEndpointLeft) || errors.Is(pickErr, routing.ErrNoOpenRegion) ||
+			errors.Is(pickErr, routing.ErrNoSoftwareVersion)
 	}
 	w := &admission.Waiter{
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.priority(),
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -104,6 +104,10 @@
 	wasPromised, inSlot bool
 	// offset is the offset of the last relayed event; -1 for none.
 	offset int64
+	// bound is set once the request is for the rest of a stream, softwareVersion is the version of
+	// the endpoints' software at which the stream began; empty if unknown.
+	bound           bool
+	softwareVersion string
 	// unfinished is the number of bytes of an event that had been assembled when the body of the
 	// stream ended.
 	unfinished int
@@ -226,6 +230,9 @@
 // reached the caller.
 func (x *Exchange) resumable() bool { return x.Target.Policy.Resumable && x.offset >= 0 }
 
+// bind binds the rest of the request's stream to the software version at which the stream began.
+func (x *Exchange) bind(softwareVersion string) { x.bound, x.softwareVersion = true, softwareVersion }
+
 // attemptID returns the ID of the next attempt.
 func (x *Exchange) attemptID() string {
 	if x.Call.AttemptID != "" {
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -243,6 +243,7 @@
 	x := s.exchange
 	if !x.answerStarted {
 		x.FirstToken = s.now().Sub(x.Received)
+		s.begin()
 		x.writeHeader(s.dialect, resp)
 	}
 	s.observeGap()
@@ -258,6 +259,15 @@
 	return x.flush()
 }
 
+// begin binds the rest of the stream to the software version of the endpoint that begins it. Of a
+// request that was handed over the other instance knows the endpoint.
+func (s *eventRelay) begin() {
+	x := s.exchange
+	if x.handedTo == "" && !x.bound {
+		x.bind(x.attempt().Decision.Endpoint.SoftwareVersion)
+	}
+}
+
 // observeGap records the time since the previous event at the endpoint.
 func (s *eventRelay) observeGap() {
 	now := s.now()
--- a/routing/condition.go
+++ b/routing/condition.go
@@ -125,7 +125,7 @@
 // room.
 func anyServes(r *Request, candidates []*Endpoint) bool {
 	for _, e := range candidates {
-		if !e.LeftOut() && (liveFilter{}).Keep(r, e) && (regionFilter{}).Keep(r, e) && (residentFilter{}).Keep(r, e) && (untriedFilter{}).Keep(r, e) {
+		if !e.LeftOut() && admissible(r, e) && (untriedFilter{}).Keep(r, e) {
 			return true
 		}
 	}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -28,6 +28,8 @@
 	// Region is the region of the failure domain; empty if unknown.
 	Region      string
 	Incarnation string
+	// SoftwareVersion is the version of the endpoint's software; empty if unknown.
+	SoftwareVersion string
 	// StartedAtMS is when the endpoint started, in Unix milliseconds of its own clock; 0
 	// if the endpoint does not report it.
 	StartedAtMS int64
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -16,6 +16,20 @@
 func (regionFilter) Name() string                      { return "region" }
 func (regionFilter) Keep(r *Request, e *Endpoint) bool { return r.allows(e.Region) }
 
+// softwareFilter keeps endpoints whose software can continue the request's stream.
+type softwareFilter struct{}
+
+func (softwareFilter) Name() string { return "software" }
+func (softwareFilter) Keep(r *Request, e *Endpoint) bool {
+	return !r.Continues || r.SoftwareVersion != "" && e.SoftwareVersion == r.SoftwareVersion
+}
+
+// admissible reports whether the request may go to the endpoint at all, whatever it has room for
+// and whether the request has tried it.
+func admissible(r *Request, e *Endpoint) bool {
+	return (liveFilter{}).Keep(r, e) && (regionFilter{}).Keep(r, e) && (softwareFilter{}).Keep(r, e) && (residentFilter{}).Keep(r, e)
+}
+
 // residentFilter drops endpoints that recently reported that they do not hold the unit, or that
 // withhold it.
 type residentFilter struct{}
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -54,7 +54,7 @@
 
 // Policies returns the policies by name.
 func Policies() map[string]Policy {
-	base := []Filter{liveFilter{}, regionFilter{}, residentFilter{}, untriedFilter{}}
+	base := []Filter{liveFilter{}, regionFilter{}, softwareFilter{}, residentFilter{}, untriedFilter{}}
 	reported := []WeightedScorer{{reportedScorer{}, 1}}
 	return map[string]Policy{
 		PolicyRandom:     {Name: PolicyRandom, Filters: base, Picker: randomPicker{}},
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -30,6 +30,11 @@
 	// Regions are sets of regions; the request may be served only in regions that are in
 	// all of them.
 	Regions [][]string
+	// Continues is set if the request asks for the rest of a stream, SoftwareVersion is the version
+	// at which the stream began. Only endpoints of that version may serve the request; none may if
+	// it is unknown.
+	Continues       bool
+	SoftwareVersion string
 	// Excluded names the endpoints that earlier attempts have tried.
 	Excluded []string
 	// Instances is the number of live instances that share the endpoints.
--- a/routing/router.go
+++ b/routing/router.go
@@ -19,6 +19,9 @@
 	// ErrNoOpenRegion means that every endpoint is evacuated or in a region that may not
 	// serve the request.
 	ErrNoOpenRegion = errors.New("no endpoint may get the request")
+	// ErrNoSoftwareVersion means that no endpoint that is left to try holds the unit and has the
+	// software version at which the stream began, or that this version is unknown.
+	ErrNoSoftwareVersion = errors.New("no endpoint of the stream's software version is left")
 	// ErrNoCapacity means that the endpoints that hold the unit are full.
 	ErrNoCapacity = errors.New("no endpoint has room")
 )
@@ -118,7 +121,7 @@
 	}
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
-		return Decision{}, ErrNoReplica
+		return Decision{}, noCandidateError(req)
 	}
 	scored, wanted := r.score(req, candidates)
 	chosen, lent, found := r.choose(req, scored)
@@ -187,7 +190,7 @@
 // sumRates adds up the limits of the endpoints that take requests.
 func (r *Router) sumRates(req *Request, candidates []*Endpoint) (perSecond float64, limited bool) {
 	for _, e := range candidates {
-		if !(liveFilter{}).Keep(req, e) || !(regionFilter{}).Keep(req, e) {
+		if !(liveFilter{}).Keep(req, e) || !(regionFilter{}).Keep(req, e) || !(softwareFilter{}).Keep(req, e) {
 			continue
 		}
 		rate, hasLimit := r.endpointRate(e)
@@ -318,7 +321,7 @@
 func pickError(req *Request, candidates []*Endpoint) error {
 	held := false
 	for _, e := range candidates {
-		if !(liveFilter{}).Keep(req, e) || !(regionFilter{}).Keep(req, e) || !(residentFilter{}).Keep(req, e) {
+		if !admissible(req, e) {
 			continue
 		}
 		held = true
@@ -326,8 +329,17 @@
 			return ErrNoCapacity
 		}
 	}
-	if !held && len(req.Excluded) == 0 {
-		return ErrNoReplica
+	if req.Continues || !held && len(req.Excluded) == 0 {
+		return noCandidateError(req)
 	}
 	return ErrNoEndpointLeft
 }
+
+// noCandidateError tells why no endpoint at all may get the request. A unit can be loaded elsewhere,
+// but nothing is loaded for the rest of a stream.
+func noCandidateError(req *Request) error {
+	if req.Continues {
+		return ErrNoSoftwareVersion
+	}
+	return ErrNoReplica
+}
