--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -155,7 +155,7 @@
 // so that neither an endpoint nor a caller gets them.
 func TestFieldsBetweenInstances(t *testing.T) {
 	after := int64(7)
-	sent := Envelope{From: "a", Account: "desk", Revision: 3, AgeMS: 120, Tried: []string{"e"}, Counted: true, ResumeAfter: &after}
+	sent := Envelope{From: "a", Account: "desk", Revision: 3, AgeMS: 120, Tried: []string{"e"}, Counted: true, ResumeAfter: &after, SoftwareVersion: "v1.1"}
 	h := http.Header{EnvelopeHeader: {Encode(sent)}}
 	got, err := DecodeEnvelope(h)
 	require.NoError(t, err)
--- a/handover/messages.go
+++ b/handover/messages.go
@@ -38,6 +38,9 @@
 	// ResumeAfter is the last event of a stream that the caller has received; nil for a request
 	// of which nothing has been answered.
 	ResumeAfter *int64 `json:"resume_after,omitempty"`
+	// SoftwareVersion is the version of the endpoints' software at which the stream began that the
+	// request continues; empty for a request of which nothing has been answered, or if unknown.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 // Age returns AgeMS as a duration.
--- a/pipeline/handover.go
+++ b/pipeline/handover.go
@@ -121,6 +121,9 @@
 	if x.answerStarted {
 		e.ResumeAfter = &x.offset
 	}
+	if x.bound {
+		e.SoftwareVersion = x.softwareVersion
+	}
 	return e
 }
 
@@ -132,6 +135,9 @@
 	if e.ResumeAfter != nil {
 		x.continues, x.offset = true, *e.ResumeAfter
 	}
+	if e.ResumeAfter != nil || e.SoftwareVersion != "" {
+		x.bind(e.SoftwareVersion)
+	}
 	x.Request = r.WithContext(context.WithValue(r.Context(), accountKey{}, e.Account))
 	p.settle.end(r.Context(), x, p.serveRecovered(r.Context(), x))
 }
