--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -53,8 +53,10 @@
 	lending *lending
 	// conditions receives what other instances have seen of endpoints.
 	conditions *conditions
-	log        logr.Logger
-	now        func() time.Time
+	// streams receives where streams began; nil if nothing is kept of that.
+	streams *streamVersions
+	log     logr.Logger
+	now     func() time.Time
 
 	// These functions return state of this instance: whether it is making a planned stop, the
 	// revision of the settings in force, and whether it holds the lease. The lease holder
@@ -272,6 +274,9 @@
 		m.log.Info("invalid packet dropped", "error", err.Error())
 		return
 	}
+	if m.streams.receive(p) {
+		return
+	}
 	_ = m.inputs.Put(context.Background(), receivedPacket{Packet: p, at: m.now()})
 }
 
--- a/daemon/meshfleet.go
+++ b/daemon/meshfleet.go
@@ -119,6 +119,17 @@
 	return m.listed[instance].Datagrams
 }
 
+// addressesOf returns where other instances receive packets, as far as that is known.
+func (m *mesh) addressesOf(instances []string) []string {
+	var addresses []string
+	for _, name := range instances {
+		if address := m.datagramAddress(name); address != "" && name != m.instance {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // sendTo sends a packet to one instance if its address is known.
 func (m *mesh) sendTo(p peer.Packet, instance string) {
 	if address := m.datagramAddress(instance); address != "" {
--- a/daemon/meshsend.go
+++ b/daemon/meshsend.go
@@ -278,6 +278,25 @@
 	}
 }
 
+// sendApart sends a packet whose order among the others does not matter, without a wait for them. It
+// returns the bytes sent.
+func (m *mesh) sendApart(p peer.Packet, addresses []string) (bytes int) {
+	sealer, datagrams := m.link()
+	if sealer == nil || datagrams == nil || len(addresses) == 0 {
+		return 0
+	}
+	data, err := peer.EncodePacket(m.stamp(p))
+	if err != nil || len(data) > peer.MaxPacketBytes {
+		m.log.Info("packet not sent", "bytes", len(data))
+		return 0
+	}
+	sealed := sealer.Seal(data)
+	for _, address := range addresses {
+		datagrams.Send(address, sealed)
+	}
+	return len(sealed) * len(addresses)
+}
+
 // link returns what packets are sealed and sent with; nil until the key is known.
 func (m *mesh) link() (*peer.Sealer, peer.Datagrams) {
 	m.mu.Lock()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -97,6 +97,7 @@
 	allowances   *allowances
 	// permits enforces the limits that endpoints set for all nodes together.
 	permits *permits
+	streams *streamVersions
 	// lending lends places of contended endpoints; nil if the configuration has none.
 	lending *lending
 	// conditions judges the endpoints.
@@ -193,6 +194,8 @@
 	n.mesh = n.newMesh()
 	n.conditions.instances, n.conditions.engines = n.mesh.instanceNames, n.enginePools
 	n.permits.connect(n.mesh, n.gates.Wake)
+	n.streams = newStreamVersions(n.mesh, n.vars, n.log, n.now)
+	n.mesh.streams = n.streams
 	if n.lending = newLending(cfg, n.mesh.process, n.router, n.gates, log, n.now); n.lending != nil {
 		n.lending.fleet, n.lending.sendTo, n.mesh.lending = n.mesh.permitIssuers, n.mesh.sendTo, n.lending
 	}
@@ -339,7 +342,7 @@
 		Demand: n.mesh.demand, Refusals: n.mesh.refusals, OnNoReplica: n.mesh.sendSoon,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
 		SettingsOutdated: n.mesh.outdated, Revisions: n.revisions, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.limiter, Permits: n.permits.limiter,
-		Conditions: n.conditions,
+		Conditions: n.conditions, StreamVersions: n.streams,
 	})
 	n.cancelOverdue = handler.CancelOverdue
 	n.handovers.serve = handler.ServeHandedOver
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -12,6 +12,7 @@
 	"github.com/eiderspring/eiderspring/outlook"
 	"github.com/eiderspring/eiderspring/permit"
 	"github.com/eiderspring/eiderspring/quarantine"
+	"github.com/eiderspring/eiderspring/streamversion"
 )
 
 // PacketVersion is the version of the packet's encoding. A neighbouring release may add
@@ -126,6 +127,12 @@
 	// not at once; Returns are when refused callers come back.
 	Outlook []outlook.Entry  `cbor:"54,keyasint,omitempty"`
 	Returns []outlook.Return `cbor:"55,keyasint,omitempty"`
+	// Beginnings are where streams began, StreamQuestions ask for one and StreamAnswers answer
+	// that. A packet with any of them carries nothing else but a ConfirmReply, as one with
+	// permits.
+	Beginnings      []streamversion.Beginning `cbor:"59,keyasint,omitempty"`
+	StreamQuestions []streamversion.Question  `cbor:"60,keyasint,omitempty"`
+	StreamAnswers   []streamversion.Answer    `cbor:"61,keyasint,omitempty"`
 	// Era is the newest era of the store that the sender has seen.
 	Era int64 `cbor:"32,keyasint,omitempty"`
 }
--- /dev/null
+++ b/pipeline/continuation.go
@@ -0,0 +1,86 @@
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/eiderspring/eiderspring/outcome"
+	"github.com/eiderspring/eiderspring/streamversion"
+)
+
+// Continuation is a caller's request for the rest of a stream that one of its attempts began.
+type Continuation struct {
+	// Wanted is set if the request asks for the rest of a stream; Attempt is the ID of the attempt
+	// that brought the first event, as the caller names it, or empty.
+	Wanted  bool
+	Attempt string
+}
+
+// StreamVersions knows the versions of the endpoints' software at which streams began.
+type StreamVersions interface {
+	// Began keeps where a stream began. It must not block.
+	Began(b streamversion.Beginning)
+	// Find returns where a stream began.
+	Find(ctx context.Context, key streamversion.Key) (streamversion.Beginning, streamversion.State)
+}
+
+// keepFactor is for how many time limits of its route the beginning of a stream is kept: a caller may
+// make several tries, each of which may take that long.
+const keepFactor = 4
+
+// keepBeginning keeps where the stream of the request began, if its caller may ask for the rest.
+func (x *Exchange) keepBeginning(versions StreamVersions) {
+	if versions == nil || !x.Target.Policy.Resumable || x.continues || x.Call.AttemptID == "" || x.softwareVersion == "" {
+		return
+	}
+	versions.Began(streamversion.Beginning{
+		Key: streamversion.KeyOf(x.Caller.Name, x.Call.AttemptID), Pool: x.Target.Pool, Version: x.softwareVersion,
+		KeepMS: keepFactor * max(x.Target.Policy.Deadline, x.Call.Timeout).Milliseconds(),
+	})
+}
+
+// ContinuationError reports a request for the rest of a stream whose software version is unknown, or
+// belongs to another pool.
+type ContinuationError struct {
+	Attempt string
+	State   streamversion.State
+}
+
+// Error names the attempt that began the stream and what is known of it.
+func (e *ContinuationError) Error() string {
+	return "continue: the software version of the stream of attempt " + e.Attempt + " is " + e.State.String()
+}
+
+// Outcome implements Failure.
+func (e *ContinuationError) Outcome() outcome.Outcome { return outcome.NotRun }
+
+// continuationRetryAfter is after which time another instance, or this one once it is in touch with
+// the others again, may know the stream.
+const continuationRetryAfter = 500 * time.Millisecond
+
+// Answer implements Failure.
+func (e *ContinuationError) Answer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Code: CodeNotRun, Message: e.Error(), RetryAfter: addJitter(continuationRetryAfter)}
+}
+
+// bindContinuation binds a request for the rest of a stream to the software version at which the
+// stream began. An unknown version is not guessed.
+func (p *Pipeline) bindContinuation(ctx context.Context, x *Exchange) error {
+	if !x.Call.Continuation.Wanted || x.bound {
+		return nil
+	}
+	if x.Call.Continuation.Attempt == "" || p.cfg.StreamVersions == nil {
+		return &ContinuationError{State: streamversion.Unknown}
+	}
+	key := streamversion.KeyOf(x.Caller.Name, x.Call.Continuation.Attempt)
+	b, state := p.cfg.StreamVersions.Find(ctx, key)
+	if state == streamversion.Known && b.Pool != x.Target.Pool {
+		state = streamversion.Conflicting
+	}
+	if state != streamversion.Known {
+		return &ContinuationError{Attempt: x.Call.Continuation.Attempt, State: state}
+	}
+	x.bind(b.Version)
+	return nil
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -31,6 +31,8 @@
 	// AttemptID is the ID by which endpoints know the request; empty means that each
 	// attempt gets its own ID.
 	AttemptID string
+	// Continuation is set for a request for the rest of a stream.
+	Continuation Continuation
 	// Regions are the regions in which what is requested may be served; empty means all.
 	Regions []string
 	// SessionHash identifies the request across its attempts, as computed by the function
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -69,6 +69,8 @@
 	Permits *permit.Limiter
 	// Conditions receives how attempts end, by endpoint; nil ignores it.
 	Conditions Conditions
+	// StreamVersions knows where streams began; nil knows none, and keeps none.
+	StreamVersions StreamVersions
 	// Handover hands requests over to other instances while this one reaches no endpoint; nil
 	// means that they stay.
 	Handover Handover
@@ -118,7 +120,7 @@
 		},
 		route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS},
 		dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, limits: limits, conditions: cfg.Conditions, now: cfg.Now},
-		relay{client: cfg.Engine, dialect: cfg.Dialect, now: cfg.Now},
+		relay{client: cfg.Engine, dialect: cfg.Dialect, versions: cfg.StreamVersions, now: cfg.Now},
 	}
 	p.settle = settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, allowances: cfg.Allowances}
 	p.retries = cfg.Retries
@@ -178,6 +180,9 @@
 	defer x.flight.End()
 	p.deadlines.add(x, cancel)
 	defer p.deadlines.remove(x)
+	if err := p.bindContinuation(ctx, x); err != nil {
+		return err
+	}
 	return x.finalError(p.runAttempts(ctx, x))
 }
 
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -19,7 +19,9 @@
 type relay struct {
 	client  *engine.Client
 	dialect Dialect
-	now     func() time.Time
+	// versions is Config.StreamVersions.
+	versions StreamVersions
+	now      func() time.Time
 }
 
 // Bounds of relaying.
@@ -108,7 +110,7 @@
 // relayStream relays events one by one and resumes the stream if it breaks.
 func (f relay) relayStream(ctx context.Context, x *Exchange) error {
 	a := x.attempt()
-	s := eventRelay{exchange: x, dialect: f.dialect, now: f.now}
+	s := eventRelay{exchange: x, dialect: f.dialect, versions: f.versions, now: f.now}
 	idleResumes := 0
 	for {
 		before := x.offset
@@ -149,6 +151,7 @@
 type eventRelay struct {
 	exchange *Exchange
 	dialect  Dialect
+	versions StreamVersions
 	now      func() time.Time
 	// lastAt is when the last event was relayed; zero if this attempt has relayed none.
 	lastAt time.Time
@@ -259,13 +262,18 @@
 	return x.flush()
 }
 
-// begin binds the rest of the stream to the software version of the endpoint that begins it. Of a
-// request that was handed over the other instance knows the endpoint.
+// begin binds the rest of the stream to the software version of the endpoint that begins it, and
+// keeps that before the caller gets the first event. Of a request that was handed over the other
+// instance knows the endpoint.
 func (s *eventRelay) begin() {
 	x := s.exchange
-	if x.handedTo == "" && !x.bound {
+	if x.handedTo != "" {
+		return
+	}
+	if !x.bound {
 		x.bind(x.attempt().Decision.Endpoint.SoftwareVersion)
 	}
+	x.keepBeginning(s.versions)
 }
 
 // observeGap records the time since the previous event at the endpoint.
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -104,6 +104,12 @@
 	if x.handedOver != nil {
 		values = append(values, "handed_from", x.handedOver.From)
 	}
+	if x.bound {
+		values = append(values, "software_version", x.softwareVersion)
+	}
+	if x.Call.Continuation.Wanted {
+		values = append(values, "continues", x.Call.Continuation.Attempt)
+	}
 	if framing := x.answerFraming(); framing != "" {
 		values = append(values, "framing", framing, "unfinished_bytes", x.unfinished)
 	}
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -35,3 +35,17 @@
 	}
 	return ctx.Err() == nil
 }
+
+// Signalled waits for a signal for at most d and reports whether there was one.
+func Signalled(ctx context.Context, signal <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-signal:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
