--- a/daemon/followsettings.go
+++ b/daemon/followsettings.go
@@ -43,6 +43,8 @@
 	version        atomic.Pointer[string]
 	newestRevision atomic.Int64
 	rejected       atomic.Bool
+	// foundNone is set if there were no settings when the process first asked.
+	foundNone atomic.Bool
 }
 
 // reportConfirmed reports that everything that the store had acknowledged when a call was made
@@ -166,7 +168,9 @@
 		func(l store.List) {
 			d.storeLink.listReceived(d.kind, l)
 			changes.take()
-			listed.Store(true)
+			if !listed.Swap(true) {
+				d.foundNone.Store(len(l.Items) == 0)
+			}
 			d.version.Store(&l.ResourceVersion)
 			for _, o := range l.Items {
 				d.accept(o, sourceList)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -471,9 +471,14 @@
 	}
 	renew := func(ctx context.Context) { n.rewriteOnEra(ctx, entries) }
 	keys := func(ctx context.Context) { n.keyAuthority.monitor(ctx, n.cfg.Fresh.maxKeysAge(), config.checkStore) }
+	register := &versionRegister{
+		client: objects, writer: store.NewWriter(objects), holds: n.placers.holdsPool, follows: n.knowsEndpoints, first: config.foundNone.Load,
+		view: n.router.View, log: n.log, now: n.now, pools: map[string]*registeredPool{}, reads: map[string]*entryRead{},
+	}
+	n.streams.register.Store(register)
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.readNewer, entries.watch, entries.run, n.idle.run, n.wakeWaiters, n.mesh.run, n.presence.run, n.presence.watch, n.handleSuspensions, holds.run, holds.write, keys, renew,
-		n.permits.run, n.lending.run, n.conditions.run, n.path.run,
+		n.permits.run, n.lending.run, n.conditions.run, n.path.run, register.run,
 	} {
 		n.done.Go(func() { run(n.runCtx) })
 	}
--- a/daemon/nodefreshness.go
+++ b/daemon/nodefreshness.go
@@ -144,6 +144,16 @@
 // lag returns for how long answers of the store have been waiting to be put in force.
 func (n *Node) lag() time.Duration { return n.entriesLag.lag() + n.eventsLag.lag() }
 
+// maxEndpointsAge is how long ago an instance may last have known for certain which endpoints there
+// are, to tell their software versions.
+const maxEndpointsAge = time.Second
+
+// knowsEndpoints reports whether this instance knows which endpoints there are.
+func (n *Node) knowsEndpoints() bool {
+	age := n.endpointsAgeMS()
+	return age >= 0 && age <= maxEndpointsAge.Milliseconds()
+}
+
 // endpointsAgeMS returns how long ago this instance last knew for certain which endpoints leave,
 // in milliseconds; -1 if it never did. It knows by its own watch or by the attestation of the
 // lease holder, whose own data may be as old as the bound of current allows.
--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -295,6 +295,18 @@
 	return false
 }
 
+// holdsPool tells whether this instance holds the lease of a pool.
+func (p *placers) holdsPool(pool string) bool {
+	p.mu.Lock()
+	placer := p.running[pool]
+	p.mu.Unlock()
+	if placer == nil {
+		return false
+	}
+	_, held := placer.runner.Hold()
+	return held
+}
+
 // requestsFailed passes on the endpoints at which requests have failed.
 func (p *placers) requestsFailed(endpoints []string) {
 	p.mu.Lock()
--- a/daemon/streamversions.go
+++ b/daemon/streamversions.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -25,6 +26,9 @@
 	log  logr.Logger
 	now  func() time.Time
 
+	// register tells the version of pools that have only one; nil before the store is followed.
+	register atomic.Pointer[versionRegister]
+
 	// mu guards the fields below.
 	mu         sync.Mutex
 	table      *streamversion.Table
@@ -129,6 +133,19 @@
 	return b, state
 }
 
+// Only implements pipeline.StreamVersions.
+func (s *streamVersions) Only(ctx context.Context, pool string) (string, bool) {
+	register := s.register.Load()
+	if register == nil {
+		return "", false
+	}
+	version, found := register.only(ctx, pool)
+	if found {
+		s.vars.Add("streams_of_only_version", 1)
+	}
+	return version, found
+}
+
 func (s *streamVersions) local(key streamversion.Key) (streamversion.Beginning, streamversion.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/daemon/versionregister.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/routing"
+	"github.com/eiderspring/eiderspring/store"
+	"github.com/eiderspring/eiderspring/streamversion"
+	"github.com/eiderspring/eiderspring/wait"
+)
+
+const (
+	// registerInterval is the time between two looks at the versions of the endpoints.
+	registerInterval = 200 * time.Millisecond
+	// registerRetry is the pause after a write or read that failed.
+	registerRetry = time.Second
+	// registerReadTimeout bounds the read for a request.
+	registerReadTimeout = time.Second
+)
+
+// versionRegister follows the software versions of each pool, writes the entry in the store that names
+// them where this instance holds the pool's lease, and reads entries for requests.
+type versionRegister struct {
+	client store.Client
+	writer *store.Writer
+	// holds reports whether this instance holds the lease of a pool; follows whether it knows of
+	// changed endpoints in time.
+	holds   func(pool string) bool
+	follows func() bool
+	// first reports whether this process has seen the deployment begin.
+	first func() bool
+	view  func() *routing.View
+	log   logr.Logger
+	now   func() time.Time
+
+	// pools belongs to the goroutine of run.
+	pools map[string]*registeredPool
+
+	// mu guards reads, the reads for requests that are waiting or under way, by pool.
+	mu    sync.Mutex
+	reads map[string]*entryRead
+}
+
+// registeredPool is a pool that this instance follows.
+type registeredPool struct {
+	register *streamversion.Register
+	// loaded is set while this instance holds the pool's lease and knows the entry; object is the
+	// entry, nil if there is none.
+	loaded bool
+	object *store.Object
+	// retryAt is when the store is asked again after a failure.
+	retryAt time.Time
+}
+
+// run follows the pools, and writes the entries of those that this instance holds.
+func (v *versionRegister) run(ctx context.Context) {
+	for wait.For(ctx, registerInterval) {
+		for pool := range v.view().Pools {
+			if v.follows() {
+				v.update(ctx, pool)
+			}
+		}
+	}
+}
+
+// update advances the register of a pool and, at the holder of its lease, writes the entry if that is
+// to change.
+func (v *versionRegister) update(ctx context.Context, pool string) {
+	p := v.pools[pool]
+	if p == nil {
+		p = &registeredPool{register: streamversion.NewRegister()}
+		v.pools[pool] = p
+	}
+	p.register.Step(v.now(), presentVersions(v.view(), pool))
+	if !v.holds(pool) {
+		p.loaded = false
+		return
+	}
+	if v.now().Before(p.retryAt) || !p.loaded && !v.load(ctx, pool, p) {
+		return
+	}
+	e, changed := p.register.Entry(v.first())
+	if !changed {
+		return
+	}
+	if err := v.write(ctx, pool, p, e); err != nil {
+		v.log.Info("software versions not written", "pool", pool, "error", err.Error())
+		p.loaded, p.retryAt = false, v.now().Add(jitter(registerRetry))
+		return
+	}
+	v.log.Info("software versions", "pool", pool, "versions", e.Versions, "complete", e.Complete)
+}
+
+// load reads the entry of a pool, and reports whether that has succeeded.
+func (v *versionRegister) load(ctx context.Context, pool string, p *registeredPool) bool {
+	o, e, err := v.get(ctx, pool)
+	if err != nil {
+		v.log.Info("software versions not read", "pool", pool, "error", err.Error())
+		p.retryAt = v.now().Add(jitter(registerRetry))
+		return false
+	}
+	p.object, p.loaded = o, true
+	p.register.Load(v.now(), e)
+	return true
+}
+
+// get reads the entry of a pool; nil if there is none.
+func (v *versionRegister) get(ctx context.Context, pool string) (*store.Object, *streamversion.Entry, error) {
+	o, err := v.client.Get(ctx, store.KindSoftwareVersions, pool)
+	if store.IsNotFound(err) {
+		return nil, nil, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	var e streamversion.Entry
+	if err := json.Unmarshal(o.Spec, &e); err != nil {
+		return nil, nil, &store.EncodeError{Kind: store.KindSoftwareVersions, Name: pool, Err: err}
+	}
+	return &o, &e, nil
+}
+
+// write writes the entry of a pool, unless another instance has changed it meanwhile.
+func (v *versionRegister) write(ctx context.Context, pool string, p *registeredPool, e streamversion.Entry) error {
+	o, err := store.NewObject(store.KindSoftwareVersions, pool, e)
+	if err != nil {
+		return err
+	}
+	if p.object == nil {
+		o, err = v.writer.Create(ctx, o)
+	} else {
+		o.Metadata.ResourceVersion = p.object.Metadata.ResourceVersion
+		o, err = v.writer.Update(ctx, o)
+	}
+	if err != nil {
+		return err
+	}
+	p.object = &o
+	p.register.Load(v.now(), &e)
+	return nil
+}
+
+// presentVersions returns the software versions of a pool's endpoints, each once.
+func presentVersions(view *routing.View, pool string) []string {
+	var versions []string
+	for _, e := range view.Pools[pool] {
+		if !slices.Contains(versions, e.SoftwareVersion) {
+			versions = append(versions, e.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
+// only returns the version at which all streams of a pool began that a request may ask for, by an entry
+// that is read after the request has come; false if it is not certain that there is only one.
+func (v *versionRegister) only(ctx context.Context, pool string) (string, bool) {
+	e, err := v.freshEntry(ctx, pool)
+	if err != nil {
+		v.log.Info("software versions not read", "pool", pool, "error", err.Error())
+		return "", false
+	}
+	if e == nil || !v.follows() {
+		return "", false
+	}
+	return e.Only(presentVersions(v.view(), pool))
+}
+
+// entryRead is a read of an entry for all requests that came before it began.
+type entryRead struct {
+	done  chan struct{}
+	entry *streamversion.Entry
+	err   error
+}
+
+// freshEntry returns the entry of a pool as of a read that begins after the call. Requests that come
+// during a read share the next one.
+func (v *versionRegister) freshEntry(ctx context.Context, pool string) (*streamversion.Entry, error) {
+	v.mu.Lock()
+	next := v.reads[pool]
+	if next == nil {
+		next = &entryRead{done: make(chan struct{})}
+		v.reads[pool] = next
+		go v.read(context.WithoutCancel(ctx), pool, next)
+	}
+	v.mu.Unlock()
+	select {
+	case <-next.done:
+		return next.entry, next.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// readDelay is the time in which requests come together for one read.
+const readDelay = 5 * time.Millisecond
+
+// read reads an entry. Requests that come from now on wait for another read.
+func (v *versionRegister) read(ctx context.Context, pool string, r *entryRead) {
+	defer close(r.done)
+	ctx, cancel := context.WithTimeout(ctx, registerReadTimeout)
+	defer cancel()
+	wait.For(ctx, readDelay)
+	v.mu.Lock()
+	delete(v.reads, pool)
+	v.mu.Unlock()
+	_, r.entry, r.err = v.get(ctx, pool)
+}
--- a/pipeline/continuation.go
+++ b/pipeline/continuation.go
@@ -23,6 +23,9 @@
 	Began(b streamversion.Beginning)
 	// Find returns where a stream began.
 	Find(ctx context.Context, key streamversion.Key) (streamversion.Beginning, streamversion.State)
+	// Only returns the version at which all streams of a pool began that callers may ask for; false
+	// if it is not certain that there is only one.
+	Only(ctx context.Context, pool string) (string, bool)
 }
 
 // keepFactor is for how many time limits of its route the beginning of a stream is kept: a caller may
@@ -70,17 +73,32 @@
 	if !x.Call.Continuation.Wanted || x.bound {
 		return nil
 	}
-	if x.Call.Continuation.Attempt == "" || p.cfg.StreamVersions == nil {
-		return &ContinuationError{State: streamversion.Unknown}
-	}
-	key := streamversion.KeyOf(x.Caller.Name, x.Call.Continuation.Attempt)
-	b, state := p.cfg.StreamVersions.Find(ctx, key)
-	if state == streamversion.Known && b.Pool != x.Target.Pool {
-		state = streamversion.Conflicting
-	}
+	version, state := p.findVersion(ctx, x)
 	if state != streamversion.Known {
 		return &ContinuationError{Attempt: x.Call.Continuation.Attempt, State: state}
 	}
-	x.bind(b.Version)
+	x.bind(version)
 	return nil
 }
+
+// findVersion returns the software version at which the stream began that the request continues. Where
+// nobody knows, a pool that has had only one version tells.
+func (p *Pipeline) findVersion(ctx context.Context, x *Exchange) (string, streamversion.State) {
+	versions, attempt := p.cfg.StreamVersions, x.Call.Continuation.Attempt
+	if versions == nil {
+		return "", streamversion.Unknown
+	}
+	if attempt != "" {
+		b, state := versions.Find(ctx, streamversion.KeyOf(x.Caller.Name, attempt))
+		if state == streamversion.Known && b.Pool != x.Target.Pool {
+			state = streamversion.Conflicting
+		}
+		if state != streamversion.Unknown {
+			return b.Version, state
+		}
+	}
+	if only, found := versions.Only(ctx, x.Target.Pool); found {
+		return only, streamversion.Known
+	}
+	return "", streamversion.Unknown
+}
--- a/store/object.go
+++ b/store/object.go
@@ -26,6 +26,8 @@
 	KindHold Kind = "holds"
 	// KindPeerKey stores the key of the datagrams between instances.
 	KindPeerKey Kind = "peerkeys"
+	// KindSoftwareVersions stores, for each pool, the software versions at which its streams began.
+	KindSoftwareVersions Kind = "softwareversions"
 )
 
 // APIVersion is the group and version of the system's own kinds.
--- /dev/null
+++ b/streamversion/register.go
@@ -0,0 +1,105 @@
+package streamversion
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Entry is what the store keeps of the software versions of a pool.
+type Entry struct {
+	// Versions are those whose streams may still be taken up, in order.
+	Versions []string `json:"versions"`
+	// Complete is set if there is none besides: the pool has been followed for long enough, or
+	// from its start.
+	Complete bool `json:"complete"`
+}
+
+// equal reports whether two entries say the same.
+func (e Entry) equal(o Entry) bool {
+	return e.Complete == o.Complete && slices.Equal(e.Versions, o.Versions)
+}
+
+// Only returns the version at which every stream of the pool began, by its entry and the versions of
+// its endpoints now; false if it is not certain that there is only one.
+func (e Entry) Only(present []string) (string, bool) {
+	if !e.Complete || len(e.Versions) != 1 || e.Versions[0] == "" {
+		return "", false
+	}
+	for _, version := range present {
+		if version != e.Versions[0] {
+			return "", false
+		}
+	}
+	return e.Versions[0], true
+}
+
+// maxStepGap is the longest time between two steps after which the steps in between saw each version
+// that mattered: an instance that has been suspended for longer may have missed one.
+const maxStepGap = 2 * time.Second
+
+// Register follows the versions of a pool at each instance, and decides what the entry is to say at the
+// one that writes it. A version is named from when it is seen until MaxKeep after it was last seen.
+//
+// Invariant: it never leaves out a version that it has seen, or that the stored entry named when it
+// was loaded, within MaxKeep.
+type Register struct {
+	stored *Entry
+	// lastSeen holds when each version was last present.
+	lastSeen map[string]time.Time
+	// since is when the steps without a gap began, steppedAt when the last one was; broken is set once
+	// there was a gap.
+	since, steppedAt time.Time
+	broken           bool
+}
+
+// NewRegister returns a register of which nothing is loaded.
+func NewRegister() *Register { return &Register{lastSeen: map[string]time.Time{}} }
+
+// Load takes the stored entry; nil if there is none. Versions that are new in it count as seen now.
+func (r *Register) Load(now time.Time, e *Entry) {
+	r.stored = e
+	if e == nil {
+		return
+	}
+	for _, version := range e.Versions {
+		if _, known := r.lastSeen[version]; !known {
+			r.lastSeen[version] = now
+		}
+	}
+}
+
+// Step takes the versions that are present.
+func (r *Register) Step(now time.Time, present []string) {
+	if r.steppedAt.IsZero() {
+		r.since = now
+	}
+	if !r.steppedAt.IsZero() && now.Sub(r.steppedAt) > maxStepGap {
+		r.restart(now)
+	}
+	r.steppedAt = now
+	for _, version := range present {
+		r.lastSeen[version] = now
+	}
+	maps.DeleteFunc(r.lastSeen, func(_ string, at time.Time) bool { return now.Sub(at) >= MaxKeep })
+}
+
+// Entry returns the entry to write, if the stored one is to change. first is set if the deployment
+// began while this process ran.
+func (r *Register) Entry(first bool) (Entry, bool) {
+	e := Entry{Versions: slices.Sorted(maps.Keys(r.lastSeen)), Complete: r.steppedAt.Sub(r.since) >= MaxKeep}
+	if r.stored == nil {
+		e.Complete = e.Complete || first && !r.broken
+		return e, len(e.Versions) > 0
+	}
+	e.Complete = e.Complete || r.stored.Complete
+	return e, !e.equal(*r.stored)
+}
+
+// restart begins to follow the pool anew: what was last seen before the gap may have been there in it.
+func (r *Register) restart(now time.Time) {
+	r.since, r.broken = now, true
+	for version := range r.lastSeen {
+		r.lastSeen[version] = now
+	}
+}
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -201,3 +201,86 @@
 	require.NotEqual(t, KeyOf("desk", "a"), KeyOf("clerks", "a"))
 	require.NotEqual(t, KeyOf("desk", "a"), KeyOf("", "deska"))
 }
+
+// TestRegisterNamesEachVersionLongEnough guards against an entry that claims to be complete and lacks
+// a version whose streams may still be taken up, over holders of the lease that follow one another,
+// are suspended, and write.
+func TestRegisterNamesEachVersionLongEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var stored *Entry
+		seen := map[string]time.Time{}
+		present := []string{"v1"}
+		first := rapid.Bool().Draw(t, "first")
+		register := NewRegister()
+		if !first {
+			// Streams of a version that is gone may be taken up.
+			seen["v0"] = now
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				register, first = NewRegister(), false
+				register.Load(now, stored)
+			case 1:
+				// The holder is suspended; another version comes and goes meanwhile.
+				now = now.Add(maxStepGap + time.Second)
+				if stored != nil {
+					seen["suspended"] = now
+					stored = &Entry{Versions: slices.Sorted(slices.Values(append(slices.Clone(stored.Versions), "suspended"))), Complete: stored.Complete}
+					stored.Versions = slices.Compact(stored.Versions)
+				}
+				register.Load(now, stored)
+			case 2:
+				present = rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID).Draw(t, "present")
+			case 3:
+				for range int(MaxKeep / maxStepGap) {
+					now = now.Add(maxStepGap)
+					register.Step(now, present)
+					for _, version := range present {
+						seen[version] = now
+					}
+				}
+			default:
+				now = now.Add(200 * time.Millisecond)
+			}
+			register.Step(now, present)
+			for _, version := range present {
+				seen[version] = now
+			}
+			if e, changed := register.Entry(first); changed {
+				stored = &e
+				register.Load(now, stored)
+			}
+			if stored == nil || !stored.Complete {
+				continue
+			}
+			for version, at := range seen {
+				if now.Sub(at) < MaxKeep-maxStepGap {
+					require.Contains(t, stored.Versions, version)
+				}
+			}
+		}
+	})
+}
+
+// TestOnlyVersionIsCertain guards against a version that is taken for the only one of its pool.
+func TestOnlyVersionIsCertain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		entry   Entry
+		present []string
+		want    string
+	}{
+		"one":                {Entry{Versions: []string{"v1"}, Complete: true}, []string{"v1"}, "v1"},
+		"none present":       {Entry{Versions: []string{"v1"}, Complete: true}, nil, "v1"},
+		"two":                {Entry{Versions: []string{"v1", "v2"}, Complete: true}, []string{"v1"}, ""},
+		"others may be gone": {Entry{Versions: []string{"v1"}}, []string{"v1"}, ""},
+		"not written yet":    {Entry{Versions: []string{"v1"}, Complete: true}, []string{"v1", "v2"}, ""},
+		"unknown":            {Entry{Versions: []string{""}, Complete: true}, []string{""}, ""},
+		"nothing":            {Entry{Complete: true}, []string{"v1"}, ""},
+	} {
+		version, found := tc.entry.Only(tc.present)
+		require.Equal(t, tc.want, version, name)
+		require.Equal(t, tc.want != "", found, name)
+	}
+}
