--- a/routing/check.go
+++ b/routing/check.go
@@ -17,9 +17,9 @@
 	candidates := view.Candidates(req.Unit, req.Pool)
 	switch {
 	case len(candidates) == 0:
-		return ErrNoReplica
+		return noCandidateError(req, view)
 	case !slices.ContainsFunc(candidates, func(e *Endpoint) bool { return r.keep(req, e) }):
-		return pickError(req, candidates)
+		return pickError(req, view, candidates)
 	}
 	return nil
 }
@@ -29,7 +29,7 @@
 func (r *Router) NextReachable(req *Request) (in time.Duration, found bool) {
 	view := r.view.Load()
 	for _, e := range view.Candidates(req.Unit, req.Pool) {
-		if e.Leaving() || e.Replaced() || !(regionFilter{}).Keep(req, e) || !(residentFilter{}).Keep(req, e) || !e.Unreachable(req.Now) {
+		if e.Leaving() || e.Replaced() || !(regionFilter{}).Keep(req, e) || !(softwareFilter{}).Keep(req, e) || !(residentFilter{}).Keep(req, e) || !e.Unreachable(req.Now) {
 			continue
 		}
 		left := time.Duration(e.unreachableUntil.Load() - req.Now.UnixNano())
--- a/routing/router.go
+++ b/routing/router.go
@@ -121,13 +121,13 @@
 	}
 	candidates := view.Candidates(req.Unit, req.Pool)
 	if len(candidates) == 0 {
-		return Decision{}, noCandidateError(req)
+		return Decision{}, noCandidateError(req, view)
 	}
 	scored, wanted := r.score(req, candidates)
 	chosen, lent, found := r.choose(req, scored)
 	if !found {
 		r.lending.want(req, wanted)
-		return Decision{}, pickError(req, candidates)
+		return Decision{}, pickError(req, view, candidates)
 	}
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
@@ -318,7 +318,7 @@
 // pickError tells apart why no candidate was eligible: no capacity, no endpoint left to
 // try, or no replica. If all candidates are leaving or turned out not to hold the unit, no
 // endpoint effectively holds it until it is loaded elsewhere.
-func pickError(req *Request, candidates []*Endpoint) error {
+func pickError(req *Request, view *View, candidates []*Endpoint) error {
 	held := false
 	for _, e := range candidates {
 		if !admissible(req, e) {
@@ -329,16 +329,20 @@
 			return ErrNoCapacity
 		}
 	}
-	if req.Continues || !held && len(req.Excluded) == 0 {
-		return noCandidateError(req)
+	if !held && len(req.Excluded) == 0 {
+		return noCandidateError(req, view)
+	}
+	if req.Continues && !view.onlyVersion(req) {
+		return ErrNoSoftwareVersion
 	}
 	return ErrNoEndpointLeft
 }
 
-// noCandidateError tells why no endpoint at all may get the request. A unit can be loaded elsewhere,
-// but nothing is loaded for the rest of a stream.
-func noCandidateError(req *Request) error {
-	if req.Continues {
+// noCandidateError tells why no endpoint at all may get the request. A unit can be loaded elsewhere;
+// for the rest of a stream that counts only if each endpoint has the stream's software version, as
+// placement does not go by versions.
+func noCandidateError(req *Request, view *View) error {
+	if req.Continues && !view.onlyVersion(req) {
 		return ErrNoSoftwareVersion
 	}
 	return ErrNoReplica
--- a/routing/software_test.go
+++ b/routing/software_test.go
@@ -48,3 +48,16 @@
 		require.ErrorIs(t, err, ErrNoSoftwareVersion)
 	})
 }
+
+// TestStreamOfAnOnlyVersionWaitsForItsUnit guards against a refusal of the rest of a stream whose unit
+// is about to be loaded, where each endpoint has the stream's version.
+func TestStreamOfAnOnlyVersionWaitsForItsUnit(t *testing.T) {
+	one, other := &Endpoint{Name: "one", Pool: "p", SoftwareVersion: "v1"}, &Endpoint{Name: "other", Pool: "p", SoftwareVersion: "v1.1"}
+	r := NewRouter(Policies()[PolicyTimely], func() float64 { return 0 })
+	req := &Request{Unit: "m", Pool: "p", Now: testNow, Continues: true, SoftwareVersion: "v1"}
+	for want, pool := range map[error][]*Endpoint{ErrNoReplica: {one}, ErrNoSoftwareVersion: {one, other}} {
+		r.SetView(&View{Pools: map[string][]*Endpoint{"p": pool}})
+		_, err := r.Pick(req)
+		require.ErrorIs(t, err, want)
+	}
+}
--- a/routing/statement.go
+++ b/routing/statement.go
@@ -62,7 +62,7 @@
 		candidates = view.Pools[req.Pool]
 	}
 	for _, e := range candidates {
-		if e.Leaving() || e.Replaced() || !(regionFilter{}).Keep(req, e) {
+		if e.Leaving() || e.Replaced() || !(regionFilter{}).Keep(req, e) || !(softwareFilter{}).Keep(req, e) {
 			continue
 		}
 		left := e.restLeft(req.Now)
--- a/routing/view.go
+++ b/routing/view.go
@@ -31,6 +31,17 @@
 	return true
 }
 
+// onlyVersion reports whether all endpoints of the request's pool can continue its stream.
+func (v *View) onlyVersion(r *Request) bool {
+	endpoints := v.Pools[r.Pool]
+	for _, e := range endpoints {
+		if !(softwareFilter{}).Keep(r, e) {
+			return false
+		}
+	}
+	return len(endpoints) > 0
+}
+
 // Candidates returns the endpoints for a unit, or for a plain pool if unit is empty.
 func (v *View) Candidates(unit, pool string) []*Endpoint {
 	if unit == "" {
