--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -136,7 +136,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, soak.RemoveEntrySignal)
 	w := fake.NewWorkerHandler(fake.RemoteRegistry{URL: c.String("store")}, c.String("id"), c.String("service"), "z1")
-	w.Address = c.String("advertise")
+	w.Address, w.Version = c.String("advertise"), soak.VersionOf(c.String("id"))
 	recorder := soak.NewRecorder(os.Stdout)
 	w.Observe(c.Float("capacity-mb"), c.Float("model-mb"), func(e fake.WorkerEvent) { recorder.Record(w, e) })
 	w.SetHandler(crashOnRequest(fake.FaultyHandler(w, soak.LockedRandom(uint64(time.Now().UnixNano())))))
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,7 +84,8 @@
 	conn := &callerConn{}
 	defer conn.close()
 	for ctx.Err() == nil {
-		c.sendOn(conn, node, kinds[random.IntN(len(kinds))], profile.timeout)
+		res := c.sendOn(conn, node, kinds[random.IntN(len(kinds))], profile.timeout)
+		c.takeUp(ctx, res, random)
 		select {
 		case <-ctx.Done():
 		case <-time.After(profile.thinkTime(random)):
@@ -91,6 +93,48 @@
 	}
 }
 
+// maxTakeUps bounds the tries to take a stream up, takeUpPause is the time before each.
+const (
+	maxTakeUps  = 3
+	takeUpPause = 30 * time.Millisecond
+)
+
+// takeUp asks any instances for the rest of a stream that has broken off, until the caller has it or
+// has tried maxTakeUps times.
+func (c *Callers) takeUp(ctx context.Context, res Result, random *rand.Rand) {
+	for range maxTakeUps {
+		held, version := heldEvents(res)
+		if res.Kind.Path != kindResumable.Path || res.Failure == "" && res.Status == http.StatusOK || held == 0 || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(takeUpPause)
+		res = c.takeUpAt(random.IntN(len(c.testbed.nodes)), Result{Kind: res.Kind, Began: cmp.Or(res.Began, res.Attempt), Held: held, Version: version})
+	}
+}
+
+// takeUpAt asks an instance for the rest of a stream on a new connection.
+func (c *Callers) takeUpAt(node int, res Result) Result {
+	conn := &callerConn{}
+	defer conn.close()
+	res.Node = node
+	return c.do(conn, res, busyProfile.timeout)
+}
+
+// heldEvents returns how many events of its stream a caller has after a response, and the version that
+// wrote them.
+func heldEvents(res Result) (held int, version string) {
+	held, version = res.Held, res.Version
+	if res.Status != http.StatusOK {
+		return held, version
+	}
+	events := strings.SplitAfter(res.Body, "\n\n")
+	for _, event := range events[:len(events)-1] {
+		held++
+		version = fake.EventVersion(event)
+	}
+	return held, version
+}
+
 // Send sends one request to an instance on a new connection and records the result.
 func (c *Callers) Send(node int, kind Kind) Result {
 	conn := &callerConn{}
@@ -113,10 +157,10 @@
 // do sends a request and records its result.
 func (c *Callers) do(conn *callerConn, res Result, timeout time.Duration) Result {
 	res.Attempt, res.Sent = c.nextID(), time.Now()
-	name := cmp.Or(res.Name, res.Attempt)
+	name := cmp.Or(res.Name, res.Began, res.Attempt)
 	req, err := fake.Request{
 		Address: c.testbed.nodes[res.Node].callerAddress, Method: res.Kind.Method, Path: res.Kind.Path + name, Attempt: res.Attempt,
-		Model: res.Kind.Model, Body: requestBody(name), Timeout: timeout,
+		Model: res.Kind.Model, Body: requestBody(name), Timeout: timeout, Resumes: res.Began, LastEvent: res.Held - 1,
 	}.HTTP(context.Background())
 	if err == nil {
 		err = conn.roundTrip(req, &res, res.Sent.Add(timeout+timeoutSlack))
--- a/soak/check.go
+++ b/soak/check.go
@@ -32,6 +32,12 @@
 	// Name is the name under which the request is resent; empty for a request that is
 	// sent once.
 	Name string
+	// Began is the attempt that began the stream of which the request asks for the rest, empty for a
+	// whole answer. Held is the number of events that the caller has of it, Version the software
+	// version that wrote them.
+	Began   string
+	Held    int
+	Version string
 	// Dialed is when the connection was established, Sent when the request was sent,
 	// and Ended when the caller had the response or gave up.
 	Dialed, Sent, Ended time.Time
@@ -187,14 +193,23 @@
 }
 
 // checkStream checks that each event of a stream belongs to its request and is in
-// order, and that no event is missing if the response looks complete.
+// order, that one software version wrote all of them, over the caller's tries, and that no event is
+// missing if the response looks complete.
 func (c *checker) checkStream(res Result) {
-	events := 0
+	events, version := res.Held, res.Version
 	for event := range strings.SplitSeq(res.Body, "\n\n") {
 		if event == "" {
 			continue
 		}
-		want := fake.StreamEvent(res.Attempt, events)
+		written := fake.EventVersion(event)
+		if version == "" {
+			version = written
+		}
+		if written != version && slices.Contains(versions[:], written) {
+			c.addViolation("two software versions: event %d of %s, begun by %q at %s, is of %s", events, res.Attempt, res.Began, version, written)
+			return
+		}
+		want := fake.StreamEvent(version, res.Attempt, events)
 		if event+"\n\n" != want {
 			if res.Failure == "" || !strings.HasPrefix(want, event) {
 				c.addViolation("wrong event %d of %s: %q", events, res.Attempt, event)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -16,14 +16,14 @@
 	start := time.Unix(1000, 0)
 	streamed := ""
 	for i := range fake.StreamEvents {
-		streamed += fake.StreamEvent("s1", i)
+		streamed += fake.StreamEvent("v1", "s1", i)
 	}
 	results := []Result{
 		{Attempt: "p1", Kind: kindUnsafe, Status: http.StatusOK, Seal: "seal-w1", Body: plainBody(kindUnsafe, "p1", "w1")},
 		{Attempt: "p2", Kind: kindUnsafe, Status: http.StatusServiceUnavailable},
 		{Attempt: "p3", Kind: kindUnsafe, Status: http.StatusBadGateway},
 		{Attempt: "s1", Kind: kindStream, Status: http.StatusOK, Seal: "seal-w2", Body: streamed},
-		{Attempt: "s2", Kind: kindResumable, Status: http.StatusOK, Seal: "seal-w2", Body: fake.StreamEvent("s2", 0) + "id: 1\nda", Failure: "reset"},
+		{Attempt: "s2", Kind: kindResumable, Status: http.StatusOK, Seal: "seal-w2", Body: fake.StreamEvent("v1", "s2", 0) + "id: 1\nda", Failure: "reset"},
 		{Attempt: "c1", Kind: kindUnsafe, Reused: true, Sent: start, Ended: start.Add(time.Millisecond), Failure: "EOF"},
 		{Attempt: "c2", Kind: kindUnsafe, Sent: start, Ended: start.Add(time.Second), Failure: "EOF"},
 		{Attempt: "c3", Kind: kindUnsafe, Node: 1, Reused: true, Sent: start, Ended: start.Add(time.Second), Failure: "EOF"},
@@ -97,11 +97,15 @@
 		"wrong answer":  func(a []Result, r []Record) []Record { a[0].Body = plainBody(kindUnsafe, "p9", "w1"); return r },
 		"no seal":       func(a []Result, r []Record) []Record { a[0].Seal = ""; return r },
 		"truncated but looks complete": func(a []Result, r []Record) []Record {
-			a[4].Body, a[4].Failure = fake.StreamEvent("s2", 0), ""
+			a[4].Body, a[4].Failure = fake.StreamEvent("v1", "s2", 0), ""
 			return r
 		},
 		"wrong event": func(a []Result, r []Record) []Record {
-			a[3].Body = strings.Replace(a[3].Body, fake.StreamEvent("s1", 2), fake.StreamEvent("s1", 3), 1)
+			a[3].Body = strings.Replace(a[3].Body, fake.StreamEvent("v1", "s1", 2), fake.StreamEvent("v1", "s1", 3), 1)
+			return r
+		},
+		"two software versions": func(a []Result, r []Record) []Record {
+			a[3].Began, a[3].Held, a[3].Version = "s0", 1, "v2"
 			return r
 		},
 		"over memory": func(_ []Result, r []Record) []Record {
--- a/soak/run.go
+++ b/soak/run.go
@@ -33,13 +33,16 @@
 type Report struct {
 	Seed                     uint64
 	Faults, Requests, Served int
+	// TakenUp is the number of tries to take a broken stream up, WentOn that of those that brought
+	// an event.
+	TakenUp, WentOn int
 	// Violations are the violated guarantees, one message each.
 	Violations []string
 }
 
 // String returns the report as one line.
 func (r Report) String() string {
-	return fmt.Sprintf("seed=%d faults=%d requests=%d served=%d broken=%d", r.Seed, r.Faults, r.Requests, r.Served, len(r.Violations))
+	return fmt.Sprintf("seed=%d faults=%d requests=%d served=%d taken_up=%d went_on=%d broken=%d", r.Seed, r.Faults, r.Requests, r.Served, r.TakenUp, r.WentOn, len(r.Violations))
 }
 
 const (
@@ -436,6 +439,13 @@
 		if res.Status == http.StatusOK && res.Failure == "" {
 			report.Served++
 		}
+		if res.Began == "" {
+			continue
+		}
+		report.TakenUp++
+		if res.Status == http.StatusOK {
+			report.WentOn++
+		}
 	}
 	return report
 }
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -47,6 +48,17 @@
 	EventUnlimited = "unlimited"
 )
 
+// versions are the software versions of the workers; the program must not mix them in a stream.
+var versions = [...]string{fake.DefaultVersion, "v2"}
+
+// VersionOf returns the software version of a worker with the given id: each start may be another
+// version.
+func VersionOf(id string) string {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return versions[h.Sum32()%uint32(len(versions))]
+}
+
 // EventLeft is recorded once the store has acknowledged that a worker leaves, or
 // that its entry is removed.
 const EventLeft = "left"
