--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -139,6 +139,7 @@
 	w.Address, w.Version = c.String("advertise"), soak.VersionOf(c.String("id"))
 	recorder := soak.NewRecorder(os.Stdout)
 	w.Observe(c.Float("capacity-mb"), c.Float("model-mb"), func(e fake.WorkerEvent) { recorder.Record(w, e) })
+	recorder.Record(w, fake.WorkerEvent{What: soak.EventStarted})
 	w.SetHandler(crashOnRequest(fake.FaultyHandler(w, soak.LockedRandom(uint64(time.Now().UnixNano())))))
 	listener, err := net.Listen("tcp", c.String("listen"))
 	if err != nil {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -235,6 +236,10 @@
 	require.Len(t, Check(results, recordsOf(propagationTime, 18), rules), 1)
 	require.Empty(t, Check(results, recordsOf(propagationTime, 17), rules))
 	require.Empty(t, Check(results, recordsOf(time.Second, 18), rules), "some ran before all instances knew the limit")
+	restarted := slices.Insert(recordsOf(propagationTime, 18), 1, record(EventStarted, time.Second))
+	require.Empty(t, Check(results, restarted, rules), "the process that announced the limit is gone")
+	limitedAgain := slices.Insert(recordsOf(propagationTime, 18), 0, record(EventStarted, 0))
+	require.Len(t, Check(results, limitedAgain, rules), 1, "the limit is that of the new process")
 	require.Empty(t, Check(results, append(recordsOf(0, 0), recordsOf(propagationTime, 18)[1:19]...), rules), "the limit has ended")
 	rules.Undisturbed = func(Result, time.Time) bool { return false }
 	require.Empty(t, Check(results, recordsOf(propagationTime, 18), rules))
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -34,7 +34,7 @@
 		switch {
 		case r.What == EventLimited && !isLimited:
 			limited[r.Worker] = r.At
-		case r.What == EventUnlimited:
+		case r.What == EventUnlimited || r.What == EventStarted:
 			c.checkLimitedRuns(r.Worker, runs[r.Worker])
 			delete(limited, r.Worker)
 			delete(runs, r.Worker)
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -41,6 +41,10 @@
 	LimitTime      = 8 * time.Second
 )
 
+// EventStarted is recorded when a worker's process starts. A process that starts under the id of an
+// earlier one knows nothing of its limit.
+const EventStarted = "started"
+
 // EventLimited and EventUnlimited are recorded when a worker starts and stops
 // announcing a limit.
 const (
