--- a/soak/limits.go
+++ b/soak/limits.go
@@ -18,7 +18,8 @@
 )
 
 // checkLimits checks that endpoints that announce a limit receive no more requests than it
-// allows, starting propagationTime after the announcement.
+// allows, starting propagationTime after the first run behind the announcement: a limit is
+// announced with answers, and an endpoint that is paused gives none.
 func (c *checker) checkLimits(results []Result, records []Record) {
 	if c.rules.LimitWindow == 0 {
 		return
@@ -27,17 +28,21 @@
 	for _, res := range results {
 		sent[res.Attempt] = res
 	}
+	// limited holds when the limit of an endpoint was first announced; zero while no request has
+	// run since it began.
 	limited := map[string]time.Time{}
 	runs := map[string][]time.Time{}
 	for _, r := range records {
 		from, isLimited := limited[r.Worker]
 		switch {
 		case r.What == EventLimited && !isLimited:
-			limited[r.Worker] = r.At
+			limited[r.Worker] = time.Time{}
 		case r.What == EventUnlimited || r.What == EventStarted:
 			c.checkLimitedRuns(r.Worker, runs[r.Worker])
 			delete(limited, r.Worker)
 			delete(runs, r.Worker)
+		case r.What == fake.EventRun && isLimited && from.IsZero():
+			limited[r.Worker] = r.At
 		case r.What == fake.EventRun && isLimited && r.At.Sub(from) >= propagationTime && c.undisturbed(sent[r.Attempt], from):
 			runs[r.Worker] = append(runs[r.Worker], r.At)
 		}
