Logs tell by which way a place was sought: lent or by sums

Each instance decides by its own measurement whether a pool's places are lent. No line said how it decided, so refusals by a lender and refusals by sums could not be told apart by instance and time. msg=route has lent, msg=settle of a refused request asked_for_place, and msg="lending of pool" tells when an instance changes its mind and at which mean service time. No change of logic.

--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -21,6 +21,7 @@
 	// changed holds at most one signal that there may be messages to send.
 	changed chan struct{}
 	gates   *pipeline.Gates
+	router  *routing.Router
 	// fleet returns what is known of the other instances; sendTo sends a packet to one of them.
 	fleet  func() credit.Fleet
 	sendTo func(p peer.Packet, instance string)
@@ -31,6 +32,8 @@
 	// and the contended endpoints were last looked at, and which were contended then.
 	signalledAt, fleetAt, loggedAt time.Time
 	contended                      map[string]credit.EndpointStats
+	// lentPools are the pools whose places were lent then.
+	lentPools map[string]bool
 	// seq numbers the packets with messages.
 	seq uint64
 }
@@ -55,7 +58,8 @@
 	if cfg.Lending.InstancesAbove == 0 {
 		return nil
 	}
-	l := &lending{instance: cfg.Instance, changed: make(chan struct{}, 1), gates: gates, log: log, now: now, contended: map[string]credit.EndpointStats{}}
+	l := &lending{instance: cfg.Instance, changed: make(chan struct{}, 1), gates: gates, router: router, log: log, now: now,
+		contended: map[string]credit.EndpointStats{}, lentPools: map[string]bool{}}
 	l.lender = credit.NewLender(credit.Config{Self: cfg.Instance, Process: process, OnWant: l.signal, Running: router.Running})
 	router.SetLending(routing.Lending{Lender: l.lender, InstancesAbove: cfg.Lending.InstancesAbove, Now: now})
 	return l
@@ -116,7 +120,11 @@
 	if wake {
 		l.gates.Wake()
 	}
-	l.logContended(now)
+	if now.Sub(l.loggedAt) >= lendingLogInterval {
+		l.loggedAt = now
+		l.logContended(now)
+		l.logPools()
+	}
 }
 
 // send sends a message to its instance. The ConfirmReply makes releases that know of no credits
@@ -163,10 +171,6 @@
 // logContended logs which endpoints have begun or ceased to be contended: those that this instance
 // lends, and those at which it has requests.
 func (l *lending) logContended(now time.Time) {
-	if now.Sub(l.loggedAt) < lendingLogInterval {
-		return
-	}
-	l.loggedAt = now
 	contended := map[string]credit.EndpointStats{}
 	for name, e := range l.lender.Stats(now, maxContendedLogged).Endpoints {
 		_, logged := l.contended[name]
@@ -188,6 +192,17 @@
 	l.contended = contended
 }
 
+// logPools logs of which pools this instance has begun or ceased to count places as lent.
+func (l *lending) logPools() {
+	for pool := range l.router.View().Pools {
+		lent := l.router.LendsPlaces(pool)
+		if lent != l.lentPools[pool] {
+			l.log.Info("lending of pool", "pool", pool, "lent", lent, "service_ms", l.router.MeanServiceTime(pool).Milliseconds())
+		}
+		l.lentPools[pool] = lent
+	}
+}
+
 // stats returns the places that this instance borrows and lends.
 func (l *lending) stats() credit.Stats {
 	if l == nil {
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -162,7 +162,9 @@
 	if f.outlook != nil && x.mayCheckForecast() {
 		w.CannotStart = check.cannotStart
 	}
-	if err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take); err != nil {
+	err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take)
+	x.askedForPlace = req.Wanted
+	if err != nil {
 		f.refusals.record(f.now(), x.Call.SessionHash)
 		refusal := newAdmitError(err, pickErr)
 		if limited {
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -100,6 +100,8 @@
 	overdue atomic.Bool
 	// answerStarted is set once any byte of an answer may have reached the caller.
 	answerStarted bool
+	// askedForPlace is set if the request has asked for a place that is lent.
+	askedForPlace bool
 	// wasRefused is set if the caller retries after a refusal.
 	wasRefused bool
 	// wasPromised is set if it was told a time to come back at, inSlot if it does so.
--- a/pipeline/route.go
+++ b/pipeline/route.go
@@ -22,7 +22,7 @@
 		"unit", x.Target.Unit, "endpoint", d.Endpoint.Name, "policy", d.Policy, "score", d.Score,
 		"expected_ms", d.ExpectedFirstToken.Milliseconds(), "gap_ms", d.Endpoint.EventGap(d.At).Milliseconds(), "own", d.Endpoint.OwnInFlight(),
 		"others", d.Endpoint.PeerLoad().Running, "others_age_ms", d.Endpoint.PeerLoadAge(d.At).Milliseconds(),
-		"estimate", d.Estimate, "eligible", d.Eligible, "candidates", d.Candidates, "resumes_after", x.offset, "software_version", d.Endpoint.SoftwareVersion,
+		"estimate", d.Estimate, "eligible", d.Eligible, "candidates", d.Candidates, "resumes_after", x.offset, "software_version", d.Endpoint.SoftwareVersion, "lent", d.Lent,
 		"endpoints_age_ms", f.endpointsAgeMS())
 	return nil
 }
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		values = append(values, "error", err.Error())
 	}
+	if refused := (*admission.RefusedError)(nil); errors.As(err, &refused) {
+		values = append(values, "asked_for_place", x.askedForPlace)
+	}
 	if refused := (*admission.RefusedError)(nil); errors.As(err, &refused) && refused.By != "" {
 		values = append(values, "refused_by", refused.By, "retry_after_ms", refused.RetryAfter.Milliseconds())
 	}
--- a/routing/servicetime.go
+++ b/routing/servicetime.go
@@ -48,5 +48,8 @@
 	return s.pools[pool].mean
 }
 
+// MeanServiceTime returns how long endpoints of a pool take for a request on average; 0 if it is not known.
+func (r *Router) MeanServiceTime(pool string) time.Duration { return r.serviceTimes.mean(pool) }
+
 // ServiceTime returns the time in which endpoints of a pool are expected to serve a request; 0 if it is not known.
 func (r *Router) ServiceTime(pool string) time.Duration { return r.serviceTimes.expected(pool) }
