--- a/credit/load_test.go
+++ b/credit/load_test.go
@@ -53,3 +53,18 @@
 	require.Less(t, s.rejectedShare(), 0.03)
 	require.Greater(t, s.usage(), (1500*time.Millisecond).Seconds()/(1500*time.Millisecond+2*roundTrip).Seconds(), "places are used while anyone waits")
 }
+
+// TestCreditsThatNobodyWantsAreLentOn guards against places that nobody uses: a request gives up
+// while a credit for it is on its way, and each ask that returns the credit crosses a grant which
+// states it again. Most requests then wait until they give up, while no place is in use.
+func TestCreditsThatNobodyWantsAreLentOn(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		s := newSimulation(seed, 74, 1, 6, 15*time.Millisecond)
+		s.patience, s.inOrder = 100*time.Millisecond, true
+		s.load(150, 10*time.Second)
+		s.run(10 * time.Second)
+		t.Logf("seed %d: %v", seed, s)
+		require.Greater(t, float64(s.served)/float64(s.served+s.gaveUp+s.refused), 0.95, "six places serve 200 a second, the way of the credits included")
+	}
+}
--- a/credit/simulation_test.go
+++ b/credit/simulation_test.go
@@ -20,6 +20,8 @@
 	endpoints []*simEndpoint
 	byKey     map[Key]*simEndpoint
 	lossRate  float64
+	// inOrder has every message take the same time, so that none overtakes another.
+	inOrder bool
 	// slow is added to the delays of an instance's messages.
 	slow map[*simNode]time.Duration
 	// returning has refused requests come back, within returnTime or a third of their patience.
@@ -102,6 +104,7 @@
 
 const (
 	simTransit     = 2 * time.Millisecond
+	simMessage     = 3 * time.Millisecond
 	simReport      = 200 * time.Millisecond
 	simRetry       = 50 * time.Millisecond
 	simRepeatWant  = 100 * time.Millisecond
@@ -269,7 +272,7 @@
 	if to == nil || to.down || from.group != to.group || s.random.Float64() < s.lossRate {
 		return
 	}
-	delay := time.Duration(1+s.random.IntN(4))*time.Millisecond + s.slow[from] + s.slow[to]
+	delay := s.delay() + s.slow[from] + s.slow[to]
 	process, fromName, fromProcess := to.process, from.name, from.lender.config.Process
 	s.after(delay, func() {
 		s.deliver(to, process, func() {
@@ -283,6 +286,14 @@
 	})
 }
 
+// delay returns how long a message is on its way.
+func (s *simulation) delay() time.Duration {
+	if s.inOrder {
+		return simMessage
+	}
+	return time.Duration(1+s.random.IntN(4)) * time.Millisecond
+}
+
 // encodedSize returns the size of the encoded message, in bytes.
 func encodedSize(o Outgoing) int {
 	var message any = o.Grant
