Credits that nobody wants any more are not granted again

What callers saw: a service whose instances go by lent places hardly serves first tries, although its endpoint idles; who returns in a slot is served, late.

Cause: an issuer answers each ask, and an answer that granted nothing new stated all places reserved for the borrower, those of grants on their way included. If the request that a credit was for had given up, the borrower returned the credit, the return crossed the next answer, which stated the place again, and so on for as long as the endpoint stayed contended. Such a place was never free, and each round was two messages.

Change: an answer states no more than what the borrower has in use and one place for each request that waits. A borrower acknowledges a grant that is repeated, even if it leaves it no credit: the issuer lacks the acknowledgement, where messages overtake each other.

Why it works: the reservation still covers the largest grant that may arrive, so nothing is lent twice (TestNeverMoreThanThePlaces), but the last grant now states what stays, so that the next acknowledgement ends it.

--- a/credit/asking.go
+++ b/credit/asking.go
@@ -182,6 +182,7 @@
 	if !found || g.Number <= b.asks.numbers[from] {
 		return
 	}
+	repeated := g.Seq <= b.asks.answered
 	b.asks.recordReply(now, sent, g)
 	b.asks.numbers[from] = g.Number
 	b.unused = max(g.Limit-b.running, 0)
@@ -191,6 +192,9 @@
 	if b.available(now) > 0 {
 		b.asks.acknowledgeAt = now.Add(acknowledgeDelay)
 		l.wake = l.wake || len(b.wants) > 0
+	} else if repeated {
+		// The issuer lacks an acknowledgement.
+		b.asks.due = true
 	}
 }
 
--- a/credit/doc.go
+++ b/credit/doc.go
@@ -26,7 +26,8 @@
 //
 // Places stay reserved for a borrower until its own ask shows that it has not, or no longer,
 // received the credits, or until it has been silent for borrowerLifetime: credits in use and on
-// their way never exceed the places of an issuer. What runs there besides is estimated from sums.
+// their way never exceed the places of an issuer. An answer to an ask states no more places than the
+// borrower can use by that ask. What runs there besides is estimated from sums.
 // An endpoint that rejects requests all the same gets fewer for a while.
 //
 // An issuer that does not reply is skipped for a while, and the next one of the hash lends a
--- a/credit/granting.go
+++ b/credit/granting.go
@@ -22,7 +22,7 @@
 				continue
 			}
 			if !changed {
-				limit = b.reserved()
+				limit = b.usable()
 			}
 			g := l.grant(now, d, b, limit)
 			if b.process == l.config.Process {
--- a/credit/lending.go
+++ b/credit/lending.go
@@ -182,6 +182,13 @@
 	return n
 }
 
+// usable returns how many of the reserved places the borrower can use: those that are in use, and
+// one for each waiting request. An answer states no more. Credits that nobody wants any more would
+// be renewed by each answer to the ask that returns them.
+func (b *borrower) usable() int64 {
+	return min(b.reserved(), b.ask.Running+max(b.ask.Unused, int64(len(b.ask.Wants))))
+}
+
 // recordGrant records a grant that is sent.
 func (b *borrower) recordGrant(now time.Time, number uint64, limit int64) {
 	b.grantedAt = now
@@ -190,7 +197,7 @@
 		b.grants = b.grants[1:]
 	}
 	b.grants = append(b.grants, sentGrant{number: number, limit: limit})
-	b.answered, b.news, b.held = true, false, limit
+	b.answered, b.news, b.held = true, false, b.reserved()
 }
 
 // unacknowledged reports whether credits were granted long enough ago for the borrower to have
