A request that waits is offered again while it may still start

What callers saw: requests to a plain service refused with target_missed_in_queue although a place was free before their time was over.

Cause: waiting requests are offered to the router every 50 ms, but while nothing waits the loop slept for 250 ms. A request that may wait for 100 ms mostly began and ended its wait within that sleep, and at its end it is refused without another look.

Change: the loop sleeps until a request begins to wait, of which the gate tells it, and looks every 50 ms from then on. It costs nothing while nothing waits, where it woke four times a second.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -21,6 +21,9 @@
 // Gate runs the queue of one pool. The take function of a waiter reserves a slot for it.
 type Gate struct {
 	now func() time.Time
+	// OnWait is called when a request begins to wait, unless it is nil. It must not block, and be
+	// set before the first Enter.
+	OnWait func()
 
 	mu    sync.Mutex
 	queue *Queue
@@ -80,6 +83,9 @@
 	}
 	g.refuse(g.queue.Enqueue(w))
 	g.wantSlots(w.Unit)
+	if g.OnWait != nil {
+		g.OnWait()
+	}
 	return answer, false
 }
 
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -334,20 +334,20 @@
 // idleLoadPollDivisor divides the rate of load polls while no requests arrive.
 const idleLoadPollDivisor = 4
 
-const (
-	// waitingPollInterval is how often waiting requests are offered to the router, besides
-	// after the events known to free capacity.
-	waitingPollInterval = 50 * time.Millisecond
-	// waitingPollIdleInterval is the same while nothing waits.
-	waitingPollIdleInterval = 250 * time.Millisecond
-)
+// waitingPollInterval is how often waiting requests are offered to the router, besides after the
+// events known to free capacity.
+const waitingPollInterval = 50 * time.Millisecond
 
 func (i *Instance) pollGates(ctx context.Context) { pollWaiting(ctx, i.gates) }
 
+// pollWaiting offers waiting requests to the router until ctx ends.
 func pollWaiting(ctx context.Context, gates *pipeline.Gates) {
 	for ctx.Err() == nil {
 		if gates.Len() == 0 {
-			wait.For(ctx, waitingPollIdleInterval)
+			select {
+			case <-ctx.Done():
+			case <-gates.BeganWaiting():
+			}
 			continue
 		}
 		wait.For(ctx, waitingPollInterval)
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -20,11 +20,24 @@
 	gates  sync.Map
 	// stopped is set once no request may wait any more.
 	stopped atomic.Bool
+	// beganWaiting holds at most one signal that a request has begun to wait.
+	beganWaiting chan struct{}
 }
 
 // NewGates returns Gates that creates each pool's gate on first use.
 func NewGates(l admission.Limits, now func() time.Time) *Gates {
-	return &Gates{limits: l, now: now}
+	return &Gates{limits: l, now: now, beganWaiting: make(chan struct{}, 1)}
+}
+
+// BeganWaiting signals that a request has begun to wait. It has one receiver.
+func (g *Gates) BeganWaiting() <-chan struct{} { return g.beganWaiting }
+
+// signalWaiting signals that a request has begun to wait. It never blocks.
+func (g *Gates) signalWaiting() {
+	select {
+	case g.beganWaiting <- struct{}{}:
+	default:
+	}
 }
 
 // Pool returns the gate of a pool.
@@ -32,7 +45,9 @@
 	if gate, ok := g.gates.Load(name); ok {
 		return gate.(*admission.Gate)
 	}
-	gate, _ := g.gates.LoadOrStore(name, admission.NewGate(g.limits, g.now))
+	created := admission.NewGate(g.limits, g.now)
+	created.OnWait = g.signalWaiting
+	gate, _ := g.gates.LoadOrStore(name, created)
 	if g.stopped.Load() {
 		gate.(*admission.Gate).Stop()
 	}
