All instances seek places of a pool's endpoints in the same way

What callers saw: after a burst, callers of some instances hardly served at a plain service for tens of seconds, those of others served well; routes that are added later lie at that service only.

Cause: each instance decided by its own mean time of a pool's requests whether places are lent. That mean included the wait at the endpoint, and one run of a second lifted it over the bound of 40 ms for the next 16 requests, which take an instance of 74 some six seconds. Instances below the bound send by sums and keep the endpoint full; the lender counts these requests as outsiders' and has nothing to lend; so the others serve nothing, measure nothing, and stay above.

Change: instances tell the lease holder each second how many requests have ended, by pool, and it decides by the places in use per ended request (utilization law, to which waiting adds nothing), with two bounds; it repeats its decision each second. An instance that has heard none for 10 s goes by its own measurement, as before. Some 40 bytes a second to and from each instance.

Why it works: there is one decision, from the requests of all, so an instance that serves nothing has no part in it, and a rare long run weighs as what it is.

--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -123,7 +123,7 @@
 	if now.Sub(l.loggedAt) >= lendingLogInterval {
 		l.loggedAt = now
 		l.logContended(now)
-		l.logPools()
+		l.logPools(now)
 	}
 }
 
@@ -193,11 +193,11 @@
 }
 
 // logPools logs of which pools this instance has begun or ceased to count places as lent.
-func (l *lending) logPools() {
+func (l *lending) logPools(now time.Time) {
 	for pool := range l.router.View().Pools {
-		lent := l.router.LendsPlaces(pool)
+		lent := l.router.LendsPlaces(now, pool)
 		if lent != l.lentPools[pool] {
-			l.log.Info("lending of pool", "pool", pool, "lent", lent, "service_ms", l.router.MeanServiceTime(pool).Milliseconds())
+			l.log.Info("lending of pool", "pool", pool, "lent", lent, "service_ms", l.router.MeanServiceTime(now, pool).Milliseconds())
 		}
 		l.lentPools[pool] = lent
 	}
--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -51,6 +51,8 @@
 	// lending receives the asks for places of contended endpoints, and grants of them; nil if
 	// no places are lent.
 	lending *lending
+	// pools decides, or receives, of which pools places are lent; nil if none are.
+	pools *poolModes
 	// conditions receives what other instances have seen of endpoints.
 	conditions *conditions
 	// streams receives where streams began; nil if nothing is kept of that.
@@ -335,6 +337,9 @@
 func (m *mesh) applyPacket(received receivedPacket) {
 	p := received.Packet
 	m.outlooks.receive(p, p.From == m.instance)
+	if m.isHolder() {
+		m.pools.receiveSamples(m.now(), p.PoolSamples)
+	}
 	if len(p.Placements) > 0 {
 		m.onPlacements(p.Placements)
 	}
@@ -344,6 +349,7 @@
 	if p.Instances > 0 && p.From != m.instance {
 		m.totals.receive(m.now(), received.at, p)
 		m.updateRoutingFor(p.Totals)
+		m.pools.receiveModes(m.now(), p.PoolModes)
 	}
 	if len(p.Refused) > 0 && p.From != m.instance {
 		m.refusals.RecordRemote(m.now(), p.Refused)
--- a/daemon/meshannounce.go
+++ b/daemon/meshannounce.go
@@ -90,8 +90,8 @@
 // announceTotals sends the total load of the fleet to all instances, or the part of it that
 // they need most, in as many packets as that takes.
 func (m *mesh) announceTotals() {
-	loads, n := m.currentTotals()
-	loads = m.outgoingTotals.Next(m.now(), loads, m.totalsBudget())
+	all, n := m.currentTotals()
+	loads := m.outgoingTotals.Next(m.now(), all, m.totalsBudget())
 	withdrawn, refusals, replaced := m.recentlyWithdrawn(), m.takeForwardedRefusals(), m.replacedEndpoints()
 	for first := true; first || len(loads)+len(withdrawn)+len(replaced) > 0; first = false {
 		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Refused: refusals, EndingsDigest: m.quarantine.Digest()})
@@ -104,7 +104,10 @@
 		next, replaced = cut(replaced, maxReplaced)
 		p.Withdrawn, p.WithdrawnStarts = splitIncarnations(leaving)
 		p.Replaced, p.ReplacedStarts = splitIncarnations(next)
-		if first {
+		if first && !m.isSmallFleet() {
+			m.pools.addModes(m.now(), all, &p)
+		}
+		if first && len(p.PoolModes) == 0 {
 			p.Totals, loads = cut(loads, maxTotals)
 		} else {
 			p.Totals, loads = cutLoads(loads, remainingBytes(p))
--- a/daemon/meshsend.go
+++ b/daemon/meshsend.go
@@ -83,6 +83,9 @@
 	if said := m.recentlySaidLeaving(); len(said) > 0 && remainingBytes(p) > maxSaidLeavingBytes {
 		p.SaidLeaving, p.SaidLeavingStarts = splitIncarnations(said)
 	}
+	if !m.isSmallFleet() && (len(to) > 0 || m.isHolder()) {
+		m.pools.addSamples(m.now(), &p)
+	}
 	m.addOutlookReport(&p)
 	m.addRunning(&p)
 	if !m.summaryUnchanged(p, to) {
@@ -96,7 +99,7 @@
 // recipients already have the same from the last one. Otherwise it records the summary as
 // sent.
 func (m *mesh) summaryUnchanged(p peer.Packet, to []string) bool {
-	news := len(p.Promises) + len(p.Refused) + len(p.Endings) + len(p.Limits) + len(p.Conditions) + len(p.Withheld) + len(p.SaidLeaving)
+	news := len(p.Promises) + len(p.Refused) + len(p.Endings) + len(p.Limits) + len(p.Conditions) + len(p.Withheld) + len(p.SaidLeaving) + len(p.PoolSamples)
 	urgent := news > 0 || p.ConfirmRequest != 0
 	last := m.lastSummary
 	last.Seq, last.EndingsDigest = p.Seq, p.EndingsDigest
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -198,6 +198,7 @@
 	n.mesh.streams = n.streams
 	if n.lending = newLending(cfg, n.mesh.process, n.router, n.gates, log, n.now); n.lending != nil {
 		n.lending.fleet, n.lending.sendTo, n.mesh.lending = n.mesh.permitIssuers, n.mesh.sendTo, n.lending
+		n.mesh.pools = &poolModes{router: n.router}
 	}
 	n.handovers = &handovers{
 		instance: cfg.Instance, path: n.path, candidates: n.mesh.helperCandidates, address: n.mesh.streamAddress, revision: n.revision, stopping: func() bool { return n.stopping.Load() != nil },
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -109,6 +109,10 @@
 	// with either carries nothing else but a ConfirmReply, as one with permits.
 	CreditAsks   []credit.Ask   `cbor:"40,keyasint,omitempty"`
 	CreditGrants []credit.Grant `cbor:"41,keyasint,omitempty"`
+	// PoolSamples are how long endpoints took for the sender's requests since its last ones.
+	// PoolModes, sent with Instances, is what the coordinator has decided by all of them.
+	PoolSamples []credit.PoolSample `cbor:"62,keyasint,omitempty"`
+	PoolModes   []credit.PoolMode   `cbor:"63,keyasint,omitempty"`
 	// Evacuated are the evacuated failure domains as of the given revision and era of the
 	// store; a packet without a revision carries no information about them.
 	Evacuated         []string `cbor:"37,keyasint,omitempty"`
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -229,7 +229,7 @@
 // claim completes a waiter and its request where places are lent: they get the client account,
 // a number, and the time since which the request has waited, also at earlier attempts.
 func (f admit) claim(x *Exchange, w *admission.Waiter, req *routing.Request) {
-	if f.numbers == nil || !f.router.LendsPlaces(x.Target.Pool) {
+	if f.numbers == nil || !f.router.LendsPlaces(req.Now, x.Target.Pool) {
 		return
 	}
 	if x.rejections() > 0 {
--- a/routing/lending.go
+++ b/routing/lending.go
@@ -21,11 +21,6 @@
 	times *serviceTimes
 }
 
-// minLentServiceTime is the least mean service time at which places are lent. A place that is
-// given back is lent again some 10 ms later: of shorter requests that would be more than a fifth of
-// the endpoint's time, and the sums of others' requests lose less.
-const minLentServiceTime = 40 * time.Millisecond
-
 // SetLending makes the router use credits. It must be called before the first Pick.
 func (r *Router) SetLending(l Lending) {
 	l.times = &r.serviceTimes
@@ -64,16 +59,15 @@
 // covers reports whether the endpoint's places are lent while it is contended: an even part of
 // them is less than one place for each instance.
 func (l Lending) covers(req *Request, e *Endpoint) bool {
-	return l.enabled(req.Instances) && e.Concurrency < req.Instances && l.times.mean(e.Pool) >= minLentServiceTime
+	return l.enabled(req.Instances) && e.Concurrency < req.Instances && l.times.lent(req.Now, e.Pool)
 }
 
 // LendsPlaces reports whether places of a pool's endpoints are lent while they are contended. The
 // endpoints of a pool are alike.
-func (r *Router) LendsPlaces(pool string) bool {
+func (r *Router) LendsPlaces(now time.Time, pool string) bool {
 	view := r.view.Load()
 	endpoints, instances := view.Pools[pool], r.instanceCount(view)
-	return r.lending.enabled(instances) && len(endpoints) > 0 && endpoints[0].Concurrency < instances &&
-		r.serviceTimes.mean(pool) >= minLentServiceTime
+	return r.lending.enabled(instances) && len(endpoints) > 0 && endpoints[0].Concurrency < instances && r.serviceTimes.lent(now, pool)
 }
 
 // decides reports whether a credit decides about the endpoint, instead of what is known of the
@@ -146,6 +140,7 @@
 
 // RecordRejection records that the endpoint has rejected an attempt for lack of places.
 func (r *Router) RecordRejection(now time.Time, d *Decision) {
+	d.rejected = true
 	d.Endpoint.markFullFor(now, r.fullPause(d.Endpoint))
 	if d.Lent {
 		r.lending.Lender.RecordRejection(now, d.Endpoint.CreditKey())
--- a/routing/lending_test.go
+++ b/routing/lending_test.go
@@ -40,7 +40,7 @@
 // places. The sums alone let three times as many queue there.
 func TestContendedEndpointTakesRequestsOnlyWithACredit(t *testing.T) {
 	r, l := lendingRouter(20, "a")
-	require.True(t, r.LendsPlaces("plain"))
+	require.True(t, r.LendsPlaces(testNow, "plain"))
 	now := testNow
 	var held []Decision
 	for n := range uint64(6) {
@@ -78,7 +78,7 @@
 	} {
 		r, l := lendingRouter(tc.instances, "a")
 		r.View().ByName["a"].Concurrency = tc.places
-		require.False(t, r.LendsPlaces("plain"), name)
+		require.False(t, r.LendsPlaces(testNow, "plain"), name)
 		req := waitingRequest(1, testNow)
 		d, err := r.Pick(req)
 		require.NoError(t, err, name)
@@ -162,7 +162,7 @@
 	for range 100 {
 		r.serviceTimes.observe("plain", 15*time.Millisecond)
 	}
-	require.False(t, r.LendsPlaces("plain"))
+	require.False(t, r.LendsPlaces(testNow, "plain"))
 	d, err := r.Pick(waitingRequest(1, testNow))
 	require.NoError(t, err)
 	require.False(t, d.Lent)
--- a/routing/router.go
+++ b/routing/router.go
@@ -44,6 +44,8 @@
 	Estimate int64
 	// Lent is set if the attempt counts against the places that are lent of the endpoint.
 	Lent bool
+	// rejected is set if the endpoint had no place for the attempt.
+	rejected bool
 	// account is the client account that the place was taken for.
 	account uint32
 	// Speed is the endpoint's speed that was assumed, Trial is set if the endpoint was left
@@ -231,6 +233,9 @@
 func (r *Router) Release(d *Decision) {
 	d.ReleasePrompt()
 	d.Endpoint.ownInFlight.Add(-1)
+	if !d.rejected {
+		r.serviceTimes.countEnded(d.Endpoint.Pool)
+	}
 	r.releasePlace(d)
 }
 
