A sum of requests counts for as long as they can last

What callers saw: requests to a plain service refused as there was no room, while its only endpoint idled; then many at once, some of which it rejected.

Cause: in a large fleet the sum of all instances' requests at an endpoint is announced every 200 to 400 ms and counted until the next one, though 18 requests of 15 ms at six places are served within 45 ms. Once a sum was at the bound, nobody sent anything until the next announcement; requests that may wait for 100 ms were refused, and whoever still waited was sent in one burst, which led to the next such sum. An old total was also given to routing as a new one every 500 ms.

Change: the requests of others that are expected at an endpoint are those last announced, less what it has served since, by the service time that the lease holder measures for the fleet, or else by this instance's own. While this instance's own requests there are not answered for six service times, or nothing is known of the service time, the sum counts in full, as before; so it does at brittle endpoints. A total keeps the age that it has.

Why it works: an endpoint that serves needs no announcement for its places to be used.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -493,19 +493,30 @@
 
 // updateRouting gives routing the load that the other instances have in flight.
 func (m *mesh) updateRouting() {
-	var others map[string]peer.EndpointLoad
-	if !m.isSmallFleet() && m.totals.fresh(m.now()) {
-		if m.now().Sub(m.routingUpdatedAt) < routingUpdateInterval {
-			return
-		}
-		m.routingUpdatedAt = m.now()
-		others = m.totals.others(m.now())
-	} else {
-		others = m.fleetView.Loads(m.instance)
+	now := m.now()
+	if m.isSmallFleet() || !m.totals.fresh(now) {
+		others := m.fleetView.Loads(m.instance)
+		m.setPeerLoads(func(endpoint string) routing.PeerLoad { return toPeerLoad(others[endpoint], now) })
+		return
 	}
+	if now.Sub(m.routingUpdatedAt) < routingUpdateInterval {
+		return
+	}
+	m.routingUpdatedAt = now
+	others := m.totals.others(now)
+	m.setPeerLoads(func(endpoint string) routing.PeerLoad {
+		if l, known := others[endpoint]; known {
+			return toPeerLoad(l.EndpointLoad, l.at)
+		}
+		return routing.PeerLoad{At: now}
+	})
+}
+
+// setPeerLoads gives routing the load that the other instances have at each endpoint.
+func (m *mesh) setPeerLoads(load func(endpoint string) routing.PeerLoad) {
 	for _, pool := range m.router.View().Pools {
 		for _, e := range pool {
-			e.SetPeerLoad(toPeerLoad(others[e.Name], m.now()))
+			e.SetPeerLoad(load(e.Name))
 		}
 	}
 }
--- a/daemon/totals.go
+++ b/daemon/totals.go
@@ -81,16 +81,17 @@
 }
 
 // others returns the totals without the load that this instance reported.
-func (t *totals) others(now time.Time) map[string]peer.EndpointLoad {
+func (t *totals) others(now time.Time) map[string]totalLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	handedOver := now.Sub(t.coordinatorSince) >= handoverExpiry
 	maps.DeleteFunc(t.loads, func(_ string, l totalLoad) bool {
 		return now.Sub(l.at) >= endpointTotalExpiry || handedOver && l.from != t.coordinator
 	})
-	out := make(map[string]peer.EndpointLoad, len(t.loads))
+	out := make(map[string]totalLoad, len(t.loads))
 	for endpoint, l := range t.loads {
-		out[endpoint] = t.subtractOwnLocked(l.EndpointLoad)
+		l.EndpointLoad = t.subtractOwnLocked(l.EndpointLoad)
+		out[endpoint] = l
 	}
 	return out
 }
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -37,6 +37,9 @@
 	Concurrency int
 
 	ownInFlight atomic.Int64
+	// answeredAt is the Unix time in nanoseconds at which this instance last had a complete answer, or
+	// sent a request while it had none there.
+	answeredAt atomic.Int64
 	// ownPromptWork is the estimated time, in nanoseconds, to process the prompts of this
 	// instance's attempts that have had no answer yet.
 	ownPromptWork atomic.Int64
@@ -117,6 +120,29 @@
 	return now.Sub(o.At)
 }
 
+// othersNow returns how many requests of the other instances are expected at the endpoint: those
+// reported last, less what it has served since if a request takes it the given time. While it
+// answers nothing, it is not expected to have served any; nor if the time is 0.
+func (e *Endpoint) othersNow(now time.Time, service time.Duration) int64 {
+	o := e.PeerLoad()
+	if service == 0 || o.At.IsZero() || e.stalled(now, service) {
+		return o.Running
+	}
+	served := int64(now.Sub(o.At)) * int64(e.Concurrency) / int64(e.atSpeed(service))
+	return max(o.Running-served, 0)
+}
+
+// stalledAfter is after how many times the usual service time without an answer an endpoint counts
+// as stalled: as many rounds of requests as may queue there, twice.
+const stalledAfter = 2 * plainRounds
+
+// stalled reports whether requests of this instance have been at the endpoint for long without any
+// answer.
+func (e *Endpoint) stalled(now time.Time, service time.Duration) bool {
+	since := time.Duration(now.UnixNano() - e.answeredAt.Load())
+	return e.OwnInFlight() > 0 && since > stalledAfter*e.atSpeed(service)
+}
+
 // OwnPromptWork returns the estimated time to process the prompts of this instance's attempts
 // here that have had no answer yet.
 func (e *Endpoint) OwnPromptWork() time.Duration { return time.Duration(e.ownPromptWork.Load()) }
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -106,17 +106,19 @@
 
 // queueFilter keeps endpoints with a short queue, counting the requests of all instances:
 // those whose running and queued requests are fewer than rounds times their concurrency. At a brittle
-// endpoint none may queue.
+// endpoint none may queue, and none counts as served before that is announced.
 type queueFilter struct{ rounds float64 }
 
 func (queueFilter) Name() string { return "queue" }
 func (f queueFilter) Keep(r *Request, e *Endpoint) bool {
 	slots := float64(max(1, e.Concurrency))
-	rounds := f.rounds
+	if e.full(r.Now) {
+		return false
+	}
 	if _, brittle := e.Brittle(); brittle {
-		rounds = 1
+		return float64(e.OwnInFlight()+e.PeerLoad().Running) < slots
 	}
-	return float64(e.OwnInFlight()+e.PeerLoad().Running) < rounds*slots && !e.full(r.Now)
+	return float64(e.OwnInFlight()+e.othersNow(r.Now, r.ServiceTime)) < f.rounds*slots
 }
 
 // headroomFilter keeps endpoints whose estimated load leaves capacity. Instances that see
--- a/routing/lending.go
+++ b/routing/lending.go
@@ -157,6 +157,7 @@
 // RecordServed records that the endpoint has served an attempt.
 func (r *Router) RecordServed(now time.Time, d *Decision) {
 	d.Endpoint.RecordSuccess()
+	d.Endpoint.answeredAt.Store(now.UnixNano())
 	if r.lending.Lender != nil {
 		r.serviceTimes.observe(d.Endpoint.Pool, now.Sub(d.At))
 	}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -17,6 +17,9 @@
 	PromptTokens int64
 	// PromptWork is the estimated time to process the prompt; Pick sets it.
 	PromptWork time.Duration
+	// ServiceTime is how long endpoints of the pool take for a request on average, 0 if that is not
+	// known; Pick sets it.
+	ServiceTime time.Duration
 	// FirstTokenBy is when the first token is due. EventGapTarget is the longest allowed
 	// gap between events. Both are zero if there is no target.
 	FirstTokenBy   time.Time
--- a/routing/router.go
+++ b/routing/router.go
@@ -111,6 +111,7 @@
 func (r *Router) prepare(req *Request) *View {
 	view := r.view.Load()
 	req.Instances = r.instanceCount(view)
+	req.ServiceTime = r.serviceTimes.mean(req.Now, req.Pool)
 	req.PromptWork = r.prefill.promptWork(req.model(), req.PromptTokens)
 	return view
 }
@@ -138,7 +139,9 @@
 	d.ExpectedFirstToken, d.PromptWork, d.At, d.model = chosen.Endpoint.ExpectedFirstToken(req.PromptWork), req.PromptWork, req.Now, req.model()
 	d.Late, d.Lent, d.account = req.Late, lent, req.Claimant.Account
 	d.Speed, d.Trial, d.Crowd = chosen.Endpoint.Speed(), chosen.Endpoint.LeftOut(), chosen.Endpoint.Crowd()
-	chosen.Endpoint.ownInFlight.Add(1)
+	if chosen.Endpoint.ownInFlight.Add(1) == 1 {
+		chosen.Endpoint.answeredAt.Store(req.Now.UnixNano())
+	}
 	chosen.Endpoint.ownPromptWork.Add(int64(req.PromptWork))
 	return d, nil
 }
