The next lease holder repeats what the former has decided about lent places

What callers saw: behind the kill of many instances, the lease holder among them, requests at some of the restarted ones refused by a lender at a service whose places are not lent.

Cause: the next lease holder decides nothing until it has observed a pool for five seconds. The others go by the former's decision for ten, but a restarted instance has heard none and goes by itself.

TestNextCoordinatorRepeatsWhatWasDecided.

Change: an announcement includes the decisions that this instance has heard and that still count, of pools of which it knows nothing of its own. It doesn't renew them for itself, so they end.

--- a/daemon/poolmodes.go
+++ b/daemon/poolmodes.go
@@ -60,8 +60,9 @@
 		return
 	}
 	s.announcedAt = now
-	p.PoolModes = fittingModes(s.policy.Modes(), min(remainingBytes(*p), maxPoolBytes))
-	s.router.SetPoolModes(now, p.PoolModes)
+	s.router.SetPoolModes(now, s.policy.Modes())
+	// It includes what the former coordinator has decided of pools that are not known here yet.
+	p.PoolModes = fittingModes(s.router.PoolModes(now), min(remainingBytes(*p), maxPoolBytes))
 }
 
 // placesInUse returns how many places of each pool's endpoints are in use.
--- a/daemon/poolmodes_test.go
+++ b/daemon/poolmodes_test.go
@@ -115,6 +115,28 @@
 	require.False(t, f.routers[1].LendsPlaces(f.now, "plain"))
 }
 
+// TestNextCoordinatorRepeatsWhatWasDecided guards against restarted instances that go by themselves
+// until another coordinator has observed enough, while all others go by the decision of the former.
+func TestNextCoordinatorRepeatsWhatWasDecided(t *testing.T) {
+	f := newPooledInstances(20)
+	decided := credit.PoolMode{Pool: "plain", Lent: true, Micros: 60_000}
+	f.modes[1].receiveModes(f.now, []credit.PoolMode{decided})
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		var p peer.Packet
+		f.modes[1].addModes(f.now, nil, &p)
+		f.modes[2].receiveModes(f.now, travelPools(t, p).PoolModes)
+	}
+	require.False(t, f.routers[1].LendsPlaces(f.now, "plain"), "it does not repeat it for ever")
+	f.modes[1].receiveModes(f.now, []credit.PoolMode{decided})
+	f.now = f.now.Add(time.Second)
+	var p peer.Packet
+	f.modes[1].addModes(f.now, nil, &p)
+	require.Equal(t, []credit.PoolMode{decided}, p.PoolModes)
+	f.modes[2].receiveModes(f.now, travelPools(t, p).PoolModes)
+	require.True(t, f.routers[2].LendsPlaces(f.now, "plain"))
+}
+
 // TestPoolsOfManyNamesFitAPacket guards against a packet that is too large and so never sent.
 func TestPoolsOfManyNamesFitAPacket(t *testing.T) {
 	const pools = 300
--- a/routing/servicetime.go
+++ b/routing/servicetime.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,6 +137,21 @@
 // the result fits into room bytes.
 func (r *Router) TakeEnded(room int) []credit.PoolSample { return r.serviceTimes.take(room) }
 
+// PoolModes returns what the coordinator has decided, as far as it still counts, by name of the pool.
+func (r *Router) PoolModes(now time.Time) []credit.PoolMode {
+	s := &r.serviceTimes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var modes []credit.PoolMode
+	for _, t := range s.pools {
+		if t.decided(now) {
+			modes = append(modes, t.mode)
+		}
+	}
+	slices.SortFunc(modes, func(a, b credit.PoolMode) int { return cmp.Compare(a.Pool, b.Pool) })
+	return modes
+}
+
 // SetPoolModes records what the coordinator has decided about the pools that it names.
 func (r *Router) SetPoolModes(now time.Time, modes []credit.PoolMode) {
 	s := &r.serviceTimes
