A pool that was idle is observed anew before it is decided how its places are sought

Cause: the lease holder had observed the pool for more than five seconds before its first request, so it decided in the first second, when places were in use whose requests had not ended and been told yet.

Change: what was observed of an idle pool is dropped with its first request, and the five seconds begin then.

--- a/credit/poolpolicy.go
+++ b/credit/poolpolicy.go
@@ -82,9 +82,15 @@
 	if !s.valid() {
 		return
 	}
-	if u := p.use(now, s.Pool); u != nil {
-		u.requests += float64(s.Requests)
+	u := p.use(now, s.Pool)
+	if u == nil {
+		return
+	}
+	if u.requests < 1 {
+		// The pool was idle: what was observed then says nothing about its requests.
+		u.since, u.placeSeconds = now, 0
 	}
+	u.requests += float64(s.Requests)
 }
 
 // RecordBusy records how many places of a pool's endpoints all instances have in use now.
--- a/credit/poolpolicy_test.go
+++ b/credit/poolpolicy_test.go
@@ -68,6 +68,18 @@
 	require.Empty(t, idle.policy.Modes())
 }
 
+// TestPoolThatWasIdleIsObservedAnew guards against a mode that is decided in the first second of
+// traffic, before the requests of which places are in use have ended and been told.
+func TestPoolThatWasIdleIsObservedAnew(t *testing.T) {
+	o := poolObservations{now: start}
+	o.observe(0, 0, time.Minute)
+	o.observe(4, 0, 800*time.Millisecond)
+	o.observe(4, 250, leastPoolTime)
+	require.Empty(t, o.policy.Modes())
+	o.observe(4, 250, 2*time.Second)
+	require.False(t, o.mode(t).Lent)
+}
+
 // TestImpossibleSamplesAreIgnored guards against a packet that changes what the fleet does.
 func TestImpossibleSamplesAreIgnored(t *testing.T) {
 	o := poolObservations{now: start}
