Tidy: one look at who refused, no division by a service time of nothing

othersNow divides by the service time at the endpoint's speed; rounded down to 0 it would have ended the process.

--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -118,9 +118,9 @@
 	}
 	if refused := (*admission.RefusedError)(nil); errors.As(err, &refused) {
 		values = append(values, "asked_for_place", x.askedForPlace)
-	}
-	if refused := (*admission.RefusedError)(nil); errors.As(err, &refused) && refused.By != "" {
-		values = append(values, "refused_by", refused.By, "retry_after_ms", refused.RetryAfter.Milliseconds())
+		if refused.By != "" {
+			values = append(values, "refused_by", refused.By, "retry_after_ms", refused.RetryAfter.Milliseconds())
+		}
 	}
 	f.log.Info("settle", values...)
 }
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -128,7 +128,7 @@
 	if service == 0 || o.At.IsZero() || e.stalled(now, service) {
 		return o.Running
 	}
-	served := int64(now.Sub(o.At)) * int64(e.Concurrency) / int64(e.atSpeed(service))
+	served := int64(now.Sub(o.At)) * int64(e.Concurrency) / max(int64(e.atSpeed(service)), 1)
 	return max(o.Running-served, 0)
 }
 
--- a/routing/lastendpoint_test.go
+++ b/routing/lastendpoint_test.go
@@ -46,7 +46,7 @@
 	// due is set when the lender may have something to send.
 	due     bool
 	waiting []*Request
-	// polledAt is when waiting requests are next offered, reported what this instance last reported.
+	// pollAt is when waiting requests are next offered, reported what this instance last reported.
 	pollAt   time.Time
 	reported int64
 }
