Logs tell the parts of a prompt

What callers saw: endpoints that ended one after the other. Of the requests that broke with them the logs told target and body as one fingerprint, and no two were alike; whether they shared a part of their prompts could not be seen.

No decision uses them yet.

--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -19,6 +19,8 @@
 	afterBrace int
 	name       string
 	stream     bool
+	// promptParts are the messages of a chat, or the prompt of a completion.
+	promptParts []json.RawMessage
 }
 
 // scanBody locates the fields of a JSON object without building the rest of it.
@@ -64,10 +66,23 @@
 		return json.Unmarshal(raw, &f.stream)
 	case "priority":
 		f.priority = at
+	case "messages":
+		f.setMessages(raw)
+	case "prompt":
+		f.promptParts = append(f.promptParts, raw)
 	}
 	return nil
 }
 
+// setMessages records the messages of a chat. What is no list of messages is left to the endpoint
+// to judge.
+func (f *bodyFields) setMessages(raw json.RawMessage) {
+	var messages []json.RawMessage
+	if json.Unmarshal(raw, &messages) == nil {
+		f.promptParts = append(f.promptParts, messages...)
+	}
+}
+
 type bodyError string
 
 func (e bodyError) Error() string { return string(e) }
--- a/pipeline/decode.go
+++ b/pipeline/decode.go
@@ -87,6 +87,8 @@
 	if fields.name == "" {
 		return &DecodeError{Status: http.StatusBadRequest, Field: "model", Reason: "missing"}
 	}
+	x.Call.PromptParts = SelectPromptParts(fields.promptParts)
+	fields.promptParts = nil
 	x.Call.Path, x.Call.Name, x.Call.Stream, x.Call.fields = path, fields.name, fields.stream, fields
 	return nil
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -38,6 +38,9 @@
 	// SessionHash identifies the request across its attempts, as computed by the function
 	// SessionHash; 0 if the caller sends no session.
 	SessionHash uint32
+	// PromptParts identifies the parts of the prompt that other requests may share, in order; of a
+	// long prompt only the first and the last ones (SelectPromptParts).
+	PromptParts []quarantine.Fingerprint
 	// PromptTokens is the length of the prompt and OutputTokens the largest number of
 	// tokens to generate; 0 if the caller does not say.
 	PromptTokens, OutputTokens int64
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -318,7 +318,7 @@
 	}
 	a := x.attempt()
 	p.cfg.Log.Info("attempt lost its connection", "request", x.ID, "fingerprint", x.Fingerprint.String(), "caller", x.Caller.Name, "from", x.remoteHost(),
-		"endpoint", a.Decision.Endpoint.Name, "ran_ms", p.cfg.Now().Sub(a.Decision.At).Milliseconds(), "bytes", x.Bytes, "error", err.Error())
+		"endpoint", a.Decision.Endpoint.Name, "ran_ms", p.cfg.Now().Sub(a.Decision.At).Milliseconds(), "bytes", x.Bytes, "parts", x.promptPartsText(), "error", err.Error())
 	p.terminations.add(a.Decision.Endpoint, brokenAttempt{fingerprint: x.Fingerprint, account: x.Caller.Name})
 }
 
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -98,6 +98,9 @@
 		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "from", x.remoteHost(), "fingerprint", x.Fingerprint.String(), "name", x.Call.Name, "unit", x.Target.Unit,
 		"revision", x.Revision, "again", x.wasRefused, "slot", x.slot(), "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
+	if len(x.Call.PromptParts) > 0 {
+		values = append(values, "parts", x.promptPartsText())
+	}
 	if x.handedTo != "" {
 		values = append(values, "handed_to", x.handedTo)
 	}
