Quarantine knows the parts of a prompt, and holds back those under which endpoints terminate

Cause: evidence was bound to a key finer than the harm. The quarantine knew a request by target and body only. Requests that share the part are all different, so that none was ever suspected twice, and none was held.

Evidence: at each of the 13 endings in the logs exactly one attempt had a header and no byte of its body; 37 suspected requests, 37 fingerprints, one ending each.

Change: a request is suspected by itself and by each part of its prompt. A part is charged only if the attempt broke before its answer began, and cleared by the first event of any request with it, at any instance. It is held at the third endpoint, with two different requests at least; a part answered in the last minutes needs four, those within a quarter second counted once. What already explains a termination (a held part, a request that terminates endpoints by itself) spares the other parts. Terminations count for the account whose requests they were, or for all if several accounts had them. Behind the hold one request of the whole fleet may try the part, twice in all; the store's hold object decides who. Reports of suspects with the most terminations go first.

--- a/daemon/holds.go
+++ b/daemon/holds.go
@@ -16,14 +16,19 @@
 	"github.com/eiderspring/eiderspring/wait"
 )
 
-// heldRequest is the spec of a hold object: one request in quarantine. The object's name is
-// the request's fingerprint in hexadecimal digits.
-type heldRequest struct {
-	// Endpoints identifies the endpoint incarnations that terminated while running the
-	// request, as hexadecimal strings because not every store keeps 64-bit numbers exact.
-	// EndedMS is when each terminated, in Unix milliseconds.
+// heldSuspect is the spec of a hold object: one suspect in quarantine, a request or a part of
+// prompts. The object's name is the suspect's fingerprint in hexadecimal digits.
+type heldSuspect struct {
+	// Endpoints identifies the endpoint incarnations that terminated under the suspect, as
+	// hexadecimal strings because not every store keeps 64-bit numbers exact. EndedMS is when each
+	// terminated, in Unix milliseconds.
 	Endpoints []string `json:"endpoints"`
 	EndedMS   []int64  `json:"endedMS"`
+	// Shared is set for a part of prompts. Origins are then quarantine.Report.Origins, in
+	// hexadecimal digits, and TriedMS is when the part was tried again, in Unix milliseconds.
+	Shared  bool     `json:"shared,omitempty"`
+	Origins []string `json:"origins,omitempty"`
+	TriedMS []int64  `json:"triedMS,omitempty"`
 }
 
 // holdsTask persists requests in quarantine in the store, for instances that receive no
@@ -73,12 +78,9 @@
 		return err
 	}
 	for _, o := range list.Items {
-		report, err := d.decode(o)
-		if err != nil {
-			d.log.Info("held request unreadable", "name", o.Metadata.Name, "error", err.Error())
-			continue
+		if report := d.known(o); len(report.Incarnations) > 0 {
+			d.manager.ReceiveReports([]quarantine.Report{report}, false)
 		}
-		d.manager.ReceiveReports([]quarantine.Report{report}, false)
 	}
 	return nil
 }
@@ -90,7 +92,7 @@
 	return d.client.List(ctx, store.KindHold)
 }
 
-// write stores requests as they enter quarantine.
+// write stores suspects as they enter quarantine, and removes those that are cleared.
 func (d *holdsTask) write(ctx context.Context) {
 	for {
 		report, err := d.reports.Take(ctx)
@@ -103,20 +105,20 @@
 	}
 }
 
-// put writes a request, replacing the object of an earlier hold, and removes expired objects.
+// maxPutTries bounds the tries to write a hold that other instances write at the same time.
+const maxPutTries = 3
+
+// put writes a suspect, with what other instances have written of it, and removes expired objects.
+// A suspect without terminations has been cleared: its object is removed.
 func (d *holdsTask) put(ctx context.Context, report quarantine.Report) error {
-	o, err := store.NewObject(store.KindHold, hex.EncodeToString(report.Fingerprint), d.encode(report))
-	if err != nil {
-		return err
+	if len(report.Incarnations) == 0 {
+		return d.remove(ctx, report.Name())
 	}
-	_, err = d.client.Create(ctx, o)
-	if store.IsConflict(err) {
-		var old store.Object
-		if old, err = d.client.Get(ctx, store.KindHold, o.Metadata.Name); err != nil {
-			return err
+	var err error
+	for range maxPutTries {
+		if err = d.putOnce(ctx, report); !store.IsConflict(err) {
+			break
 		}
-		o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
-		_, err = d.client.Update(ctx, o)
 	}
 	if err != nil {
 		return err
@@ -124,7 +126,55 @@
 	return d.prune(ctx)
 }
 
-// prune removes the requests whose terminations have all expired.
+// putOnce writes a suspect. The error is a conflict if another instance has written it meanwhile.
+func (d *holdsTask) putOnce(ctx context.Context, report quarantine.Report) error {
+	o, err := d.object(report)
+	if err != nil {
+		return err
+	}
+	if _, err = d.client.Create(ctx, o); !store.IsConflict(err) {
+		return err
+	}
+	old, err := d.client.Get(ctx, store.KindHold, o.Metadata.Name)
+	if err != nil {
+		return err
+	}
+	if o, err = d.object(quarantine.MergeReports(report, d.known(old))); err != nil {
+		return err
+	}
+	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+	_, err = d.client.Update(ctx, o)
+	return err
+}
+
+// object returns the hold object of a suspect.
+func (d *holdsTask) object(report quarantine.Report) (store.Object, error) {
+	return store.NewObject(store.KindHold, report.Name(), d.encode(report))
+}
+
+// known returns what a hold object tells; the zero value if it cannot be read or has expired.
+func (d *holdsTask) known(o store.Object) quarantine.Report {
+	report, err := d.decode(o)
+	if errors.Is(err, errHoldExpired) {
+		return quarantine.Report{}
+	}
+	if err != nil {
+		d.log.Info("held request unreadable", "name", o.Metadata.Name, "error", err.Error())
+		return quarantine.Report{}
+	}
+	return report
+}
+
+// remove removes a hold object.
+func (d *holdsTask) remove(ctx context.Context, name string) error {
+	err := d.client.Delete(ctx, store.KindHold, name)
+	if store.IsNotFound(err) {
+		return nil
+	}
+	return err
+}
+
+// prune removes the suspects whose terminations have all expired.
 func (d *holdsTask) prune(ctx context.Context) error {
 	list, err := d.list(ctx, true)
 	if err != nil {
@@ -134,23 +184,33 @@
 		if _, err := d.decode(o); !errors.Is(err, errHoldExpired) {
 			continue
 		}
-		if err := d.client.Delete(ctx, store.KindHold, o.Metadata.Name); err != nil && !store.IsNotFound(err) {
+		if err := d.remove(ctx, o.Metadata.Name); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *holdsTask) encode(report quarantine.Report) heldRequest {
+func (d *holdsTask) encode(report quarantine.Report) heldSuspect {
 	now := d.timeOfDay().UnixMilli()
-	var h heldRequest
+	h := heldSuspect{Shared: report.Shared}
 	for i, incarnation := range report.Incarnations {
-		h.Endpoints = append(h.Endpoints, strconv.FormatUint(incarnation, 16))
+		h.Endpoints = append(h.Endpoints, formatHex(incarnation))
 		h.EndedMS = append(h.EndedMS, now-report.AgesMS[i])
 	}
+	for _, origin := range report.Origins {
+		h.Origins = append(h.Origins, formatHex(origin))
+	}
+	for _, age := range report.TrialsMS {
+		h.TriedMS = append(h.TriedMS, now-age)
+	}
 	return h
 }
 
+func formatHex(n uint64) string { return strconv.FormatUint(n, 16) }
+
+func parseHex(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) }
+
 // Errors of decode.
 var (
 	errHoldExpired    = errors.New("all terminations have expired")
@@ -160,7 +220,7 @@
 // decode reads a hold object, leaving out terminations older than the retention. It returns
 // errHoldExpired if none is left, and errHoldMismatched if the lists differ in length.
 func (d *holdsTask) decode(o store.Object) (quarantine.Report, error) {
-	var h heldRequest
+	var h heldSuspect
 	if err := json.Unmarshal(o.Spec, &h); err != nil {
 		return quarantine.Report{}, err
 	}
@@ -168,26 +228,43 @@
 	if err != nil {
 		return quarantine.Report{}, err
 	}
-	if len(h.Endpoints) != len(h.EndedMS) {
+	if len(h.Endpoints) != len(h.EndedMS) || len(h.Origins) > 0 && len(h.Origins) != len(h.Endpoints) {
 		return quarantine.Report{}, errHoldMismatched
 	}
-	report := quarantine.Report{Fingerprint: fingerprint}
-	now := d.timeOfDay().UnixMilli()
-	for i, text := range h.Endpoints {
-		incarnation, err := strconv.ParseUint(text, 16, 64)
-		if err != nil {
+	report := quarantine.Report{Fingerprint: fingerprint, Shared: h.Shared}
+	for i := range h.Endpoints {
+		if err := d.decodeTermination(h, i, &report); err != nil {
 			return quarantine.Report{}, err
 		}
-		// The writer's clock may be ahead of this one.
-		age := max(now-h.EndedMS[i], 0)
-		if age >= d.retention.Milliseconds() {
-			continue
-		}
-		report.Incarnations = append(report.Incarnations, incarnation)
-		report.AgesMS = append(report.AgesMS, age)
 	}
 	if len(report.Incarnations) == 0 {
 		return report, errHoldExpired
 	}
+	for _, tried := range h.TriedMS {
+		report.TrialsMS = append(report.TrialsMS, min(d.ageMS(tried), d.retention.Milliseconds()))
+	}
 	return report, nil
 }
+
+// decodeTermination adds the termination with an index to a report, unless it is too old.
+func (d *holdsTask) decodeTermination(h heldSuspect, i int, report *quarantine.Report) error {
+	age := d.ageMS(h.EndedMS[i])
+	if age >= d.retention.Milliseconds() {
+		return nil
+	}
+	incarnation, err := parseHex(h.Endpoints[i])
+	if err != nil {
+		return err
+	}
+	report.Incarnations = append(report.Incarnations, incarnation)
+	report.AgesMS = append(report.AgesMS, age)
+	if len(h.Origins) == 0 {
+		return nil
+	}
+	origin, err := parseHex(h.Origins[i])
+	report.Origins = append(report.Origins, origin)
+	return err
+}
+
+// ageMS returns how long ago a time in Unix milliseconds was; 0 if the writer's clock is ahead.
+func (d *holdsTask) ageMS(unixMS int64) int64 { return max(d.timeOfDay().UnixMilli()-unixMS, 0) }
--- a/daemon/holds_test.go
+++ b/daemon/holds_test.go
@@ -99,7 +99,7 @@
 		isolated.Store(true)
 		f := quarantine.Fingerprint{1, 2, 3}
 		for i := range int64(3) {
-			here.manager.RecordTermination(f, "account", "e", i)
+			here.manager.RecordTermination(quarantine.Request{Fingerprint: f, Account: "account"}, false, "e", i)
 		}
 		go here.write(ctx)
 		synctest.Wait()
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -68,6 +68,8 @@
 	gates   *pipeline.Gates
 	// quarantine holds back requests that terminate endpoints.
 	quarantine *quarantine.Manager
+	// holds claims trials of held parts of prompts at the store.
+	holds *holdsTask
 	// allowances enforces this instance's even share of the callers' allowances.
 	allowances   *allowance.Limiter
 	events       *ring.Ring[event]
@@ -129,6 +131,9 @@
 	i.quarantine = quarantine.NewManager(quarantine.Config{
 		Limits: cfg.Quarantine.limits(), Now: deps.Now, Log: i.log,
 		Wake: func() { _ = i.peers.events.Put(i.work, peer.SendNow{}) },
+		Trials: quarantine.TrialsFunc(func(ctx context.Context, r quarantine.Report) (quarantine.TrialClaim, error) {
+			return i.holds.Claim(ctx, r)
+		}),
 	})
 	i.vars.Set("quarantine", expvar.Func(func() any { return i.quarantine.Stats() }))
 	if err := i.openPeers(); err != nil {
@@ -229,6 +234,7 @@
 	i.vars.Set("settings_revision", expvar.Func(func() any { return i.Revision() }))
 	platform := &http.Transport{DialContext: i.countingDialer("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute}
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
+	i.holds = &holdsTask{client: objects, retention: i.cfg.Quarantine.limits().Retention(), log: i.log, timeOfDay: time.Now}
 	i.claims = claim.NewOwner(i.work, objects, i.deps.Now, i.shardConfig)
 	dialect := pipeline.NewOpenAI(i.catalog.Load, int64(i.cfg.Limits.BodyBytes))
 	handler := pipeline.New(pipeline.Config{
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -103,6 +103,8 @@
 	// conditions judges the endpoints.
 	conditions     *conditions
 	unsavedReports *ring.Ring[quarantine.Report]
+	// holds is set once the store's client is there.
+	holds atomic.Pointer[holdsTask]
 	// outlooks forecasts when requests can start; nil if that is off.
 	outlooks *outlooks
 	// control carries reports and orders, separately from callers' requests.
@@ -182,7 +184,7 @@
 	n.control = engine.NewClient(engine.Config{Dial: n.path.DialContext, Dialect: platform.Endpoints, IdlePerEndpoint: 1, Statements: said})
 	n.quarantine = quarantine.NewManager(quarantine.Config{
 		Limits: cfg.Quarantine.limits(), Now: n.now, Log: log, Wake: func() { n.mesh.sendSoon() },
-		Persist: func(w quarantine.Report) { _ = n.unsavedReports.Put(n.runCtx, w) },
+		Persist: func(w quarantine.Report) { _ = n.unsavedReports.Put(n.runCtx, w) }, Trials: quarantine.TrialsFunc(n.claimTrial),
 	})
 	n.vars.Set("quarantine", expvar.Func(func() any { return n.quarantine.Stats() }))
 	n.storeTransport = newInterruptibleTransport(&http.Transport{
@@ -470,6 +472,7 @@
 		client: objects, manager: n.quarantine, reports: n.unsavedReports, isolated: n.mesh.isolated, retention: n.cfg.Quarantine.limits().Retention(),
 		log: n.log, timeOfDay: time.Now,
 	}
+	n.holds.Store(holds)
 	renew := func(ctx context.Context) { n.rewriteOnEra(ctx, entries) }
 	keys := func(ctx context.Context) { n.keyAuthority.monitor(ctx, n.cfg.Fresh.maxKeysAge(), config.checkStore) }
 	register := &versionRegister{
--- a/daemon/quarantinereports_test.go
+++ b/daemon/quarantinereports_test.go
@@ -85,7 +85,7 @@
 		for r := range requests {
 			for e := range 3 {
 				d := f.peers[f.names[e%n]]
-				d.quarantine.RecordTermination(quarantine.Fingerprint{byte(r)}, "account", "e", int64(100*r+e))
+				d.quarantine.RecordTermination(quarantine.Request{Fingerprint: quarantine.Fingerprint{byte(r)}, Account: "account"}, false, "e", int64(100*r+e))
 			}
 		}
 		for range 3 * time.Second / peerTickInterval {
@@ -109,7 +109,7 @@
 	now := time.Unix(1_000, 0)
 	manager := quarantine.NewManager(quarantine.Config{Limits: quarantine.DefaultLimits, Now: func() time.Time { return now }, Log: logr.Discard()})
 	for r := range 200 {
-		manager.RecordTermination(quarantine.Fingerprint{byte(r)}, "account", "e", int64(r))
+		manager.RecordTermination(quarantine.Request{Fingerprint: quarantine.Fingerprint{byte(r)}, Account: "account"}, false, "e", int64(r))
 	}
 	m := &mesh{quarantine: manager}
 	reported := map[string]bool{}
--- /dev/null
+++ b/daemon/trials.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/eiderspring/eiderspring/quarantine"
+	"github.com/eiderspring/eiderspring/store"
+)
+
+// trialClaimTimeout bounds the claim of a trial, for which a request waits.
+const trialClaimTimeout = time.Second
+
+// errNoHolds is returned for a claim at an instance that has not connected to its store yet.
+var errNoHolds = errors.New("the store is not connected yet")
+
+// Claim implements quarantine.Trials: of all instances that claim the same trial, the store lets one
+// update the hold object.
+func (d *holdsTask) Claim(ctx context.Context, r quarantine.Report) (quarantine.TrialClaim, error) {
+	if d == nil {
+		return quarantine.TrialClaim{}, errNoHolds
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	defer cancel()
+	old, err := d.client.Get(ctx, store.KindHold, r.Name())
+	found := err == nil
+	if err != nil && !store.IsNotFound(err) {
+		return quarantine.TrialClaim{}, err
+	}
+	var known quarantine.Report
+	if found {
+		known = d.known(old)
+	}
+	if len(known.TrialsMS) > len(r.TrialsMS) {
+		return quarantine.TrialClaim{Known: known}, nil
+	}
+	claimed := quarantine.MergeReports(r, known)
+	claimed.TrialsMS = append(claimed.TrialsMS, 0)
+	o, err := d.object(claimed)
+	if err != nil {
+		return quarantine.TrialClaim{}, err
+	}
+	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+	if found {
+		_, err = d.client.Update(ctx, o)
+	} else {
+		_, err = d.client.Create(ctx, o)
+	}
+	if store.IsConflict(err) {
+		return quarantine.TrialClaim{Known: known}, nil
+	}
+	return quarantine.TrialClaim{Granted: err == nil, Known: known}, err
+}
+
+// claimTrial claims a trial at the platform's store.
+func (n *Node) claimTrial(ctx context.Context, r quarantine.Report) (quarantine.TrialClaim, error) {
+	return n.holds.Load().Claim(ctx, r)
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -138,11 +138,18 @@
 	// waiter is what the attempt was admitted as.
 	waiter   *admission.Waiter
 	response *http.Response
+	// answerBegan is set by the first event of a stream.
+	answerBegan bool
 	// events counts the events of the answer, from firstEventAt to lastEventAt.
 	events                    int
 	firstEventAt, lastEventAt time.Time
 }
 
+// suspects returns what the request may be held for.
+func (x *Exchange) suspects() quarantine.Request {
+	return quarantine.Request{Fingerprint: x.Fingerprint, Parts: x.Call.PromptParts, Account: x.Caller.Name}
+}
+
 // slot says for the log whether the caller came back in the slot that it was promised.
 func (x *Exchange) slot() string {
 	switch {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -120,7 +120,7 @@
 		},
 		route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS},
 		dispatch{client: cfg.Engine, retries: cfg.Retries, router: cfg.Router, limits: limits, conditions: cfg.Conditions, now: cfg.Now},
-		relay{client: cfg.Engine, dialect: cfg.Dialect, versions: cfg.StreamVersions, now: cfg.Now},
+		relay{client: cfg.Engine, dialect: cfg.Dialect, versions: cfg.StreamVersions, now: cfg.Now, quarantine: cfg.Quarantine},
 	}
 	p.settle = settle{dialect: cfg.Dialect, log: cfg.Log, metrics: cfg.Metrics, now: cfg.Now, allowances: cfg.Allowances}
 	p.retries = cfg.Retries
@@ -174,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.deadline().Sub(p.cfg.Now()))
 	defer cancel()
-	if err := p.cfg.Quarantine.Begin(&x.flight, x.Fingerprint, cancel); err != nil {
+	if err := p.cfg.Quarantine.Begin(ctx, &x.flight, x.suspects(), cancel); err != nil {
 		return &QuarantineError{Err: err}
 	}
 	defer x.flight.End()
@@ -309,7 +309,8 @@
 	if err == nil {
 		// An endpoint may return an error before it runs the request.
 		if x.attempt().response.StatusCode < http.StatusMultipleChoices {
-			p.cfg.Quarantine.RecordSuccess(x.Fingerprint)
+			p.cfg.Quarantine.RecordSuccess(x.suspects())
+			p.recordWholeAnswer(x)
 		}
 		return
 	}
@@ -319,7 +320,15 @@
 	a := x.attempt()
 	p.cfg.Log.Info("attempt lost its connection", "request", x.ID, "fingerprint", x.Fingerprint.String(), "caller", x.Caller.Name, "from", x.remoteHost(),
 		"endpoint", a.Decision.Endpoint.Name, "ran_ms", p.cfg.Now().Sub(a.Decision.At).Milliseconds(), "bytes", x.Bytes, "parts", x.promptPartsText(), "error", err.Error())
-	p.terminations.add(a.Decision.Endpoint, brokenAttempt{fingerprint: x.Fingerprint, account: x.Caller.Name})
+	p.terminations.add(a.Decision.Endpoint, brokenAttempt{request: x.suspects(), answerBegan: a.answerBegan})
+}
+
+// recordWholeAnswer records that the parts of a request's prompt do not terminate endpoints, where
+// that has not been shown by the first event of a stream.
+func (p *Pipeline) recordWholeAnswer(x *Exchange) {
+	if !x.attempt().answerBegan {
+		p.cfg.Quarantine.RecordAnswer(x.suspects())
+	}
 }
 
 // cancelTimeout bounds the call that cancels a request at an engine.
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/eiderspring/eiderspring/engine"
+	"github.com/eiderspring/eiderspring/quarantine"
 )
 
 // relay passes the endpoint's answer on to the caller.
@@ -22,6 +23,8 @@
 	// versions is Config.StreamVersions.
 	versions StreamVersions
 	now      func() time.Time
+	// quarantine is Config.Quarantine.
+	quarantine *quarantine.Manager
 }
 
 // Bounds of relaying.
@@ -110,7 +113,7 @@
 // relayStream relays events one by one and resumes the stream if it breaks.
 func (f relay) relayStream(ctx context.Context, x *Exchange) error {
 	a := x.attempt()
-	s := eventRelay{exchange: x, dialect: f.dialect, versions: f.versions, now: f.now}
+	s := eventRelay{exchange: x, dialect: f.dialect, versions: f.versions, now: f.now, quarantine: f.quarantine}
 	idleResumes := 0
 	for {
 		before := x.offset
@@ -149,10 +152,11 @@
 
 // eventRelay is the state of one event stream across its resumptions.
 type eventRelay struct {
-	exchange *Exchange
-	dialect  Dialect
-	versions StreamVersions
-	now      func() time.Time
+	exchange   *Exchange
+	dialect    Dialect
+	versions   StreamVersions
+	now        func() time.Time
+	quarantine *quarantine.Manager
 	// lastAt is when the last event was relayed; zero if this attempt has relayed none.
 	lastAt time.Time
 	// pending is the event being assembled.
@@ -240,6 +244,7 @@
 func (s *eventRelay) flush(resp *http.Response, more bool) error {
 	event, offset := s.pending, s.pendingOffset
 	s.pending, s.pendingOffset = s.pending[:0], -1
+	s.recordAnswer()
 	if offset >= 0 && offset <= s.exchange.offset {
 		return nil
 	}
@@ -276,6 +281,16 @@
 	x.keepBeginning(s.versions)
 }
 
+// recordAnswer records by the first event of an attempt that the endpoint has begun to answer.
+func (s *eventRelay) recordAnswer() {
+	a := s.exchange.attempt()
+	if a.answerBegan {
+		return
+	}
+	a.answerBegan = true
+	s.quarantine.RecordAnswer(s.exchange.suspects())
+}
+
 // observeGap records the time since the previous event at the endpoint.
 func (s *eventRelay) observeGap() {
 	now := s.now()
--- a/pipeline/termination.go
+++ b/pipeline/termination.go
@@ -32,8 +32,9 @@
 
 // brokenAttempt identifies a request of which an attempt broke.
 type brokenAttempt struct {
-	fingerprint quarantine.Fingerprint
-	account     string
+	request quarantine.Request
+	// answerBegan is set if a part of the answer had arrived.
+	answerBegan bool
 }
 
 const (
@@ -78,7 +79,7 @@
 	}
 	d.log.Info("endpoint terminated", "endpoint", e.Name, "address", e.Address, "requests", len(requests))
 	for _, r := range requests {
-		d.quarantine.RecordTermination(r.fingerprint, r.account, e.Name, e.StartedAtMS)
+		d.quarantine.RecordTermination(r.request, r.answerBegan, e.Name, e.StartedAtMS)
 	}
 }
 
--- a/pipeline/termination_test.go
+++ b/pipeline/termination_test.go
@@ -47,8 +47,8 @@
 				if tc.alter != nil {
 					tc.alter(e)
 				}
-				detector.add(e, brokenAttempt{fingerprint: quarantine.Fingerprint{1}})
-				detector.add(e, brokenAttempt{fingerprint: quarantine.Fingerprint{1}})
+				detector.add(e, brokenAttempt{request: quarantine.Request{Fingerprint: quarantine.Fingerprint{1}}})
+				detector.add(e, brokenAttempt{request: quarantine.Request{Fingerprint: quarantine.Fingerprint{1}}})
 				time.Sleep(time.Second)
 				synctest.Wait()
 				require.Equal(t, tc.want, manager.Stats().Known)
--- a/quarantine/lookup_bench_test.go
+++ b/quarantine/lookup_bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkLookup(b *testing.B) {
 	m := NewManager(Config{Limits: limits, Now: time.Now, Log: logr.Discard()})
 	for i := range 100 {
-		m.RecordTermination(request(i), "", "e", int64(i))
+		m.RecordTermination(Request{Fingerprint: request(i)}, false, "e", int64(i))
 	}
 	body := make([]byte, 4<<10)
 	b.Run("identity", func(b *testing.B) {
@@ -24,7 +24,7 @@
 		b.ReportAllocs()
 		flight := &InFlight{}
 		for b.Loop() {
-			if err := m.Begin(flight, FingerprintOf("account", "POST", "/path/of/a/request", body), nil); err != nil {
+			if err := m.Begin(b.Context(), flight, Request{Fingerprint: FingerprintOf("account", "POST", "/path/of/a/request", body)}, nil); err != nil {
 				b.Fatal(err)
 			}
 			flight.End()
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,14 +18,19 @@
 	// all instances.
 	wake    func()
 	persist func(Report)
+	trials  Trials
 
 	mu      sync.Mutex
 	tracker *Tracker
-	// inFlight holds the requests in flight that have no answer yet, as linked lists.
-	inFlight map[Fingerprint]*InFlight
+	// inFlight holds the requests in flight that have no answer yet by suspect, as linked lists.
+	inFlight map[Fingerprint]*entry
+	// claiming holds the parts of prompts for which a trial is being claimed.
+	claiming map[Fingerprint]bool
 	// rejected counts the requests that were not admitted, cancelled those that waited or had
 	// been sent when they were held.
 	rejected, cancelled int64
+	// granted counts the trials that were granted to this instance.
+	granted int64
 }
 
 // Config configures a Manager.
@@ -37,9 +41,11 @@
 	// Wake is called when there is a report to send to the other instances at once; it may be
 	// nil.
 	Wake func()
-	// Persist is called with the report of a request that is held because of what this instance
-	// has observed; it may be nil. It must not block.
+	// Persist is called with the report of a suspect that is held because of what this instance
+	// has observed, or that was held and has been cleared here; it may be nil. It must not block.
 	Persist func(Report)
+	// Trials grants the trials of held parts of prompts; nil grants none.
+	Trials Trials
 }
 
 // NewManager returns a manager without reports.
@@ -50,7 +56,10 @@
 	if c.Persist == nil {
 		c.Persist = func(Report) {}
 	}
-	return &Manager{now: c.Now, log: c.Log, wake: c.Wake, persist: c.Persist, tracker: NewTracker(c.Limits), inFlight: map[Fingerprint]*InFlight{}}
+	return &Manager{
+		now: c.Now, log: c.Log, wake: c.Wake, persist: c.Persist, trials: c.Trials,
+		tracker: NewTracker(c.Limits), inFlight: map[Fingerprint]*entry{}, claiming: map[Fingerprint]bool{},
+	}
 }
 
 // How often a report is sent. Datagrams are lost now and then: what this instance observed is
@@ -67,7 +76,10 @@
 
 // HeldError reports that a request is held back.
 type HeldError struct {
+	// Fingerprint is that of the request or, if Part is set, of the part of its prompt for which
+	// it is held.
 	Fingerprint Fingerprint
+	Part        bool
 	// Terminations is the number of endpoints that have terminated under it, Remaining the
 	// remaining hold time.
 	Terminations int
@@ -76,124 +88,179 @@
 
 // Error returns the remaining hold time and the number of terminations.
 func (e *HeldError) Error() string {
-	return fmt.Sprintf("the request is held back for %s, as %d endpoints have ended under it", e.Remaining.Round(time.Millisecond), e.Terminations)
+	what := "the request"
+	if e.Part {
+		what = "part " + e.Fingerprint.Short() + " of the prompt"
+	}
+	return fmt.Sprintf("%s is held back for %s, as %d endpoints have ended under it", what, e.Remaining.Round(time.Millisecond), e.Terminations)
 }
 
-// InFlight is a request in flight. Its zero value is not registered with a Manager.
-type InFlight struct {
-	manager     *Manager
-	fingerprint Fingerprint
-	cancel      context.CancelFunc
-	held        atomic.Pointer[HeldError]
-	// next and previous link the requests with the same fingerprint.
-	next, previous *InFlight
-	listed         bool
+// Request is a request with the suspects that it may be held for.
+type Request struct {
+	// Fingerprint identifies the request itself.
+	Fingerprint Fingerprint
+	// Parts are the parts of its prompt, which other requests may share.
+	Parts []Fingerprint
+	// Account is the client account, empty for none.
+	Account string
 }
 
-// Held returns why the request was cancelled; nil if it was not held back.
-func (f *InFlight) Held() *HeldError { return f.held.Load() }
+// origin returns the origin of terminations under the request.
+func (r Request) origin() Origin { return originOf(AccountHash(r.Account), r.Fingerprint) }
 
 // Begin registers a request, unless it is held back: then it returns a *HeldError. If the
-// request is held before End, Held returns the reason and cancel is called.
-func (m *Manager) Begin(flight *InFlight, f Fingerprint, cancel context.CancelFunc) error {
+// request is held before End, Held returns the reason and cancel is called. Begin waits only for the
+// claim of a trial, at most until ctx ends.
+func (m *Manager) Begin(ctx context.Context, flight *InFlight, r Request, cancel context.CancelFunc) error {
 	if m == nil {
 		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
-	left := m.tracker.HoldRemaining(now, f)
-	if left == 0 && m.inFlight[f] != nil && m.tracker.OneAtATime(now, f) {
-		left = duplicateHold
+	held := m.heldBy(r)
+	if held == nil {
+		held = m.duplicateOf(r.Fingerprint)
 	}
-	if left > 0 {
-		m.rejected++
-		return &HeldError{Fingerprint: f, Terminations: m.tracker.TerminationCount(now, f), Remaining: left}
+	trials := m.trialsDue(r)
+	if held == nil && len(trials) > 0 {
+		held = m.claimTrials(ctx, trials)
 	}
-	flight.manager, flight.fingerprint, flight.cancel, flight.listed = m, f, cancel, true
-	flight.next = m.inFlight[f]
-	if flight.next != nil {
-		flight.next.previous = flight
+	if held != nil {
+		m.rejected++
+		return held
 	}
-	m.inFlight[f] = flight
+	flight.manager, flight.request, flight.cancel, flight.trial = m, r, cancel, len(trials) > 0
+	m.list(flight)
 	return nil
 }
 
-// End unregisters a request whose answer has started or completed, which is no longer
-// cancelled. It may be called more than once.
-func (f *InFlight) End() {
-	if f.manager == nil {
-		return
+// heldBy returns why a request is held back; nil if it is not.
+func (m *Manager) heldBy(r Request) *HeldError {
+	now := m.now()
+	if left := m.tracker.HoldRemaining(now, r.Fingerprint); left > 0 {
+		return &HeldError{Fingerprint: r.Fingerprint, Terminations: m.tracker.TerminationCount(now, r.Fingerprint), Remaining: left}
 	}
-	f.manager.mu.Lock()
-	defer f.manager.mu.Unlock()
-	f.remove()
+	account := AccountHash(r.Account)
+	for _, part := range r.Parts {
+		if h := m.tracker.SharedHold(now, part, account); h.Remaining > 0 {
+			return &HeldError{Fingerprint: part, Part: true, Terminations: h.Terminations, Remaining: h.Remaining}
+		}
+	}
+	return nil
 }
 
-func (f *InFlight) remove() {
-	if !f.listed {
-		return
-	}
-	f.listed = false
-	if f.next != nil {
-		f.next.previous = f.previous
-	}
-	switch {
-	case f.previous != nil:
-		f.previous.next = f.next
-	case f.next != nil:
-		f.manager.inFlight[f.fingerprint] = f.next
-	default:
-		delete(f.manager.inFlight, f.fingerprint)
+// duplicateOf returns an error if a suspected request is in flight already.
+func (m *Manager) duplicateOf(f Fingerprint) *HeldError {
+	now := m.now()
+	if m.inFlight[f] == nil || !m.tracker.OneAtATime(now, f) {
+		return nil
 	}
+	return &HeldError{Fingerprint: f, Terminations: m.tracker.TerminationCount(now, f), Remaining: duplicateHold}
 }
 
-// RecordTermination records that an endpoint has terminated under a request.
-func (m *Manager) RecordTermination(f Fingerprint, account, endpoint string, startedAtMS int64) {
+// RecordTermination records that an endpoint has terminated under a request. Where the answer had
+// begun, the parts of its prompt are not to blame.
+func (m *Manager) RecordTermination(r Request, answerBegan bool, endpoint string, startedAtMS int64) {
 	if m == nil {
 		return
 	}
+	incarnation := IncarnationHash(endpoint, startedAtMS)
 	m.mu.Lock()
-	before := m.tracker.HoldRemaining(m.now(), f)
-	n := m.tracker.RecordTermination(m.now(), f, IncarnationHash(endpoint, startedAtMS), ownReportSends)
-	m.log.Info("request suspected", "fingerprint", f.String(), "caller", account, "endpoint", endpoint, "endings", n)
-	if m.applyHold(f, before, "own") {
-		m.persist(m.tracker.Report(m.now(), f))
+	m.changeOwn(r.Fingerprint, func(now time.Time) {
+		n := m.tracker.RecordTermination(now, r.Fingerprint, incarnation, ownReportSends)
+		m.log.Info("request suspected", "fingerprint", r.Fingerprint.String(), "caller", r.Account, "endpoint", endpoint, "endings", n)
+	})
+	for _, part := range m.suspectedParts(r, answerBegan) {
+		m.changeOwn(part, func(now time.Time) {
+			n := m.tracker.RecordSharedTermination(now, part, incarnation, r.origin(), ownReportSends)
+			m.log.Info("prompt part suspected", "part", part.Short(), "fingerprint", r.Fingerprint.String(), "caller", r.Account, "endpoint", endpoint, "endings", n)
+		})
 	}
 	m.mu.Unlock()
 	m.wake()
 }
 
-// applyHold cancels the copies of a request in flight if the request is newly held, where
-// before is its remaining hold time before the change. It reports whether it is newly held.
-func (m *Manager) applyHold(f Fingerprint, before time.Duration, by string) bool {
+// suspectedParts returns the parts of a request's prompt that an endpoint may have terminated under.
+// What already explains the termination spares the others: the request itself, if endpoints
+// terminate under it alone, or a part that has been held.
+func (m *Manager) suspectedParts(r Request, answerBegan bool) []Fingerprint {
+	limit := m.tracker.limits.Terminations
+	if answerBegan || limit == 0 || m.tracker.TerminationCount(m.now(), r.Fingerprint) >= limit {
+		return nil
+	}
+	account := AccountHash(r.Account)
+	var convicted []Fingerprint
+	for _, part := range r.Parts {
+		if m.tracker.Convicted(part, account) {
+			convicted = append(convicted, part)
+		}
+	}
+	if len(convicted) > 0 {
+		return convicted
+	}
+	return r.Parts
+}
+
+// changeOwn makes a change that this instance has observed of a suspect, and persists a hold that
+// begins by it.
+func (m *Manager) changeOwn(suspect Fingerprint, change func(now time.Time)) {
+	now := m.now()
+	before := m.tracker.HoldRemaining(now, suspect)
+	change(now)
+	if m.applyHold(suspect, before, "own") {
+		m.persist(m.tracker.Report(now, suspect))
+	}
+}
+
+// applyHold cancels the requests in flight with a suspect that are held back now. It reports whether
+// the suspect is newly held, where before is its remaining hold time before the change.
+func (m *Manager) applyHold(suspect Fingerprint, before time.Duration, by string) bool {
 	now := m.now()
-	left := m.tracker.HoldRemaining(now, f)
+	cancelled := m.cancelHeld(suspect)
+	left := m.tracker.HoldRemaining(now, suspect)
 	if left == 0 || before > 0 {
 		return false
 	}
-	held := &HeldError{Fingerprint: f, Terminations: m.tracker.TerminationCount(now, f), Remaining: left}
-	cancelled := 0
-	for flight := m.inFlight[f]; flight != nil; flight = m.inFlight[f] {
-		flight.remove()
-		flight.held.Store(held)
-		flight.cancel()
-		cancelled++
-	}
-	m.cancelled += int64(cancelled)
-	m.log.Info("request held back", "fingerprint", f.String(), "endings", held.Terminations, "hold_ms", left.Milliseconds(), "by", by, "cancelled", cancelled)
+	m.log.Info("request held back", "fingerprint", suspect.String(), "part", m.tracker.IsShared(suspect), "endings", m.tracker.TerminationCount(now, suspect),
+		"hold_ms", left.Milliseconds(), "by", by, "cancelled", cancelled)
 	return true
 }
 
 // RecordSuccess records that a request was answered successfully and completely.
-func (m *Manager) RecordSuccess(f Fingerprint) {
+func (m *Manager) RecordSuccess(r Request) {
 	if m == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.tracker.RecordSuccess(m.now(), f, ownReportSends) {
-		m.log.Info("request cleared", "fingerprint", f.String())
+	if m.tracker.RecordSuccess(m.now(), r.Fingerprint, ownReportSends) {
+		m.log.Info("request cleared", "fingerprint", r.Fingerprint.String())
+	}
+}
+
+// RecordAnswer records that the answer to a request has begun, which shows that the parts of its
+// prompt do not terminate endpoints.
+func (m *Manager) RecordAnswer(r Request) {
+	if m == nil {
+		return
+	}
+	cleared := false
+	m.mu.Lock()
+	for _, part := range r.Parts {
+		now := m.now()
+		held := m.tracker.Convicted(part, AccountHash(r.Account))
+		if !m.tracker.RecordSharedSuccess(now, part, ownReportSends) {
+			continue
+		}
+		cleared = true
+		m.log.Info("prompt part cleared", "part", part.Short(), "held", held, "fingerprint", r.Fingerprint.String())
+		if held {
+			m.persist(m.tracker.Report(now, part))
+		}
+	}
+	m.mu.Unlock()
+	if cleared {
+		m.wake()
 	}
 }
 
@@ -239,7 +306,15 @@
 			m.log.Info("invalid report of a suspected request rejected", "bytes", len(r.Fingerprint), "endings", len(r.Incarnations))
 			continue
 		}
-		m.applyHold(Fingerprint(r.Fingerprint), before, "told")
+		m.applyToldHold(Fingerprint(r.Fingerprint), before)
+	}
+}
+
+// applyToldHold applies a report of another instance. If a hold begins by it, whoever has observed a
+// part of what led to it persists it: no instance may have observed all.
+func (m *Manager) applyToldHold(suspect Fingerprint, before time.Duration) {
+	if m.applyHold(suspect, before, "told") && m.tracker.ObservedHere(suspect) {
+		m.persist(m.tracker.Report(m.now(), suspect))
 	}
 }
 
@@ -297,6 +372,8 @@
 	// they were held.
 	Rejected  int64 `json:"rejected"`
 	Cancelled int64 `json:"cancelled"`
+	// Trials counts the trials of held parts of prompts that this instance was granted.
+	Trials int64 `json:"trials"`
 }
 
 // Stats returns the counts.
@@ -306,5 +383,5 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Stats{Known: m.tracker.Len(), Held: m.tracker.HeldCount(m.now()), Rejected: m.rejected, Cancelled: m.cancelled}
+	return Stats{Known: m.tracker.Len(), Held: m.tracker.HeldCount(m.now()), Rejected: m.rejected, Cancelled: m.cancelled, Trials: m.granted}
 }
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -17,7 +17,7 @@
 func begin(t *testing.T, m *Manager, f Fingerprint, cancelled *int) *InFlight {
 	t.Helper()
 	flight := &InFlight{}
-	require.NoError(t, m.Begin(flight, f, func() { *cancelled++ }))
+	require.NoError(t, m.Begin(t.Context(), flight, Request{Fingerprint: f}, func() { *cancelled++ }))
 	return flight
 }
 
@@ -26,15 +26,15 @@
 	m := managerAt(&now)
 	f := request(1)
 	for i := range int64(3) {
-		m.RecordTermination(f, "account", "e", i)
+		m.RecordTermination(Request{Fingerprint: f, Account: "account"}, false, "e", i)
 	}
 	var held *HeldError
-	require.ErrorAs(t, m.Begin(&InFlight{}, f, nil), &held)
+	require.ErrorAs(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil), &held)
 	require.Equal(t, 3, held.Terminations)
 	require.GreaterOrEqual(t, held.Remaining, limits.Hold)
-	require.NoError(t, m.Begin(&InFlight{}, request(2), nil))
+	require.NoError(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: request(2)}, nil))
 	now = held.Remaining.Seconds() + 0.001
-	require.NoError(t, m.Begin(&InFlight{}, f, nil), "the reported time is right")
+	require.NoError(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil), "the reported time is right")
 	require.Equal(t, Stats{Known: 1, Held: 0, Rejected: 1}, m.Stats())
 }
 
@@ -50,7 +50,7 @@
 	begin(t, here, f, &answered).End()
 	c := begin(t, here, request(2), &other)
 	for i := range int64(3) {
-		there.RecordTermination(f, "account", "e", i)
+		there.RecordTermination(Request{Fingerprint: f, Account: "account"}, false, "e", i)
 	}
 	here.ReceiveReports(there.PendingReports(1000), false)
 	require.Equal(t, []int{1, 1, 0, 0}, []int{first, second, answered, other})
@@ -73,10 +73,10 @@
 	var n int
 	begin(t, m, f, &n)
 	begin(t, m, f, &n).End()
-	m.RecordTermination(f, "account", "e", 1)
-	m.RecordTermination(f, "account", "e", 2)
+	m.RecordTermination(Request{Fingerprint: f, Account: "account"}, false, "e", 1)
+	m.RecordTermination(Request{Fingerprint: f, Account: "account"}, false, "e", 2)
 	var held *HeldError
-	require.ErrorAs(t, m.Begin(&InFlight{}, f, nil), &held)
+	require.ErrorAs(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil), &held)
 	require.Equal(t, duplicateHold, held.Remaining)
 	require.Zero(t, n)
 }
@@ -86,21 +86,21 @@
 	m := managerAt(&now)
 	f := request(1)
 	for i := range int64(3) {
-		m.RecordTermination(f, "account", "e", i)
+		m.RecordTermination(Request{Fingerprint: f, Account: "account"}, false, "e", i)
 	}
-	require.Error(t, m.Begin(&InFlight{}, f, nil))
+	require.Error(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil))
 	m.SetLimits(Limits{Hold: limits.Hold})
-	require.NoError(t, m.Begin(&InFlight{}, f, nil))
+	require.NoError(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil))
 	m.SetLimits(limits)
-	require.NoError(t, m.Begin(&InFlight{}, f, nil), "no record is left")
+	require.NoError(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: f}, nil), "no record is left")
 }
 
 func TestNilManagerHoldsNothing(t *testing.T) {
 	var m *Manager
-	require.NoError(t, m.Begin(&InFlight{}, request(1), nil))
+	require.NoError(t, m.Begin(t.Context(), &InFlight{}, Request{Fingerprint: request(1)}, nil))
 	(&InFlight{}).End()
-	m.RecordTermination(request(1), "", "e", 1)
-	m.RecordSuccess(request(1))
+	m.RecordTermination(Request{Fingerprint: request(1)}, false, "e", 1)
+	m.RecordSuccess(Request{Fingerprint: request(1)})
 	m.ReceiveReports([]Report{{}}, true)
 	m.ReceiveDigest(1)
 	m.SetLimits(limits)
@@ -123,7 +123,7 @@
 	for _, i := range []int{2, 4, 0, 2, 3} {
 		flights[i].End()
 	}
-	require.Same(t, flights[1], m.inFlight[request(1)])
+	require.Same(t, flights[1], m.inFlight[request(1)].flight)
 	flights[1].End()
 	require.Empty(t, m.inFlight)
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -50,28 +50,16 @@
 	maxResent          = 8
 )
 
-// termination is the termination of one endpoint under a request.
-type termination struct {
-	incarnation uint64
-	at          time.Time
-}
-
-// record is what is known of a request.
-type record struct {
-	terminations []termination
-	succeededAt  time.Time
-	// sendsLeft is how many more times the report is to be sent, sentAt when it was last sent.
-	sendsLeft int
-	sentAt    time.Time
-}
-
-// Tracker tracks which endpoints have terminated under which requests.
+// Tracker tracks which endpoints have terminated under which suspects: requests, and the parts of
+// prompts that requests share.
 //
 // Invariants: a termination counts once, however often and in whichever order it is reported;
-// a termination before the last success of the request does not count.
+// a termination before the last success of the suspect does not count.
 type Tracker struct {
 	limits  Limits
 	records map[Fingerprint]*record
+	// answers are the parts that were answered here recently.
+	answers recentAnswers
 	// pending is what is to be reported, oldest first.
 	pending []Fingerprint
 	// order holds every known request in the order of creation, and resendIndex is the index of
@@ -102,6 +90,7 @@
 	t.invalidateDigest()
 	if limits.Terminations == 0 {
 		clear(t.records)
+		t.answers = recentAnswers{}
 		t.pending, t.order = nil, nil
 	}
 }
@@ -117,8 +106,15 @@
 	if t.limits.Terminations == 0 {
 		return 0
 	}
-	r := t.record(now, f)
-	if r.add(termination{incarnation, now}) == terminationAdded {
+	return t.recordOwn(now, f, t.record(now, f), termination{incarnation: incarnation, at: now}, sends)
+}
+
+// recordOwn adds a termination that this instance has observed. It returns the number of
+// terminations.
+func (t *Tracker) recordOwn(now time.Time, f Fingerprint, r *record, e termination, sends int) int {
+	r.own = true
+	added := r.add(e) == terminationAdded
+	if t.vouch(now, f, r) || added {
 		t.changed(f, r, sends)
 	}
 	return len(r.terminations)
@@ -148,89 +144,19 @@
 	}
 	f := Fingerprint(report.Fingerprint)
 	r := t.record(now, f)
-	changed := false
-	if report.ServedMS > 0 {
-		changed = r.recordSuccess(now.Add(-milliseconds(report.ServedMS - 1)))
-	}
-	for i, incarnation := range report.Incarnations {
-		switch r.add(termination{incarnation, now.Add(-milliseconds(report.AgesMS[i]))}) {
-		case terminationAdded:
-			changed = true
-		case terminationMadeOlder:
-			t.invalidateDigest()
-		}
-	}
-	if changed {
+	r.shared = r.shared || report.Shared
+	result := r.merge(now, report)
+	if t.vouch(now, f, r) || result == terminationAdded {
 		t.changed(f, r, sends)
 	}
+	if result == terminationMadeOlder {
+		t.invalidateDigest()
+	}
 	return true
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// changed records a change of a request, and schedules its report.
-func (t *Tracker) changed(f Fingerprint, r *record, sends int) {
-	t.invalidateDigest()
-	if r.sendsLeft == 0 && sends > 0 {
-		t.pending = append(t.pending, f)
-	}
-	r.sendsLeft = max(r.sendsLeft, sends)
-}
-
-// addResult is the result of adding a termination to a record.
-type addResult int
-
-// Results of adding a termination.
-const (
-	// terminationIgnored means that nothing changed: the termination is known, or does not count.
-	terminationIgnored addResult = iota
-	// terminationMadeOlder means that a known termination turned out to be older.
-	terminationMadeOlder
-	// terminationAdded means that the termination is new.
-	terminationAdded
-)
-
-// add adds a termination.
-func (r *record) add(e termination) addResult {
-	if !e.at.After(r.succeededAt) {
-		return terminationIgnored
-	}
-	if i := slices.IndexFunc(r.terminations, func(known termination) bool { return known.incarnation == e.incarnation }); i >= 0 {
-		if !e.at.Before(r.terminations[i].at) {
-			return terminationIgnored
-		}
-		// The time in transit of a report makes a termination seem later than it was: the
-		// earliest time is the most accurate.
-		r.terminations[i].at = e.at
-		return terminationMadeOlder
-	}
-	r.terminations = append(r.terminations, e)
-	slices.SortFunc(r.terminations, func(a, b termination) int { return a.at.Compare(b.at) })
-	if len(r.terminations) > maxTerminations {
-		r.terminations = slices.Delete(r.terminations, 0, 1)
-	}
-	return terminationAdded
-}
-
-// recordSuccess records a complete answer. It reports whether that cleared any termination.
-func (r *record) recordSuccess(at time.Time) bool {
-	if !at.After(r.succeededAt) {
-		return false
-	}
-	r.succeededAt = at
-	before := len(r.terminations)
-	r.terminations = slices.DeleteFunc(r.terminations, func(e termination) bool { return !e.at.After(at) })
-	return len(r.terminations) < before
-}
-
-// lastEvent returns the time of the last event of the request.
-func (r *record) lastEvent() time.Time {
-	if n := len(r.terminations); n > 0 {
-		return r.terminations[n-1].at
-	}
-	return r.succeededAt
-}
-
 // record returns the record of a request, and creates it if there is none.
 func (t *Tracker) record(now time.Time, f Fingerprint) *record {
 	r := t.records[f]
@@ -244,6 +170,9 @@
 		r.terminations = slices.DeleteFunc(r.terminations, func(e termination) bool { return now.Sub(e.at) >= t.retention() })
 		t.invalidateDigest()
 	}
+	if len(r.terminations) == 0 {
+		r.trials = [maxTrials]time.Time{}
+	}
 	return r
 }
 
@@ -267,7 +196,7 @@
 	t.drop(func(Fingerprint) bool { return false })
 }
 
-// heldRank returns 1 for a request that enough endpoints have terminated under to hold it, 0
+// heldRank returns 1 for a suspect that enough endpoints have terminated under to hold it, 0
 // for others.
 func (t *Tracker) heldRank(f Fingerprint) int {
 	if len(t.records[f].terminations) >= t.limits.Terminations {
@@ -300,10 +229,16 @@
 	return len(r.terminations)
 }
 
-// HoldRemaining returns how much longer a request is held back; 0 if it is not.
+// HoldRemaining returns how much longer a suspect is held back, of a part of prompts for the
+// account that is held longest; 0 if it is not.
 func (t *Tracker) HoldRemaining(now time.Time, f Fingerprint) time.Duration {
 	r := t.records[f]
-	if r == nil || t.limits.Terminations == 0 || len(r.terminations) < t.limits.Terminations {
+	switch {
+	case r == nil || t.limits.Terminations == 0:
+		return 0
+	case r.shared:
+		return t.longestSharedHold(now, f, r)
+	case len(r.terminations) < t.limits.Terminations:
 		return 0
 	}
 	return max(r.lastEvent().Add(t.holdTime(f, len(r.terminations))).Sub(now), 0)
@@ -320,9 +255,13 @@
 // to a half, depending on the fingerprint: requests that were in flight together when
 // endpoints terminated are retried one by one, so that the innocent ones among them succeed.
 func (t *Tracker) holdTime(f Fingerprint, terminations int) time.Duration {
-	part := float64(binary.BigEndian.Uint32(f[:4])) / math.MaxUint32
-	first := t.limits.Hold + time.Duration(float64(t.limits.Hold)/2*part)
-	return first << min(terminations-t.limits.Terminations, maxDoublings)
+	return t.firstHold(f) << min(terminations-t.limits.Terminations, maxDoublings)
+}
+
+// firstHold returns the time of the first hold.
+func (t *Tracker) firstHold(f Fingerprint) time.Duration {
+	extension := float64(binary.BigEndian.Uint32(f[:4])) / math.MaxUint32
+	return t.limits.Hold + time.Duration(float64(t.limits.Hold)/2*extension)
 }
 
 // HeldCount returns how many requests are held back.
@@ -394,85 +333,6 @@
 	return true
 }
 
-// HasPendingReports reports whether PendingReports may return any reports.
-func (t *Tracker) HasPendingReports(now time.Time) bool {
-	return len(t.pending) > 0 || t.peerDiffers(now)
-}
-
-// peerDiffers reports whether another instance recently knew other terminations.
-func (t *Tracker) peerDiffers(now time.Time) bool {
-	return len(t.order) > 0 && !t.differedAt.IsZero() && now.Sub(t.differedAt) < differenceLifetime
-}
-
-// PendingReports returns the reports to send now, of at most room bytes: new ones first, then,
-// where another instance knows other terminations, those not sent recently.
-func (t *Tracker) PendingReports(now time.Time, room int) []Report {
-	b := batch{now: now, room: room}
-	t.addPending(&b)
-	if t.peerDiffers(now) {
-		t.addResent(&b)
-	}
-	return b.reports
-}
-
-// addPending adds the reports of changes. Those that do not fit come first the next time,
-// followed by those that are to be sent more than once.
-func (t *Tracker) addPending(b *batch) {
-	var again []Fingerprint
-	for len(t.pending) > 0 {
-		f := t.pending[0]
-		r := t.records[f]
-		if r != nil && !b.add(f, r) {
-			break
-		}
-		t.pending = t.pending[1:]
-		if r == nil {
-			continue
-		}
-		if r.sendsLeft--; r.sendsLeft > 0 {
-			again = append(again, f)
-		}
-	}
-	t.pending = append(t.pending, again...)
-}
-
-// addResent adds reports that were not sent recently, starting where the last call stopped.
-// They include cleared requests, as the other instance may have missed that.
-func (t *Tracker) addResent(b *batch) {
-	resent := 0
-	for range t.order {
-		t.resendIndex = (t.resendIndex + 1) % len(t.order)
-		r := t.records[t.order[t.resendIndex]]
-		if b.now.Sub(r.sentAt) < resendInterval {
-			continue
-		}
-		if resent == maxResent || !b.add(t.order[t.resendIndex], r) {
-			t.resendIndex = (t.resendIndex + len(t.order) - 1) % len(t.order)
-			return
-		}
-		resent++
-	}
-}
-
-// batch is the reports of one packet.
-type batch struct {
-	now     time.Time
-	room    int
-	reports []Report
-}
-
-// add adds the report of a request. It returns false if there is no room.
-func (b *batch) add(f Fingerprint, r *record) bool {
-	report := r.report(b.now, f)
-	if report.size() > b.room {
-		return false
-	}
-	b.room -= report.size()
-	r.sentAt = b.now
-	b.reports = append(b.reports, report)
-	return true
-}
-
 // Report returns the report of a request, and the zero Report if there is no record.
 func (t *Tracker) Report(now time.Time, f Fingerprint) Report {
 	if r := t.records[f]; r != nil {
@@ -480,15 +340,3 @@
 	}
 	return Report{}
 }
-
-func (r *record) report(now time.Time, f Fingerprint) Report {
-	report := Report{Fingerprint: slices.Clone(f[:])}
-	if !r.succeededAt.IsZero() {
-		report.ServedMS = max(now.Sub(r.succeededAt).Milliseconds(), 0) + 1
-	}
-	for _, e := range r.terminations {
-		report.Incarnations = append(report.Incarnations, e.incarnation)
-		report.AgesMS = append(report.AgesMS, max(now.Sub(e.at).Milliseconds(), 0))
-	}
-	return report
-}
