Parts that always came together are told apart by requests with one of them; vouching reaches all

Cause: two parts with the same terminations can't be told apart by counting, and holding both keeps away the requests that would.

Change: a part whose terminations are all explained by held parts that a request doesn't have does not hold that request. It is answered, which clears the part, or it crashes one endpoint, which shows the part guilty. An instance that vouches for a part tells all, also where it does not forward reports.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -142,7 +142,7 @@
 	}
 	account := AccountHash(r.Account)
 	for _, part := range r.Parts {
-		if h := m.tracker.SharedHold(now, part, account); h.Remaining > 0 {
+		if h := m.tracker.SharedHold(now, part, account, r.Parts); h.Remaining > 0 {
 			return &HeldError{Fingerprint: part, Part: true, Terminations: h.Terminations, Remaining: h.Remaining}
 		}
 	}
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -167,15 +167,17 @@
 	return r.evidence(account) >= needed
 }
 
-// SharedHold returns whether a part is held back for an account.
-func (t *Tracker) SharedHold(now time.Time, part Fingerprint, account uint32) Hold {
+// SharedHold returns whether a part is held back for a request of an account whose prompt has the
+// given parts. A part is not held whose terminations are all explained by held parts that this
+// request does not have: such requests show which of the parts it was.
+func (t *Tracker) SharedHold(now time.Time, part Fingerprint, account uint32, parts []Fingerprint) Hold {
 	r := t.records[part]
 	if r == nil {
 		return Hold{}
 	}
 	// A neighbouring release forwards reports without telling what they are about.
 	r.shared = true
-	if !t.Convicted(part, account) {
+	if !t.Convicted(part, account) || t.explainedWithout(r, parts) {
 		return Hold{}
 	}
 	h := Hold{Terminations: len(r.terminations), Remaining: max(t.sharedHoldEnd(part, r).Sub(now), 0)}
@@ -183,6 +185,32 @@
 	return h
 }
 
+// explainedWithout reports whether each termination under a part also counts against a held part that
+// is not among the given ones.
+func (t *Tracker) explainedWithout(r *record, parts []Fingerprint) bool {
+	left := make([]uint64, len(r.terminations))
+	for i, e := range r.terminations {
+		left[i] = e.incarnation
+	}
+	for f, other := range t.records {
+		if !other.shared || other == r || len(other.terminations) < t.limits.Terminations || slices.Contains(parts, f) || !t.convictedForAny(f, other) {
+			continue
+		}
+		left = slices.DeleteFunc(left, other.hasIncarnation)
+	}
+	return len(left) == 0
+}
+
+// convictedForAny reports whether a part is convicted for some account.
+func (t *Tracker) convictedForAny(part Fingerprint, r *record) bool {
+	return slices.ContainsFunc(r.terminations, func(e termination) bool { return t.Convicted(part, e.origin.account()) })
+}
+
+// hasIncarnation reports whether an incarnation has terminated under the suspect.
+func (r *record) hasIncarnation(incarnation uint64) bool {
+	return slices.ContainsFunc(r.terminations, func(e termination) bool { return e.incarnation == incarnation })
+}
+
 // sharedHoldEnd returns when a held part may be tried again or, if it has been tried often enough,
 // when it is forgotten.
 func (t *Tracker) sharedHoldEnd(part Fingerprint, r *record) time.Time {
@@ -197,13 +225,12 @@
 }
 
 // longestSharedHold returns how much longer a part is held, for the account for which that is
-// longest.
+// longest, whatever else may explain its terminations.
 func (t *Tracker) longestSharedHold(now time.Time, part Fingerprint, r *record) time.Duration {
-	longest := time.Duration(0)
-	for _, e := range r.terminations {
-		longest = max(longest, t.SharedHold(now, part, e.origin.account()).Remaining)
+	if !t.convictedForAny(part, r) {
+		return 0
 	}
-	return longest
+	return max(t.sharedHoldEnd(part, r).Sub(now), 0)
 }
 
 // RecordTrial records that this instance has got the trial with the given index of a held part, and
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -146,7 +146,11 @@
 	r := t.record(now, f)
 	r.shared = r.shared || report.Shared
 	result := r.merge(now, report)
-	if t.vouch(now, f, r) || result == terminationAdded {
+	if t.vouch(now, f, r) {
+		sends = max(sends, ownReportSends)
+		result = terminationAdded
+	}
+	if result == terminationAdded {
 		t.changed(f, r, sends)
 	}
 	if result == terminationMadeOlder {
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -36,7 +36,7 @@
 	now, account := m.now(), AccountHash(r.Account)
 	var due []Fingerprint
 	for _, part := range r.Parts {
-		if m.tracker.SharedHold(now, part, account).TrialDue {
+		if m.tracker.SharedHold(now, part, account, r.Parts).TrialDue {
 			due = append(due, part)
 		}
 	}
