Only an event with data shows that an answer has begun

What callers would see: requests with a part that crashes workers go on crashing them where the worker writes a comment, or an empty line, before its first token; each such line cleared the part. Change: an event without a data field keeps the connection open and shows nothing.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -163,7 +163,10 @@
 	pending []byte
 	// pendingOffset is the offset of the pending event; -1 if it has none.
 	pendingOffset int64
-	done          bool
+	// pendingData is set if the pending event has data; others, such as comments, keep the
+	// connection open.
+	pendingData bool
+	done        bool
 }
 
 var (
@@ -179,7 +182,7 @@
 	lines := lineReaders.Get().(*bufio.Reader)
 	lines.Reset(resp.Body)
 	defer lineReaders.Put(lines)
-	s.pending, s.pendingOffset = s.pending[:0], -1
+	s.reset()
 	for {
 		line, err := lines.ReadSlice('\n')
 		// At the end of the body these are the bytes of a line without its end.
@@ -206,6 +209,11 @@
 	}
 }
 
+// reset begins a new event.
+func (s *eventRelay) reset() {
+	s.pending, s.pendingOffset, s.pendingData = s.pending[:0], -1, false
+}
+
 // eventBuffered reports whether another complete event has already been received.
 func eventBuffered(lines *bufio.Reader) bool {
 	arrived, err := lines.Peek(lines.Buffered())
@@ -233,7 +241,12 @@
 		}
 		return
 	}
-	if value, ok := bytes.CutPrefix(line, dataField); ok && s.dialect.StreamTerminator() != nil && bytes.Equal(bytes.TrimSpace(value), s.dialect.StreamTerminator()) {
+	value, ok := bytes.CutPrefix(line, dataField)
+	if !ok {
+		return
+	}
+	s.pendingData = true
+	if s.dialect.StreamTerminator() != nil && bytes.Equal(bytes.TrimSpace(value), s.dialect.StreamTerminator()) {
 		s.done = true
 	}
 }
@@ -243,8 +256,10 @@
 // flushed to the network yet.
 func (s *eventRelay) flush(resp *http.Response, more bool) error {
 	event, offset := s.pending, s.pendingOffset
-	s.pending, s.pendingOffset = s.pending[:0], -1
-	s.recordAnswer()
+	if s.pendingData {
+		s.recordAnswer()
+	}
+	s.reset()
 	if offset >= 0 && offset <= s.exchange.offset {
 		return nil
 	}
