Heads, refusals and reports without end are cut off

A refusal whose end never came held its request until the request's time was over, in place of another endpoint.

Cause: net/http's default bound of a head is 10 MiB; a report could have 1 MiB, of each endpoint at once; the rest of a refusal was read with no bound of time, and one in JSON was read to its end before it was understood.

Change: 64 KiB for a head, 128 KiB for a report, 200 ms for the rest of a refusal, and a JSON refusal is decoded as it arrives.

--- a/engine/client.go
+++ b/engine/client.go
@@ -77,6 +77,9 @@
 	idleConnTimeout        = 30 * time.Second
 )
 
+// maxHeadBytes bounds the head of an answer: an endpoint in trouble may send one without end.
+const maxHeadBytes = 64 << 10
+
 // Client sends attempts to endpoints.
 type Client struct {
 	transport  *http.Transport
@@ -112,7 +115,7 @@
 	}
 	return &Client{dialect: cfg.Dialect, statements: cfg.Statements, transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: cfg.IdlePerEndpoint,
-		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -173,8 +176,13 @@
 	return &UnknownError{Endpoint: endpoint, Err: err}
 }
 
+// maxDrainTime bounds the time to read the rest of a refusal, after which its connection is given up.
+const maxDrainTime = 200 * time.Millisecond
+
 // drainBody reads a short remainder of the body so that the connection can be reused.
 func drainBody(resp *http.Response) {
+	giveUp := time.AfterFunc(maxDrainTime, func() { resp.Body.Close() })
+	defer giveUp.Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes)
 	resp.Body.Close()
 }
--- a/engine/control.go
+++ b/engine/control.go
@@ -60,7 +60,7 @@
 }
 
 // maxReportBytes is the maximum size of an endpoint's report.
-const maxReportBytes = 1 << 20
+const maxReportBytes = 128 << 10
 
 // Load returns the endpoint's load report, which lags behind its actual state.
 func (c *Client) Load(ctx context.Context, endpoint, address string) (Report, error) {
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -95,18 +95,20 @@
 	if resp.StatusCode < http.StatusBadRequest || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	var prefix bytes.Buffer
 	var body struct {
 		Error struct{ Code, Message string } `json:"error"`
 	}
-	if err == nil && json.Unmarshal(prefix, &body) == nil && body.Error.Code == codeNotStarted {
+	// Decoding does not wait for the end of the response, which may never come.
+	err := json.NewDecoder(io.TeeReader(io.LimitReader(resp.Body, maxRefusalBytes), &prefix)).Decode(&body)
+	if err == nil && body.Error.Code == codeNotStarted {
 		return &RefusedError{
 			RefusalError: RefusalError{Status: resp.StatusCode, Code: body.Error.Code, Reason: body.Error.Message},
 			Busy:         resp.StatusCode == http.StatusTooManyRequests,
 			NotResident:  resp.StatusCode == http.StatusNotFound,
 		}
 	}
-	resp.Body = prefixedBody{Reader: io.MultiReader(bytes.NewReader(prefix), resp.Body), Closer: resp.Body}
+	resp.Body = prefixedBody{Reader: io.MultiReader(&prefix, resp.Body), Closer: resp.Body}
 	return nil
 }
 
