Callers' connections have a bound, at which those that have been idle for longest are closed

What callers would see: where the platform gives most new connections of a region to one instance, it may run out of descriptors, also for its endpoints and the store; whoever is served there fails with those that came.

Change: callers' connections may take three quarters of the descriptors. At the bound the longest idle sixteenth is closed before more are accepted; while all are busy, new ones wait in the listener's queue, and nothing that is in progress is cut.

--- /dev/null
+++ b/daemon/connbound.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// callerFraction is the fraction of the process's descriptors that callers' connections may
+	// take; the others are for endpoints, the store and other instances.
+	callerFraction = 0.75
+	// closedAtOnce is the fraction of the bound that is closed when it is reached, so that not each
+	// new connection looks for another one to close.
+	closedAtOnce = 1.0 / 16
+	// silentTime is how long a new connection may be without a request before it counts as idle.
+	silentTime = time.Second
+	// roomPollInterval is the time between two looks for a connection to close while all are busy.
+	roomPollInterval = 10 * time.Millisecond
+)
+
+// maxCallerConns returns how many connections of callers the process has descriptors for; 0 if that is
+// unknown.
+func maxCallerConns() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(float64(min(limit.Cur, 1<<20)) * callerFraction)
+}
+
+// boundedListener accepts connections as long as there is room for them. The platform may send most
+// callers of a region to one instance, which needs descriptors to serve them, too.
+type boundedListener struct {
+	callerListener
+	conns *idleConns
+}
+
+// Accept implements net.Listener. While there is no room, callers wait in the listener's queue.
+func (l boundedListener) Accept() (net.Conn, error) {
+	for !l.conns.makeRoom() {
+		time.Sleep(roomPollInterval)
+	}
+	return l.callerListener.Accept()
+}
+
+// makeRoom closes the connections that have been idle for longest if the bound is reached. It reports
+// whether one more may be accepted.
+func (c *idleConns) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.maxOpen == 0 || c.stopped || len(c.open) < c.maxOpen {
+		return true
+	}
+	closed := 0
+	most := max(int(float64(c.maxOpen)*closedAtOnce), 1)
+	for _, conn := range c.longestIdle() {
+		if closed < most && c.closeIfIdle(conn) {
+			closed++
+		}
+	}
+	if closed > 0 {
+		c.log.Info("idle connections closed", "closed", closed, "open", len(c.open), "bound", c.maxOpen)
+	}
+	return len(c.open) < c.maxOpen
+}
+
+// longestIdle returns the idle connections, those that have been idle for longest first, and then those
+// that have been silent since they were opened.
+func (c *idleConns) longestIdle() []net.Conn {
+	var idle, silent []net.Conn
+	for conn := range c.idle {
+		idle = append(idle, conn)
+	}
+	for conn, since := range c.open {
+		if _, known := c.idle[conn]; !known && c.now().Sub(since) >= silentTime {
+			silent = append(silent, conn)
+		}
+	}
+	slices.SortFunc(idle, func(a, b net.Conn) int { return cmp.Compare(c.idle[a].UnixNano(), c.idle[b].UnixNano()) })
+	return append(idle, silent...)
+}
--- /dev/null
+++ b/daemon/connbound_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+// boundedServer serves callers with room for a few connections.
+type boundedServer struct {
+	t       *testing.T
+	conns   *idleConns
+	address string
+	// held is what requests to /slow wait for; running counts them.
+	held    chan struct{}
+	running atomic.Int64
+	// mostOpen is the largest number of open connections that a request has met.
+	mostOpen atomic.Int64
+}
+
+// connBound is the number of connections of a boundedServer.
+const connBound = 32
+
+func newBoundedServer(t *testing.T) *boundedServer {
+	s := &boundedServer{t: t, held: make(chan struct{}), conns: newIdleConns(logr.Discard(), time.Now, func() time.Duration { return 0 })}
+	s.conns.maxOpen = connBound
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = l.Addr().String()
+	server := &http.Server{Handler: s}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.conns.serve(server, l)
+	}()
+	t.Cleanup(func() {
+		s.conns.closeListener()
+		server.Close()
+		<-done
+	})
+	return s
+}
+
+func (s *boundedServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.conns.mu.Lock()
+	open := int64(len(s.conns.open))
+	s.conns.mu.Unlock()
+	s.mostOpen.Store(max(open, s.mostOpen.Load()))
+	if r.URL.Path == "/slow" {
+		s.running.Add(1)
+		<-s.held
+	}
+	fmt.Fprint(w, "answer")
+}
+
+// ask sends a request on a connection of its own, which stays open, and returns the answer's body.
+func (s *boundedServer) ask(path string) string {
+	transport := &http.Transport{}
+	s.t.Cleanup(transport.CloseIdleConnections)
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + s.address + path)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// askAll sends several requests at the same time.
+func (s *boundedServer) askAll(n int, path string) chan string {
+	answers := make(chan string, n)
+	for range n {
+		go func() { answers <- s.ask(path) }()
+	}
+	return answers
+}
+
+// TestManyNewConnectionsAreServed lets many callers open connections at an instance that has room for a
+// few, and keep them, while requests are in progress. It guards against an instance without
+// descriptors for its endpoints, and against one that cuts requests or accepts nobody any more.
+func TestManyNewConnectionsAreServed(t *testing.T) {
+	s := newBoundedServer(t)
+	slow := s.askAll(connBound/2, "/slow")
+	require.Eventually(t, func() bool { return s.running.Load() == connBound/2 }, 30*time.Second, time.Millisecond)
+	const callers = 10 * connBound
+	answers := s.askAll(callers, "/")
+	for range callers {
+		// A connection on which nothing was sent in time may be closed, then its caller tries again.
+		if <-answers != "answer" {
+			require.Equal(t, "answer", s.ask("/"))
+		}
+	}
+	require.LessOrEqual(t, s.mostOpen.Load(), int64(connBound))
+	close(s.held)
+	for range connBound / 2 {
+		require.Equal(t, "answer", <-slow)
+	}
+}
+
+// TestCallersWaitWhileAllConnectionsAreBusy guards against a request that is cut as all connections
+// are busy and another caller comes.
+func TestCallersWaitWhileAllConnectionsAreBusy(t *testing.T) {
+	s := newBoundedServer(t)
+	slow := s.askAll(connBound, "/slow")
+	require.Eventually(t, func() bool { return s.running.Load() == connBound }, 30*time.Second, time.Millisecond)
+	late := s.askAll(1, "/")
+	require.Never(t, func() bool { return len(late) > 0 }, 100*time.Millisecond, 10*time.Millisecond)
+	close(s.held)
+	for range connBound {
+		require.Equal(t, "answer", <-slow)
+	}
+	require.Equal(t, "answer", <-late)
+}
--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -22,12 +22,16 @@
 	// limit returns how long a connection may be idle; 0 sets no bound.
 	limit func() time.Duration
 
+	// maxOpen bounds the open connections; 0 sets no bound.
+	maxOpen int
+
 	mu       sync.Mutex
 	listener net.Listener
-	// open holds all connections, idle those that net/http reports as idle and since
-	// when.
-	open map[net.Conn]struct{}
-	idle map[net.Conn]time.Time
+	// stopped is set once no more connections are accepted.
+	stopped bool
+	// open holds all connections and since when they are open, idle those that net/http reports
+	// as idle and since when.
+	open, idle map[net.Conn]time.Time
 	// lastLimit is the limit at the last sweep; previousLimit, the one before it was lowered,
 	// applies until previousUntil.
 	lastLimit, previousLimit time.Duration
@@ -35,7 +39,7 @@
 }
 
 func newIdleConns(log logr.Logger, now func() time.Time, limit func() time.Duration) *idleConns {
-	return &idleConns{log: log, now: now, limit: limit, open: map[net.Conn]struct{}{}, idle: map[net.Conn]time.Time{}}
+	return &idleConns{log: log, now: now, limit: limit, open: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}}
 }
 
 // serve runs the callers' server on l and tracks its connections.
@@ -44,7 +48,7 @@
 	c.listener = l
 	c.mu.Unlock()
 	server.ConnState = c.connStateChanged
-	return server.Serve(callerListener{l})
+	return server.Serve(boundedListener{callerListener{l}, c})
 }
 
 // drainPollInterval is the time between two checks of the remaining connections, short
@@ -67,6 +71,7 @@
 func (c *idleConns) closeListener() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopped = true
 	if c.listener != nil {
 		c.listener.Close()
 	}
@@ -105,7 +110,9 @@
 		conn.(*callerConn).markIdle()
 		c.idle[conn] = c.now()
 	case http.StateNew, http.StateActive:
-		c.open[conn] = struct{}{}
+		if _, known := c.open[conn]; !known {
+			c.open[conn] = c.now()
+		}
 		delete(c.idle, conn)
 	default:
 		c.remove(conn)
