--- a/daemon/connbound.go
+++ b/daemon/connbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -22,14 +23,18 @@
 	roomPollInterval = 10 * time.Millisecond
 )
 
-// maxCallerConns returns how many connections of callers the process has descriptors for; 0 if that is
-// unknown.
-func maxCallerConns() int {
+// maxCallerConns returns how many connections of callers the process has descriptors for, by its
+// configuration or, if that is 0, by the operating system; 0 if that is unknown.
+func maxCallerConns(configured int) int {
 	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil && configured == 0 {
 		return 0
 	}
-	return int(float64(min(limit.Cur, 1<<20)) * callerFraction)
+	descriptors := min(limit.Cur, math.MaxInt32)
+	if configured > 0 {
+		descriptors = uint64(configured)
+	}
+	return int(float64(descriptors) * callerFraction)
 }
 
 // boundedListener accepts connections as long as there is room for them. The platform may send most
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -247,7 +247,7 @@
 	i.cancelOverdue = handler.CancelOverdue
 	i.callers = i.newServer(i.closeWhileDraining(i.admit(dialect, dialect.WithModels(handler))))
 	i.idle = newIdleConns(i.log, i.deps.Now, func() time.Duration { return milliseconds(i.cfg.Limits.IdleMS) })
-	i.idle.maxOpen = maxCallerConns()
+	i.idle.maxOpen = maxCallerConns(0)
 	i.operators = i.newServer(i.operatorHandler())
 	i.startTasks(objects, platform)
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -177,7 +177,7 @@
 	n.startedAt = n.now()
 	n.storeLink = &storeLink{log: log, now: n.now}
 	n.idle = newIdleConns(log, n.now, n.idleLimit)
-	n.idle.maxOpen = maxCallerConns()
+	n.idle.maxOpen = maxCallerConns(cfg.Limits.Descriptors)
 	n.gates = pipeline.NewGates(admission.Limits{MaxWaiters: cfg.Limits.QueueRequests, MaxBytes: cfg.Limits.QueueBytes}, n.now)
 	n.path = n.newPath(platform.DialEndpoint)
 	said := &statements{router: n.router, onLeaving: n.endpointSaidLeaving, vars: n.vars, log: log, now: n.now}
--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -78,6 +78,9 @@
 	CoreSpeed float64 `json:"coreSpeed"`
 	// LinkMbps is the bandwidth of the instance's network link, in Mbit/s.
 	LinkMbps float64 `json:"linkMbps"`
+	// Descriptors is how many sockets and files the process may have open; 0 means as many as the
+	// operating system says.
+	Descriptors int `json:"descriptors"`
 	// GraceMS is how long after SIGTERM the platform kills the process, in milliseconds.
 	GraceMS int `json:"graceMS"`
 }
@@ -135,7 +138,7 @@
 		c.positive("/"+bound.path, bound.n)
 	}
 	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack,
-		"/lending/instancesAbove": float64(cfg.Lending.InstancesAbove),
+		"/lending/instancesAbove": float64(cfg.Lending.InstancesAbove), "/limits/descriptors": float64(cfg.Limits.Descriptors),
 		"/fresh/evacuateMS":       float64(cfg.Fresh.EvacuateMS),
 		"/allowances/over":        cfg.Allowances.OverFraction, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
 	} {
--- a/daemon/nodeconfig_test.go
+++ b/daemon/nodeconfig_test.go
@@ -64,7 +64,7 @@
 		"ip": "10.1.0.38", "platform.address": "10.200.1.7:8142", "portRange": "[7380,7395]",
 		"bounds.budgetRatio": "0.2", "bounds.budgetSlack": "52", "bounds.leaseMs": "3000",
 		"bounds.ceilingWindowS": "5", "bounds.ceilingOver": "1.1", "bounds.drainMs": "2000", "bounds.configMs": "3000", "bounds.contactMs": "3000",
-		"bounds.graceS": "8", "limits.cpuShare": "0.4", "limits.cores": "1", "limits.linkMbps": "200",
+		"bounds.graceS": "8", "limits.cpuShare": "0.4", "limits.cores": "1", "limits.linkMbps": "200", "limits.maxFds": "4100",
 	}
 	maps.Copy(values, more)
 	given := section.ReplaceAllStringFunc(string(template), func(s string) string {
