--- a/daemon/nodeconfig.go
+++ b/daemon/nodeconfig.go
@@ -139,8 +139,8 @@
 	}
 	for path, n := range map[string]float64{"/retries/ratio": cfg.Retries.Ratio, "/retries/slack": cfg.Retries.Slack,
 		"/lending/instancesAbove": float64(cfg.Lending.InstancesAbove), "/limits/descriptors": float64(cfg.Limits.Descriptors),
-		"/fresh/evacuateMS":       float64(cfg.Fresh.EvacuateMS),
-		"/allowances/over":        cfg.Allowances.OverFraction, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
+		"/fresh/evacuateMS": float64(cfg.Fresh.EvacuateMS),
+		"/allowances/over":  cfg.Allowances.OverFraction, "/allowances/slack": cfg.Allowances.Slack, "/fresh/revokedMS": float64(cfg.Fresh.RevokedMS),
 	} {
 		if n < 0 {
 			c.addFault(path, "must not be negative")
