A trial that reached no endpoint is made again by the next request at its instance

What callers would see: a sound part that was held by mistake is held for hours, as the two trials of the fleet were refused in a queue before they reached an endpoint. Found by reading. The instance that was granted the trial keeps it until a request with the part is sent. The test (TestTrialThatReachedNoEndpointIsMadeAgain) would fail by its third turn before: there were two trials.

--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -255,6 +255,11 @@
 	return rand.Text()
 }
 
+// sent reports whether any part of an attempt was sent.
+func (x *Exchange) sent() bool {
+	return slices.ContainsFunc(x.Attempts, func(a Attempt) bool { return !a.Unsent })
+}
+
 // rejections returns how many attempts were rejected by endpoints whose places are lent.
 func (x *Exchange) rejections() int {
 	n := 0
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -177,7 +177,7 @@
 	if err := p.cfg.Quarantine.Begin(ctx, &x.flight, x.suspects(), cancel); err != nil {
 		return &QuarantineError{Err: err}
 	}
-	defer x.flight.End()
+	defer x.endFlight()
 	p.deadlines.add(x, cancel)
 	defer p.deadlines.remove(x)
 	if err := p.bindContinuation(ctx, x); err != nil {
@@ -186,6 +186,14 @@
 	return x.finalError(p.runAttempts(ctx, x))
 }
 
+// endFlight ends the request's entry among those in flight.
+func (x *Exchange) endFlight() {
+	if !x.sent() {
+		x.flight.ReturnTrials()
+	}
+	x.flight.End()
+}
+
 // checkOutdated turns the error for an unknown name into one that says that newer settings
 // may contain it, if the settings in force are outdated.
 func (p *Pipeline) checkOutdated(err error) error {
--- a/quarantine/inflight.go
+++ b/quarantine/inflight.go
@@ -11,8 +11,8 @@
 	manager *Manager
 	request Request
 	cancel  context.CancelFunc
-	// trial is set if the request tries a held part of prompts.
-	trial bool
+	// tries are the held parts of its prompt that the request tries again.
+	tries []Fingerprint
 	held  atomic.Pointer[HeldError]
 	// entries are those of the request and of its parts; empty once it is no longer listed.
 	entries []entry
@@ -39,6 +39,20 @@
 	f.manager.unlist(f)
 }
 
+// ReturnTrials returns the trials of a request that was sent to no endpoint: the next request with
+// such a part at this instance makes them. It is called before End.
+func (f *InFlight) ReturnTrials() {
+	if f.manager == nil || len(f.tries) == 0 {
+		return
+	}
+	f.manager.mu.Lock()
+	defer f.manager.mu.Unlock()
+	for _, part := range f.tries {
+		f.manager.unspent[part] = true
+	}
+	f.tries = nil
+}
+
 // list lists a request among those in flight.
 func (m *Manager) list(f *InFlight) {
 	f.entries = make([]entry, 0, 1+len(f.request.Parts))
@@ -88,7 +102,7 @@
 		flight := e.flight
 		e = e.next
 		held := m.heldBy(flight.request)
-		if held == nil || flight.trial {
+		if held == nil || len(flight.tries) > 0 {
 			continue
 		}
 		m.unlist(flight)
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -24,8 +24,9 @@
 	tracker *Tracker
 	// inFlight holds the requests in flight that have no answer yet by suspect, as linked lists.
 	inFlight map[Fingerprint]*entry
-	// claiming holds the parts of prompts for which a trial is being claimed.
-	claiming map[Fingerprint]bool
+	// claiming holds the parts of prompts for which a trial is being claimed, unspent those for
+	// which this instance has a trial that reached no endpoint.
+	claiming, unspent map[Fingerprint]bool
 	// rejected counts the requests that were not admitted, cancelled those that waited or had
 	// been sent when they were held.
 	rejected, cancelled int64
@@ -58,7 +59,7 @@
 	}
 	return &Manager{
 		now: c.Now, log: c.Log, wake: c.Wake, persist: c.Persist, trials: c.Trials,
-		tracker: NewTracker(c.Limits), inFlight: map[Fingerprint]*entry{}, claiming: map[Fingerprint]bool{},
+		tracker: NewTracker(c.Limits), inFlight: map[Fingerprint]*entry{}, claiming: map[Fingerprint]bool{}, unspent: map[Fingerprint]bool{},
 	}
 }
 
@@ -117,23 +118,32 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held := m.heldBy(r)
-	if held == nil {
-		held = m.duplicateOf(r.Fingerprint)
-	}
-	trials := m.trialsDue(r)
-	if held == nil && len(trials) > 0 {
-		held = m.claimTrials(ctx, trials)
-	}
+	tries, held := m.admit(ctx, r)
 	if held != nil {
 		m.rejected++
 		return held
 	}
-	flight.manager, flight.request, flight.cancel, flight.trial = m, r, cancel, len(trials) > 0
+	flight.manager, flight.request, flight.cancel, flight.tries = m, r, cancel, tries
 	m.list(flight)
 	return nil
 }
 
+// admit returns the held parts that a request tries again, or why it is held back.
+func (m *Manager) admit(ctx context.Context, r Request) (tries []Fingerprint, held *HeldError) {
+	if held = m.heldBy(r); held != nil {
+		if !held.Part || !m.unspent[held.Fingerprint] {
+			return nil, held
+		}
+		delete(m.unspent, held.Fingerprint)
+		return []Fingerprint{held.Fingerprint}, nil
+	}
+	if held = m.duplicateOf(r.Fingerprint); held != nil {
+		return nil, held
+	}
+	tries = m.trialsDue(r)
+	return tries, m.claimTrials(ctx, tries)
+}
+
 // heldBy returns why a request is held back; nil if it is not.
 func (m *Manager) heldBy(r Request) *HeldError {
 	now := m.now()
@@ -253,6 +263,7 @@
 			continue
 		}
 		cleared = true
+		delete(m.unspent, part)
 		m.log.Info("prompt part cleared", "part", part.Short(), "held", held, "fingerprint", r.Fingerprint.String())
 		if held {
 			m.persist(m.tracker.Report(now, part))
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -253,6 +253,23 @@
 	require.Empty(t, f.persisted[len(f.persisted)-1].Incarnations, "the stored hold is removed")
 }
 
+// TestTrialThatReachedNoEndpointIsMadeAgain guards against a sound part that is held for hours as its
+// trials were refused in a queue.
+func TestTrialThatReachedNoEndpointIsMadeAgain(t *testing.T) {
+	f := newPartFixture(t, 1)
+	f.terminate(0, 3, "", "g")
+	f.holdOver("g")
+	for range 5 {
+		flight := &InFlight{}
+		require.NoError(t, f.instances[0].Begin(t.Context(), flight, f.request("", "g"), func() {}))
+		require.NotNil(t, f.held(0, "", "g"))
+		flight.ReturnTrials()
+		flight.End()
+	}
+	require.Nil(t, f.held(0, "", "g"))
+	require.NotNil(t, f.held(0, "", "g"), "this one was sent")
+}
+
 // TestTrialNeedsTheStore guards against a trial by each instance while the store is out of reach.
 func TestTrialNeedsTheStore(t *testing.T) {
 	f := newPartFixture(t, 1)
