A request makes the trial that its instance has left only if no other part of its prompt is held; plainer names

Found by reading: a request with two held parts, one of them with a trial left at this instance, went on. EnoughEvidence, heldForAny and applyRecentAnswer are new names for what was named by metaphors.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -131,17 +131,16 @@
 // admit returns the held parts that a request tries again, or why it is held back.
 func (m *Manager) admit(ctx context.Context, r Request) (tries []Fingerprint, held *HeldError) {
 	if held = m.heldBy(r); held != nil {
-		if !held.Part || !m.unspent[held.Fingerprint] {
-			return nil, held
-		}
-		delete(m.unspent, held.Fingerprint)
-		return []Fingerprint{held.Fingerprint}, nil
+		return nil, held
 	}
 	if held = m.duplicateOf(r.Fingerprint); held != nil {
 		return nil, held
 	}
-	tries = m.trialsDue(r)
-	return tries, m.claimTrials(ctx, tries)
+	due := m.trialsDue(r)
+	if held = m.claimTrials(ctx, due); held != nil {
+		return nil, held
+	}
+	return append(due, m.takeUnspent(r)...), nil
 }
 
 // heldBy returns why a request is held back; nil if it is not.
@@ -152,7 +151,8 @@
 	}
 	account := AccountHash(r.Account)
 	for _, part := range r.Parts {
-		if h := m.tracker.SharedHold(now, part, account, r.Parts); h.Remaining > 0 {
+		h := m.tracker.SharedHold(now, part, account, r.Parts)
+		if h.Remaining > 0 && !m.unspent[part] {
 			return &HeldError{Fingerprint: part, Part: true, Terminations: h.Terminations, Remaining: h.Remaining}
 		}
 	}
@@ -199,14 +199,14 @@
 		return nil
 	}
 	account := AccountHash(r.Account)
-	var convicted []Fingerprint
+	var explaining []Fingerprint
 	for _, part := range r.Parts {
-		if m.tracker.Convicted(part, account) {
-			convicted = append(convicted, part)
+		if m.tracker.EnoughEvidence(part, account) {
+			explaining = append(explaining, part)
 		}
 	}
-	if len(convicted) > 0 {
-		return convicted
+	if len(explaining) > 0 {
+		return explaining
 	}
 	return r.Parts
 }
@@ -258,7 +258,7 @@
 	m.mu.Lock()
 	for _, part := range r.Parts {
 		now := m.now()
-		held := m.tracker.Convicted(part, AccountHash(r.Account))
+		held := m.tracker.EnoughEvidence(part, AccountHash(r.Account))
 		if !m.tracker.RecordSharedSuccess(now, part, ownReportSends) {
 			continue
 		}
@@ -376,7 +376,7 @@
 
 // Stats counts what a Manager knows and has done.
 type Stats struct {
-	// Known is the number of requests with terminations, Held that of requests held back now.
+	// Known is the number of suspects with terminations, Held that of those held back now.
 	Known int `json:"known"`
 	Held  int `json:"held"`
 	// Rejected counts requests that were not admitted, Cancelled those that were in flight when
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -88,9 +88,9 @@
 	return t.RecordSuccess(now, part, sends)
 }
 
-// vouch applies what this instance has answered recently to a part with terminations. It reports
+// applyRecentAnswer applies what this instance has answered recently to a part with terminations. It reports
 // whether the others need to know.
-func (t *Tracker) vouch(now time.Time, part Fingerprint, r *record) bool {
+func (t *Tracker) applyRecentAnswer(now time.Time, part Fingerprint, r *record) bool {
 	answeredAt, known := t.answers.at(part)
 	if !r.shared || !known || now.Sub(answeredAt) >= trustTime {
 		return false
@@ -153,9 +153,9 @@
 	return n
 }
 
-// Convicted reports whether enough endpoints have terminated under a part to hold it, also if it
+// EnoughEvidence reports whether enough endpoints have terminated under a part to hold it, also if it
 // may be tried again.
-func (t *Tracker) Convicted(part Fingerprint, account uint32) bool {
+func (t *Tracker) EnoughEvidence(part Fingerprint, account uint32) bool {
 	r := t.records[part]
 	if r == nil || t.limits.Terminations == 0 {
 		return false
@@ -177,7 +177,7 @@
 	}
 	// A neighbouring release forwards reports without telling what they are about.
 	r.shared = true
-	if !t.Convicted(part, account) || t.explainedWithout(r, parts) {
+	if !t.EnoughEvidence(part, account) || t.explainedWithout(r, parts) {
 		return Hold{}
 	}
 	h := Hold{Terminations: len(r.terminations), Remaining: max(t.sharedHoldEnd(part, r).Sub(now), 0)}
@@ -193,7 +193,7 @@
 		left[i] = e.incarnation
 	}
 	for f, other := range t.records {
-		if !other.shared || other == r || len(other.terminations) < t.limits.Terminations || slices.Contains(parts, f) || !t.convictedForAny(f, other) {
+		if !other.shared || other == r || len(other.terminations) < t.limits.Terminations || slices.Contains(parts, f) || !t.heldForAny(f, other) {
 			continue
 		}
 		left = slices.DeleteFunc(left, other.hasIncarnation)
@@ -201,9 +201,9 @@
 	return len(left) == 0
 }
 
-// convictedForAny reports whether a part is convicted for some account.
-func (t *Tracker) convictedForAny(part Fingerprint, r *record) bool {
-	return slices.ContainsFunc(r.terminations, func(e termination) bool { return t.Convicted(part, e.origin.account()) })
+// heldForAny reports whether enough endpoints have terminated under a part to hold it for some account.
+func (t *Tracker) heldForAny(part Fingerprint, r *record) bool {
+	return slices.ContainsFunc(r.terminations, func(e termination) bool { return t.EnoughEvidence(part, e.origin.account()) })
 }
 
 // hasIncarnation reports whether an incarnation has terminated under the suspect.
@@ -227,7 +227,7 @@
 // longestSharedHold returns how much longer a part is held, for the account for which that is
 // longest, whatever else may explain its terminations.
 func (t *Tracker) longestSharedHold(now time.Time, part Fingerprint, r *record) time.Duration {
-	if !t.convictedForAny(part, r) {
+	if !t.heldForAny(part, r) {
 		return 0
 	}
 	return max(t.sharedHoldEnd(part, r).Sub(now), 0)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -114,7 +114,7 @@
 func (t *Tracker) recordOwn(now time.Time, f Fingerprint, r *record, e termination, sends int) int {
 	r.own = true
 	added := r.add(e) == terminationAdded
-	if t.vouch(now, f, r) || added {
+	if t.applyRecentAnswer(now, f, r) || added {
 		t.changed(f, r, sends)
 	}
 	return len(r.terminations)
@@ -146,7 +146,7 @@
 	r := t.record(now, f)
 	r.shared = r.shared || report.Shared
 	result := r.merge(now, report)
-	if t.vouch(now, f, r) {
+	if t.applyRecentAnswer(now, f, r) {
 		sends = max(sends, ownReportSends)
 		result = terminationAdded
 	}
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -43,6 +43,19 @@
 	return due
 }
 
+// takeUnspent returns the parts of a request's prompt of which this instance has an unspent trial, which
+// the request makes.
+func (m *Manager) takeUnspent(r Request) []Fingerprint {
+	var taken []Fingerprint
+	for _, part := range r.Parts {
+		if m.unspent[part] {
+			delete(m.unspent, part)
+			taken = append(taken, part)
+		}
+	}
+	return taken
+}
+
 // claimTrials claims a trial of each part. It returns why the request is held back, nil if all were
 // granted. It releases the lock while it waits.
 func (m *Manager) claimTrials(ctx context.Context, parts []Fingerprint) *HeldError {
