--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -232,7 +232,10 @@
 	i.vars.Set("queue_length", expvar.Func(func() any { return i.gates.Len() }))
 	i.vars.Set("events_waiting", expvar.Func(func() any { return i.events.Len() }))
 	i.vars.Set("settings_revision", expvar.Func(func() any { return i.Revision() }))
-	platform := &http.Transport{DialContext: i.countingDialer("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute}
+	platform := &http.Transport{
+		DialContext: i.countingDialer("platform"), MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: store.MaxHeadBytes,
+	}
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
 	i.holds = &holdsTask{client: objects, retention: i.cfg.Quarantine.limits().Retention(), log: i.log, timeOfDay: time.Now}
 	i.claims = claim.NewOwner(i.work, objects, i.deps.Now, i.shardConfig)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -190,6 +190,7 @@
 	n.vars.Set("quarantine", expvar.Func(func() any { return n.quarantine.Stats() }))
 	n.storeTransport = newInterruptibleTransport(&http.Transport{
 		DialContext: newKeepAliveDialer().DialContext, MaxIdleConnsPerHost: platformConns, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: store.MaxHeadBytes,
 	})
 	n.permits = newPermits(cfg.Instance, n.router, log, n.now)
 	n.router.SetPermits(n.permits.limiter)
--- a/store/call.go
+++ b/store/call.go
@@ -69,7 +69,7 @@
 		cfg.CallTimeout = DefaultCallTimeout
 	}
 	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes}
 	}
 	if cfg.OnAnswer == nil {
 		cfg.OnAnswer = func() {}
@@ -163,6 +163,9 @@
 	return nil, err
 }
 
+// MaxHeadBytes bounds the head of an answer of the store, which may come without end.
+const MaxHeadBytes = 64 << 10
+
 // maxResponseBytes is the maximum number of bytes read of a response; a list of many
 // objects is larger than one object.
 const maxResponseBytes = 64 * MaxObjectBytes
