--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -57,7 +57,7 @@
 
 // addTrial adds the trial with the given index. It returns false if it is known or does not count.
 func (r *record) addTrial(index int, at time.Time) bool {
-	if !at.After(r.succeededAt) || !r.trials[index].IsZero() {
+	if index >= maxTrials || !at.After(r.succeededAt) || !r.trials[index].IsZero() {
 		return false
 	}
 	r.trials[index] = at
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -327,3 +327,13 @@
 		require.LessOrEqual(t, len(data), r.size())
 	}
 }
+
+// TestReportWithTooManyTrialsIsMerged guards against a panic by the hold object of a later release, which
+// may grant more trials.
+func TestReportWithTooManyTrialsIsMerged(t *testing.T) {
+	f := named('g')
+	later := Report{Fingerprint: f[:], Shared: true, Incarnations: []uint64{1}, AgesMS: []int64{5}, TrialsMS: []int64{4, 3, 2, 1}}
+	merged := MergeReports(Report{Fingerprint: f[:]}, later)
+	require.Len(t, merged.TrialsMS, maxTrials)
+	require.Equal(t, later.Incarnations, merged.Incarnations)
+}
