--- a/quarantine/partfleet_test.go
+++ b/quarantine/partfleet_test.go
@@ -46,12 +46,11 @@
 // partRequest is a request at an endpoint.
 type partRequest struct {
 	Request
-	guilty            int
-	instance          int
-	begins, ends      int
-	began, cancelled  bool
-	startedAtEndpoint int
-	flight            *InFlight
+	guilty           int
+	instance         int
+	begins, ends     int
+	began, cancelled bool
+	flight           *InFlight
 }
 
 type partEndpoint struct {
