An instance without its list passes the beginnings of streams on to those in contact

Callers saw: a stream broken off, then 503 "the software version of the stream is unknown" at every other instance, once the instance that had begun it was gone.

Cause: the owners of a beginning are chosen from the instances that the store lists. An instance hears others (they send to its entry) before its own list arrives; until then it was its own only owner, and the beginning went to nobody.

Mended: instances in contact that aren't listed yet count as members, each as the only one of its failure domain. The owner of the highest weight over all is then the same for all instances, whoever has the list.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -142,7 +142,9 @@
 	// instance that was recently in contact says that it receives packets.
 	listed            map[string]presence
 	reportedAddresses map[string]string
-	// listedVersion grows with each change of listed.
+	// unlisted holds the instances of reportedAddresses that are not in listed, sorted.
+	unlisted []string
+	// listedVersion grows with each change of listed or unlisted.
 	listedVersion int64
 	// joinedAt is when an instance was last added to listed.
 	joinedAt time.Time
@@ -294,6 +296,7 @@
 		m.listed[instance] = *p
 	}
 	m.listedVersion++
+	m.unlisted = m.findUnlisted()
 	m.recipients = nil
 	n := len(m.listed)
 	m.mu.Unlock()
@@ -485,6 +488,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reportedAddresses, m.liveInstances, m.fleetTotals, m.recipients = m.fleetView.Addresses(), len(m.fleetView.Live()), loads, nil
+	if unlisted := m.findUnlisted(); !slices.Equal(unlisted, m.unlisted) {
+		m.unlisted = unlisted
+		m.listedVersion++
+	}
 }
 
 // routingUpdateInterval is the time between two updates of the load of all endpoints, where
--- a/daemon/meshfleet.go
+++ b/daemon/meshfleet.go
@@ -24,7 +24,7 @@
 	return known
 }
 
-// knownVersion changes when the result of knownInstances may have changed.
+// knownVersion changes when the result of knownInstances, fleet or unlistedInstances may have changed.
 func (m *mesh) knownVersion() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -45,6 +45,25 @@
 	return fleet
 }
 
+// findUnlisted returns the instances recently in contact that are not listed yet, sorted. m.mu is held.
+func (m *mesh) findUnlisted() []string {
+	var unlisted []string
+	for name := range m.reportedAddresses {
+		if _, listed := m.listed[name]; !listed && name != m.instance {
+			unlisted = append(unlisted, name)
+		}
+	}
+	slices.Sort(unlisted)
+	return unlisted
+}
+
+// unlistedInstances returns the instances recently in contact that are not listed yet.
+func (m *mesh) unlistedInstances() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unlisted
+}
+
 // streamAddress returns where an instance accepts streams; empty if that is not known.
 func (m *mesh) streamAddress(instance string) string {
 	m.mu.Lock()
--- a/daemon/streamversions.go
+++ b/daemon/streamversions.go
@@ -18,6 +18,9 @@
 // searchTick is the longest time between two looks at a search.
 const searchTick = 10 * time.Millisecond
 
+// unknownDomain begins the name of a failure domain that holds one instance, whose own is unknown.
+const unknownDomain = "\x00"
+
 // streamVersions keeps the software versions at which streams began, and asks other instances for
 // them. It implements pipeline.StreamVersions. A nil value receives nothing.
 type streamVersions struct {
@@ -90,7 +93,9 @@
 	return fleet.Owners(key, region)
 }
 
-// currentFleet returns the listed instances and the region of this one.
+// currentFleet returns the instances that are listed or recently in contact, and the region of this
+// one. Until an instance is listed here, it counts as the only one of its failure domain, in this
+// region: so the best owner of all that are in contact is always among the owners.
 func (s *streamVersions) currentFleet() (*streamversion.Fleet, string) {
 	region := s.mesh.regions[s.mesh.self.FailureDomain]
 	version := s.mesh.knownVersion()
@@ -104,6 +109,9 @@
 	for _, i := range s.mesh.fleet() {
 		instances = append(instances, streamversion.Instance{Name: i.Name, FailureDomain: i.FailureDomain, Region: s.mesh.regions[i.FailureDomain]})
 	}
+	for _, name := range s.mesh.unlistedInstances() {
+		instances = append(instances, streamversion.Instance{Name: name, FailureDomain: unknownDomain + name, Region: region})
+	}
 	fleet = streamversion.NewFleet(instances)
 	s.mu.Lock()
 	s.fleet, s.fleetVersion = fleet, version
--- a/daemon/streamversions_test.go
+++ b/daemon/streamversions_test.go
@@ -133,6 +133,35 @@
 	require.False(t, found)
 }
 
+// TestInstanceWithoutListPassesBeginningsOn guards against streams that nobody can take up because the
+// instance that began them, and has ended since, had contact to the others but no list of them yet;
+// and against such an instance that doesn't find the streams of others.
+func TestInstanceWithoutListPassesBeginningsOn(t *testing.T) {
+	for _, instances := range []int{3, 9, 86} {
+		line, fleet := newStreamFleet(t, instances)
+		fresh := fleet[0].mesh
+		fresh.listed, fresh.reportedAddresses = map[string]presence{}, map[string]string{}
+		for _, other := range fleet[1:] {
+			fresh.reportedAddresses[other.mesh.instance] = other.mesh.address
+		}
+		fresh.unlisted = fresh.findUnlisted()
+		for i := range 20 {
+			key := began(fleet[1], fmt.Sprint("others", i))
+			_, state := fleet[0].Find(t.Context(), key)
+			require.Equal(t, streamversion.Known, state, "%d instances", instances)
+		}
+		var keys []streamversion.Key
+		for i := range 20 {
+			keys = append(keys, began(fleet[0], fmt.Sprint(i)))
+		}
+		line.receivers[fresh.address] = func([]byte) {}
+		for i, key := range keys {
+			_, state := fleet[1+i%(instances-1)].Find(t.Context(), key)
+			require.Equal(t, streamversion.Known, state, "%d instances", instances)
+		}
+	}
+}
+
 func BenchmarkBeginning(b *testing.B) {
 	_, fleet := newStreamFleet(&testing.T{}, targetNodes)
 	for i := 0; b.Loop(); i++ {
