Accounts: one short hash for lending and for the quarantine

The quarantine hashed an account's name with a function of its own, the same as the pipeline's: 32 bits of the hash, 0 for none. allowance.ShortHash serves both. No value changes: the origins of terminations go between instances and into the store.

--- a/allowance/messages.go
+++ b/allowance/messages.go
@@ -9,6 +9,14 @@
 // HashAccount returns the hash of an account name.
 func HashAccount(account string) AccountHash { return AccountHash(xxhash.Sum64String(account)) }
 
+// ShortHash returns half of the hash of an account name; 0 for the empty name, which stands for none.
+func ShortHash(account string) uint32 {
+	if account == "" {
+		return 0
+	}
+	return uint32(HashAccount(account))
+}
+
 // AggregatorID identifies an aggregating process among all that ever run.
 type AggregatorID uint64
 
--- a/pipeline/account.go
+++ b/pipeline/account.go
@@ -4,10 +4,7 @@
 
 // accountHash returns a short hash of the client account; 0 for none.
 func (x *Exchange) accountHash() uint32 {
-	if x.Caller.Name == "" {
-		return 0
-	}
-	return uint32(allowance.HashAccount(x.Caller.Name))
+	return allowance.ShortHash(x.Caller.Name)
 }
 
 // hundredths is the factor between a weight in the settings and one among the instances.
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/eiderspring/eiderspring/allowance"
 )
 
 // Manager manages the quarantine of one instance, with its requests in flight. A nil Manager
@@ -107,7 +109,7 @@
 }
 
 // origin returns the origin of terminations under the request.
-func (r Request) origin() Origin { return originOf(AccountHash(r.Account), r.Fingerprint) }
+func (r Request) origin() Origin { return originOf(allowance.ShortHash(r.Account), r.Fingerprint) }
 
 // Begin registers a request, unless it is held back: then it returns a *HeldError. If the
 // request is held before End, Held returns the reason and cancel is called. Begin waits only for the
@@ -149,7 +151,7 @@
 	if left := m.tracker.HoldRemaining(now, r.Fingerprint); left > 0 {
 		return &HeldError{Fingerprint: r.Fingerprint, Terminations: m.tracker.TerminationCount(now, r.Fingerprint), Remaining: left}
 	}
-	account := AccountHash(r.Account)
+	account := allowance.ShortHash(r.Account)
 	for _, part := range r.Parts {
 		h := m.tracker.SharedHold(now, part, account, r.Parts)
 		if h.Remaining > 0 && !m.unspent[part] {
@@ -198,7 +200,7 @@
 	if answerBegan || limit == 0 || m.tracker.TerminationCount(m.now(), r.Fingerprint) >= limit {
 		return nil
 	}
-	account := AccountHash(r.Account)
+	account := allowance.ShortHash(r.Account)
 	var explaining []Fingerprint
 	for _, part := range r.Parts {
 		if m.tracker.EnoughEvidence(part, account) {
@@ -258,7 +260,7 @@
 	m.mu.Lock()
 	for _, part := range r.Parts {
 		now := m.now()
-		held := m.tracker.EnoughEvidence(part, AccountHash(r.Account))
+		held := m.tracker.EnoughEvidence(part, allowance.ShortHash(r.Account))
 		if !m.tracker.RecordSharedSuccess(now, part, ownReportSends) {
 			continue
 		}
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Rules for the parts of prompts, which requests share. They differ from those for requests as a
@@ -30,14 +28,6 @@
 // of each. It is 0 if unknown.
 type Origin uint64
 
-// AccountHash returns the hash of an account; 0 for none.
-func AccountHash(account string) uint32 {
-	if account == "" {
-		return 0
-	}
-	return uint32(xxhash.Sum64String(account))
-}
-
 // originOf returns the origin that is a request of an account.
 func originOf(account uint32, request Fingerprint) Origin {
 	return Origin(uint64(account)<<32 | uint64(request[0])<<24 | uint64(request[1])<<16 | uint64(request[2])<<8 | uint64(request[3]))
--- a/quarantine/trials.go
+++ b/quarantine/trials.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/eiderspring/eiderspring/allowance"
 )
 
 // Trials grants the trials of held parts of prompts, of which there are few for all instances
@@ -33,7 +35,7 @@
 
 // trialsDue returns the parts of a request's prompt that are held but may be tried.
 func (m *Manager) trialsDue(r Request) []Fingerprint {
-	now, account := m.now(), AccountHash(r.Account)
+	now, account := m.now(), allowance.ShortHash(r.Account)
 	var due []Fingerprint
 	for _, part := range r.Parts {
 		if m.tracker.SharedHold(now, part, account, r.Parts).TrialDue {
