A lost answer of the store wastes no trial of a held part

Callers saw: nothing yet; found in reading. A held prompt part is tried twice by the whole fleet, each trial claimed at the store. Where the answer to the claim was lost, the claim had taken effect and no request made the trial: the part stayed held for the next, eight times longer time.

Cause: claims and holds were written with the plain client, which can't tell a write without an answer from one that failed.

Mended: both go through store.Writer, which reads whether its write took effect. A conflict after a lost answer is decided again as any conflict. Claim and put share the step that replaces a hold object.

Evidence: the new test failed before, for the hold (error "no answer") and, with the loss behind the hold, for the claim (0 trials instead of 1). The stand-in of the holds' tests now gives objects a version, as a store does.

--- a/daemon/holds.go
+++ b/daemon/holds.go
@@ -36,6 +36,7 @@
 // and one that is cut off from the other instances but not from the store.
 type holdsTask struct {
 	client  store.Client
+	writer  *store.Writer
 	manager *quarantine.Manager
 	// reports queues the requests quarantined at this instance that are not yet written.
 	reports *ring.Ring[quarantine.Report]
@@ -128,30 +129,31 @@
 
 // putOnce writes a suspect. The error is a conflict if another instance has written it meanwhile.
 func (d *holdsTask) putOnce(ctx context.Context, report quarantine.Report) error {
-	o, err := d.object(report)
-	if err != nil {
+	if err := d.replace(ctx, store.Object{}, report); !store.IsConflict(err) {
 		return err
 	}
-	if _, err = d.client.Create(ctx, o); !store.IsConflict(err) {
+	old, err := d.client.Get(ctx, store.KindHold, report.Name())
+	if err != nil {
 		return err
 	}
-	old, err := d.client.Get(ctx, store.KindHold, o.Metadata.Name)
+	return d.replace(ctx, old, quarantine.MergeReports(report, d.known(old)))
+}
+
+// replace writes a suspect in place of old, its hold object; the zero Object if it has none. The error
+// is a conflict if another instance has written the object meanwhile.
+func (d *holdsTask) replace(ctx context.Context, old store.Object, report quarantine.Report) error {
+	o, err := store.NewObject(store.KindHold, report.Name(), d.encode(report))
 	if err != nil {
 		return err
 	}
-	if o, err = d.object(quarantine.MergeReports(report, d.known(old))); err != nil {
+	if o.Metadata.ResourceVersion = old.Metadata.ResourceVersion; o.Metadata.ResourceVersion == "" {
+		_, err = d.writer.Create(ctx, o)
 		return err
 	}
-	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
-	_, err = d.client.Update(ctx, o)
+	_, err = d.writer.Update(ctx, o)
 	return err
 }
 
-// object returns the hold object of a suspect.
-func (d *holdsTask) object(report quarantine.Report) (store.Object, error) {
-	return store.NewObject(store.KindHold, report.Name(), d.encode(report))
-}
-
 // known returns what a hold object tells; the zero value if it cannot be read or has expired.
 func (d *holdsTask) known(o store.Object) quarantine.Report {
 	report, err := d.decode(o)
--- a/daemon/holds_test.go
+++ b/daemon/holds_test.go
@@ -55,6 +55,7 @@
 	if _, there := s.objects[o.Metadata.Name]; there {
 		return o, &store.StatusError{Code: 409, Kind: o.Kind, Name: o.Metadata.Name}
 	}
+	o.Metadata.ResourceVersion = "1"
 	s.objects[o.Metadata.Name] = o
 	return o, nil
 }
@@ -75,7 +76,7 @@
 
 func newHoldsTask(s store.Client, isolated func() bool) *holdsTask {
 	d := &holdsTask{
-		client: s, reports: ring.New[quarantine.Report](pendingHoldsCapacity, ring.DropOldest), isolated: isolated,
+		client: s, writer: store.NewWriter(s), reports: ring.New[quarantine.Report](pendingHoldsCapacity, ring.DropOldest), isolated: isolated,
 		retention: quarantine.DefaultLimits.Retention(), log: logr.Discard(), timeOfDay: time.Now,
 	}
 	d.manager = quarantine.NewManager(quarantine.Config{
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -237,7 +237,9 @@
 		MaxResponseHeaderBytes: store.MaxHeadBytes,
 	}
 	objects := store.NewHTTPClient(store.Config{URL: i.cfg.Platform.ObjectAPI, Calls: calls, Transport: platform})
-	i.holds = &holdsTask{client: objects, retention: i.cfg.Quarantine.limits().Retention(), log: i.log, timeOfDay: time.Now}
+	i.holds = &holdsTask{
+		client: objects, writer: store.NewWriter(objects), retention: i.cfg.Quarantine.limits().Retention(), log: i.log, timeOfDay: time.Now,
+	}
 	i.claims = claim.NewOwner(i.work, objects, i.deps.Now, i.shardConfig)
 	dialect := pipeline.NewOpenAI(i.catalog.Load, int64(i.cfg.Limits.BodyBytes))
 	handler := pipeline.New(pipeline.Config{
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -471,7 +471,7 @@
 	}
 	n.vars.Set("entries_refused", &entries.entriesRefused)
 	holds := &holdsTask{
-		client: objects, manager: n.quarantine, reports: n.unsavedReports, isolated: n.mesh.isolated, retention: n.cfg.Quarantine.limits().Retention(),
+		client: objects, writer: store.NewWriter(objects), manager: n.quarantine, reports: n.unsavedReports, isolated: n.mesh.isolated, retention: n.cfg.Quarantine.limits().Retention(),
 		log: n.log, timeOfDay: time.Now,
 	}
 	n.holds.Store(holds)
--- a/daemon/trials.go
+++ b/daemon/trials.go
@@ -24,29 +24,19 @@
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
 	old, err := d.client.Get(ctx, store.KindHold, r.Name())
-	found := err == nil
-	if err != nil && !store.IsNotFound(err) {
-		return quarantine.TrialClaim{}, err
-	}
 	var known quarantine.Report
-	if found {
+	switch {
+	case err == nil:
 		known = d.known(old)
+	case !store.IsNotFound(err):
+		return quarantine.TrialClaim{}, err
 	}
 	if len(known.TrialsMS) > len(r.TrialsMS) {
 		return quarantine.TrialClaim{Known: known}, nil
 	}
 	claimed := quarantine.MergeReports(r, known)
 	claimed.TrialsMS = append(claimed.TrialsMS, 0)
-	o, err := d.object(claimed)
-	if err != nil {
-		return quarantine.TrialClaim{}, err
-	}
-	o.Metadata.ResourceVersion = old.Metadata.ResourceVersion
-	if found {
-		_, err = d.client.Update(ctx, o)
-	} else {
-		_, err = d.client.Create(ctx, o)
-	}
+	err = d.replace(ctx, old, claimed)
 	if store.IsConflict(err) {
 		return quarantine.TrialClaim{Known: known}, nil
 	}
--- a/daemon/trials_test.go
+++ b/daemon/trials_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,6 +26,8 @@
 	objects map[string]store.Object
 	version int
 	down    bool
+	// losesAnswers makes writes take effect without an answer.
+	losesAnswers bool
 }
 
 const storeCallTime = 5 * time.Millisecond
@@ -55,21 +58,21 @@
 }
 
 func (s *versionedStore) Create(_ context.Context, created store.Object) (store.Object, error) {
-	return s.call(created.Metadata.Name, func(o store.Object, exists bool) (store.Object, int) {
+	return s.answer(s.call(created.Metadata.Name, func(o store.Object, exists bool) (store.Object, int) {
 		if exists {
 			return o, http.StatusConflict
 		}
 		return s.write(created), 0
-	})
+	}))
 }
 
 func (s *versionedStore) Update(_ context.Context, updated store.Object) (store.Object, error) {
-	return s.call(updated.Metadata.Name, func(o store.Object, exists bool) (store.Object, int) {
+	return s.answer(s.call(updated.Metadata.Name, func(o store.Object, exists bool) (store.Object, int) {
 		if !exists || o.Metadata.ResourceVersion != updated.Metadata.ResourceVersion {
 			return o, http.StatusConflict
 		}
 		return s.write(updated), 0
-	})
+	}))
 }
 
 func (s *versionedStore) write(o store.Object) store.Object {
@@ -79,6 +82,16 @@
 	return o
 }
 
+// answer returns the answer to a write.
+func (s *versionedStore) answer(o store.Object, err error) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.losesAnswers {
+		return store.Object{}, &store.UnansweredError{Err: io.ErrUnexpectedEOF}
+	}
+	return o, err
+}
+
 func (s *versionedStore) Delete(_ context.Context, _ store.Kind, name string) error {
 	_, err := s.call(name, func(o store.Object, exists bool) (store.Object, int) {
 		delete(s.objects, name)
@@ -198,6 +211,18 @@
 	})
 }
 
+// TestLostAnswerOfTheStoreWastesNoTrial guards against a trial that was claimed and that no request
+// makes, because the store's answer to the claim was lost.
+func TestLostAnswerOfTheStoreWastesNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHoldsFleet(t, 1)
+		f.store.losesAnswers = true
+		f.hold()
+		time.Sleep(quarantine.DefaultLimits.Hold * 3 / 2)
+		require.Equal(t, 1, f.admitted())
+	})
+}
+
 // TestStoreOutOfReachGrantsNoTrial guards against trials by all instances while the store is down.
 func TestStoreOutOfReachGrantsNoTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
