Soak: requests that are all different share a part that crashes endpoints

The soak repeated one crashing request only, and so could not meet what the incident was about. The new fault, crashing-part, sends requests with paths, bodies and last parts of their own to all instances in turn, which share a part of their prompts; whoever begins to run one exits. All other prompts share a sound part with them, which no hold may reach: behind the faults each kind has to be served.

Check: no more than three endpoints later than 3 s behind the fifth, by instances undisturbed meanwhile. As the seeds of earlier lists keep their schedules, the fault is in a list of its own.

--- a/cmd/eiderspring-soak/main.go
+++ b/cmd/eiderspring-soak/main.go
@@ -181,7 +181,7 @@
 // true, and passes all others to serve.
 func crashOnRequest(serve http.HandlerFunc) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
-		if soak.CrashesEndpoint(r.URL.Path) {
+		if soak.CrashesEndpoint(r) {
 			os.Exit(exitCrashed)
 		}
 		serve(rw, r)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -154,13 +154,35 @@
 	return c.do(conn, Result{Kind: kind, Node: node, Name: name}, busyProfile.timeout)
 }
 
+// SendWithPart sends a new request on a new connection. Its prompt has the given part, which crashes
+// endpoints.
+func (c *Callers) SendWithPart(node int, kind Kind, part string) Result {
+	conn := &callerConn{}
+	defer conn.close()
+	return c.do(conn, Result{Kind: kind, Node: node, Part: part}, busyProfile.timeout)
+}
+
+// commonPart is a part of all prompts.
+const commonPart = "common"
+
+// promptParts returns the parts of a request's prompt, the last of which is its own.
+func promptParts(res Result) []string {
+	switch {
+	case res.Kind.Model == "":
+		return nil
+	case res.Part != "":
+		return []string{commonPart, res.Part, res.Attempt}
+	}
+	return []string{commonPart, cmp.Or(res.Name, res.Began, res.Attempt)}
+}
+
 // do sends a request and records its result.
 func (c *Callers) do(conn *callerConn, res Result, timeout time.Duration) Result {
 	res.Attempt, res.Sent = c.nextID(), time.Now()
 	name := cmp.Or(res.Name, res.Began, res.Attempt)
 	req, err := fake.Request{
 		Address: c.testbed.nodes[res.Node].callerAddress, Method: res.Kind.Method, Path: res.Kind.Path + name, Attempt: res.Attempt,
-		Model: res.Kind.Model, Body: requestBody(name), Timeout: timeout, Resumes: res.Began, LastEvent: res.Held - 1,
+		Model: res.Kind.Model, PromptParts: promptParts(res), Body: requestBody(name), Timeout: timeout, Resumes: res.Began, LastEvent: res.Held - 1,
 	}.HTTP(context.Background())
 	if err == nil {
 		err = conn.roundTrip(req, &res, res.Sent.Add(timeout+timeoutSlack))
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -32,6 +33,9 @@
 	// Name is the name under which the request is resent; empty for a request that is
 	// sent once.
 	Name string
+	// Part is the part of the prompt that the request shares with others and that crashes endpoints;
+	// empty if there is none.
+	Part string
 	// Began is the attempt that began the stream of which the request asks for the rest, empty for a
 	// whole answer. Held is the number of events that the caller has of it, Version the software
 	// version that wrote them.
@@ -271,36 +275,43 @@
 	}
 }
 
-// maxLateCrashes is how many endpoints a request may crash after all undisturbed
-// instances know that it has crashed crashThreshold of them.
+// maxLateCrashes is how many endpoints a request, or the requests with a part of a prompt, may crash
+// after all undisturbed instances know that it has crashed crashThreshold or partCrashThreshold of
+// them.
 const (
-	maxLateCrashes = 3
-	crashThreshold = 3
+	maxLateCrashes     = 3
+	crashThreshold     = 3
+	partCrashThreshold = 5
 )
 
-// checkCrashes checks that a request that crashes endpoints is held back.
+// checkCrashes checks that a request that crashes endpoints, and all with a part of a prompt that
+// does, are held back.
 func (c *checker) checkCrashes(results []Result, records []Record) {
 	if c.rules.PropagationTime == 0 {
 		return
 	}
 	resent := map[string]Result{}
 	for _, res := range results {
-		if res.Name != "" {
+		if res.Name != "" || res.Part != "" {
 			resent[res.Attempt] = res
 		}
 	}
 	crashes := map[string][]Record{}
 	for _, r := range records {
 		if res, known := resent[r.Attempt]; known && r.What == fake.EventRun {
-			crashes[res.Name] = append(crashes[res.Name], r)
+			name := cmp.Or(res.Part, res.Name)
+			crashes[name] = append(crashes[name], r)
 		}
 	}
 	for name, runs := range crashes {
-		late := 0
+		late, threshold := 0, crashThreshold
+		if resent[runs[0].Attempt].Part != "" {
+			threshold = partCrashThreshold
+		}
 		for i, r := range runs {
 			res := resent[r.Attempt]
-			from := runs[min(crashThreshold, len(runs))-1].At
-			if i >= crashThreshold && r.At.Sub(from) > c.rules.PropagationTime && (c.rules.Undisturbed == nil || c.rules.Undisturbed(res, from)) {
+			from := runs[min(threshold, len(runs))-1].At
+			if i >= threshold && r.At.Sub(from) > c.rules.PropagationTime && (c.rules.Undisturbed == nil || c.rules.Undisturbed(res, from)) {
 				late++
 			}
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -85,6 +85,30 @@
 	require.Empty(t, check(4, Rules{}))
 }
 
+// TestCheckReportsACrashingPartThatIsNotHeldBack has a part of prompts crash five endpoints before all
+// instances know, each under another request, one while the knowledge propagates, and some late.
+func TestCheckReportsACrashingPartThatIsNotHeldBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	check := func(late int) []string {
+		var results []Result
+		var records []Record
+		for i := range 6 + late {
+			at := start.Add(time.Duration(i) * time.Millisecond)
+			if i >= 6 {
+				at = at.Add(4 * time.Second)
+			}
+			attempt := strings.Repeat("x", i+1)
+			results = append(results, Result{Attempt: attempt, Kind: kindStream, Part: crashingPrefix + "1", Sent: at, Ended: at, Status: http.StatusBadGateway})
+			records = append(records, Record{At: at, Worker: "w", Service: fake.LLM, WorkerEvent: fake.WorkerEvent{What: fake.EventRun, Attempt: attempt}})
+		}
+		return Check(results, records, Rules{PropagationTime: 3 * time.Second})
+	}
+	require.Empty(t, check(3))
+	violations := check(4)
+	require.Len(t, violations, 1)
+	require.Contains(t, violations[0], "not held back: crashing-1 crashed 10 endpoints, 4 of them late")
+}
+
 // TestCheckReportsEachViolation violates one guarantee at a time.
 func TestCheckReportsEachViolation(t *testing.T) {
 	for want, violate := range map[string]func(a []Result, r []Record) []Record{
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/eiderspring/eiderspring/platform/fake"
 )
 
 const (
@@ -24,22 +27,42 @@
 	restartDelay = time.Second
 )
 
-// CrashesEndpoint reports whether a request with this path crashes the endpoint that runs
-// it.
-func CrashesEndpoint(path string) bool { return strings.Contains(path, "/"+crashingPrefix) }
+// CrashesEndpoint reports whether a request crashes the endpoint that runs it.
+func CrashesEndpoint(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get(fake.PromptPrefixHeader), ",")
+	return strings.Contains(r.URL.Path, "/"+crashingPrefix) ||
+		slices.ContainsFunc(parts, func(part string) bool { return strings.HasPrefix(part, crashingPrefix) })
+}
 
 // resendCrashing sends a request that crashes endpoints to all instances in turn;
 // restartWorkers restarts the endpoints.
 func (r *run) resendCrashing(f Fault) {
 	kind := []Kind{kindUnsafe, kindStream}[f.Target%2]
-	name := fmt.Sprintf("%s%d", crashingPrefix, time.Now().UnixNano())
+	name := newCrashingName()
+	r.repeatAtAll(f, func(node int) { r.callers.Resend(node, kind, name) })
+	slog.Info("crashing request repeated", "name", name)
+}
+
+// shareCrashing sends requests that are all different to all instances in turn. They share a part of
+// their prompts that crashes endpoints.
+func (r *run) shareCrashing(f Fault) {
+	kind := []Kind{kindStream, kindResumable}[f.Target%2]
+	part := newCrashingName()
+	r.repeatAtAll(f, func(node int) { r.callers.SendWithPart(node, kind, part) })
+	slog.Info("crashing part shared", "part", part)
+}
+
+// newCrashingName returns a name that no request or part has had.
+func newCrashingName() string { return fmt.Sprintf("%s%d", crashingPrefix, time.Now().UnixNano()) }
+
+// repeatAtAll calls send for all instances in turn, until resendTail after the last fault.
+func (r *run) repeatAtAll(f Fault, send func(node int)) {
 	end := time.Now().Add(r.options.Size.Faults - f.At + resendTail)
 	for i := 0; time.Now().Before(end); i++ {
 		node := (f.Target + i) % len(r.testbed.nodes)
-		r.faults.Go(func() { r.callers.Resend(node, kind, name) })
+		r.faults.Go(func() { send(node) })
 		time.Sleep(resendInterval)
 	}
-	slog.Info("crashing request repeated", "name", name)
 }
 
 // restartWorkers restarts workers that a request has crashed. Once stop is closed, it
--- a/soak/run.go
+++ b/soak/run.go
@@ -159,6 +159,8 @@
 		t.writeForeignEntries(f.Target)
 	case CrashingRequest:
 		r.resendCrashing(f)
+	case CrashingPart:
+		r.shareCrashing(f)
 	case Reconfigure:
 		r.moveRoute()
 	default:
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -19,13 +19,14 @@
 }
 
 // Each regression case is run by a test of its own. regressionFirst draws from the first
-// list of actions, regressionStandstill covers the actions that the second list adds, and
-// the others reproduce schedules that found a fault.
+// list of actions, regressionStandstill covers the actions that the second list adds,
+// regressionPart those of the seventh, and the others reproduce schedules that found a fault.
 var (
 	regressionFirst      = regressionCase{1, firstActions}
 	regressionStandstill = regressionCase{303, secondActions}
 	regressionCrashing   = regressionCase{403, fourthActions}
 	regressionLimit      = regressionCase{629, sixthActions}
+	regressionPart       = regressionCase{747, seventhActions}
 )
 
 // TestRegressionSchedulesStayTheSame compares the schedules of the regression cases with
@@ -33,7 +34,7 @@
 // the failures that they stand for.
 func TestRegressionSchedulesStayTheSame(t *testing.T) {
 	lines := []string{}
-	for _, k := range []regressionCase{regressionFirst, regressionStandstill, regressionCrashing, regressionLimit} {
+	for _, k := range []regressionCase{regressionFirst, regressionStandstill, regressionCrashing, regressionLimit, regressionPart} {
 		for _, f := range newSchedule(k.seed, shortSize, k.actions) {
 			lines = append(lines, f.String())
 		}
@@ -70,6 +71,12 @@
 		"at=2.966657431s action=worker-limit target=0 link=worker for=1.019475468s",
 		"at=3.44993836s action=store-silent target=2 link=store for=1.55006164s",
 		"at=4.604985301s action=worker-limit target=0 link=store for=395.014699ms",
+
+		"at=700ms action=crashing-part target=1 link=worker for=731.117801ms",
+		"at=877.165999ms action=worker-reborn target=0 link=worker for=1.05424457s",
+		"at=1.132776492s action=foreign-entry target=0 link=store for=507.749519ms",
+		"at=1.657949957s action=link-delay target=1 link=callers for=878.601895ms",
+		"at=3.702937414s action=crashing-part target=2 link=worker for=1.210411082s",
 	}, lines)
 }
 
@@ -88,6 +95,10 @@
 // instances during other faults.
 func TestCrashingSoak(t *testing.T) { playRegression(t, regressionCrashing) }
 
+// TestCrashingPartSoak starts with requests that are all different and share a part of their prompts
+// that crashes endpoints. All other prompts share a sound part with them.
+func TestCrashingPartSoak(t *testing.T) { playRegression(t, regressionPart) }
+
 // TestLimitSoak has an engine and a plain endpoint announce limits, one of them while the
 // store is silent. All must keep serving, and serve as before when the limits end.
 func TestLimitSoak(t *testing.T) { playRegression(t, regressionLimit) }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -57,6 +57,9 @@
 	// CrashingRequest is a request that crashes each endpoint that runs it and that is
 	// resent to all instances until resendTail after the last fault.
 	CrashingRequest Action = "crashing-request"
+	// CrashingPart is a part of prompts that crashes each endpoint which begins to run a request
+	// with it. Requests that are all different share it; they go on as those of CrashingRequest.
+	CrashingPart Action = "crashing-part"
 	// Reconfigure writes a new configuration, in which a route is moved, or moved back.
 	Reconfigure Action = "reconfigure"
 )
@@ -128,8 +131,11 @@
 // sixthActions adds endpoints that announce limits.
 var sixthActions = slices.Concat(fifthActions, []Action{WorkerLimit, WorkerLimit, WorkerLimit})
 
+// seventhActions adds parts of prompts that crash endpoints.
+var seventhActions = slices.Concat(sixthActions, []Action{CrashingPart, CrashingPart})
+
 // actions is the list that NewSchedule draws from.
-var actions = sixthActions
+var actions = seventhActions
 
 // NewSchedule generates the schedule of a seed.
 func NewSchedule(seed uint64, size Size) []Fault { return newSchedule(seed, size, actions) }
