Callers' connections leave descriptors for those to endpoints, however many these are

Callers would have seen: endpoints that can't be reached, and an instance that takes itself for cut off, while callers hold the descriptors. Found in reading, not played.

Cause: callers' connections had three quarters of the descriptors, and connections to endpoints what was left, a quarter.

Mended: callers have what is left of nine tenths by the connections that are open to endpoints, a quarter at least and three quarters at most. These are counted where they are dialled and closed (metric endpoint_path.open). The product's own instance ends crowded connections with their responses, too; its endpoints' connections aren't counted.

Evidence: table test of the bound, test of the count; ./platform's tests of paths and stops pass.

--- a/daemon/connbound.go
+++ b/daemon/connbound.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// callerFraction is the fraction of the process's descriptors that callers' connections may
-	// take; the others are for endpoints, the store and other instances.
-	callerFraction = 0.75
+	// callerFraction is the largest fraction of the process's descriptors that callers' connections
+	// may take, minCallerFraction what they may take however many are open to endpoints.
+	callerFraction    = 0.75
+	minCallerFraction = 0.25
+	// reservedFraction is the fraction that is for files, the store, other instances, and new
+	// connections to endpoints.
+	reservedFraction = 0.1
 	// closedAtOnce is the fraction of the bound that is closed when it is reached, so that not each
 	// new connection looks for another one to close.
 	closedAtOnce = 1.0 / 16
@@ -28,18 +32,25 @@
 	roomPollInterval = 10 * time.Millisecond
 )
 
-// maxCallerConns returns how many connections of callers the process has descriptors for, by its
-// configuration or, if that is 0, by the operating system; 0 if that is unknown.
-func maxCallerConns(configured int) int {
+// maxCallerConns returns how many connections of callers a process may have open that has so many
+// descriptors and connections to endpoints; 0 if the number of descriptors is unknown.
+func maxCallerConns(descriptors, toEndpoints int) int {
+	total := float64(descriptors)
+	left := total*(1-reservedFraction) - float64(toEndpoints)
+	return int(min(max(left, total*minCallerFraction), total*callerFraction))
+}
+
+// descriptorLimit returns how many descriptors the process has, by its configuration or, if that is 0,
+// by the operating system; 0 if that is unknown.
+func descriptorLimit(configured int) int {
+	if configured > 0 {
+		return configured
+	}
 	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil && configured == 0 {
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return 0
 	}
-	descriptors := min(limit.Cur, math.MaxInt32)
-	if configured > 0 {
-		descriptors = uint64(configured)
-	}
-	return int(float64(descriptors) * callerFraction)
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 // boundedListener accepts connections as long as there is room for them. The platform may send most
@@ -61,7 +72,8 @@
 func (c *idleConns) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.maxOpen > 0 && float64(len(c.open)) >= float64(c.maxOpen)*crowdedFraction
+	bound := c.maxOpen()
+	return bound > 0 && float64(len(c.open)) >= float64(bound)*crowdedFraction
 }
 
 // makeRoom closes the connections that have been idle for longest if the bound is reached. It reports
@@ -69,20 +81,21 @@
 func (c *idleConns) makeRoom() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.maxOpen == 0 || c.stopped || len(c.open) < c.maxOpen {
+	bound := c.maxOpen()
+	if bound == 0 || c.stopped || len(c.open) < bound {
 		return true
 	}
 	closed := 0
-	most := max(int(float64(c.maxOpen)*closedAtOnce), 1)
+	most := max(int(float64(bound)*closedAtOnce), 1)
 	for _, conn := range c.longestIdle() {
 		if closed < most && c.closeIfIdle(conn) {
 			closed++
 		}
 	}
 	if closed > 0 {
-		c.log.Info("idle connections closed", "closed", closed, "open", len(c.open), "bound", c.maxOpen)
+		c.log.Info("idle connections closed", "closed", closed, "open", len(c.open), "bound", bound)
 	}
-	return len(c.open) < c.maxOpen
+	return len(c.open) < bound
 }
 
 // longestIdle returns the connections that have been idle for silentTime, those that have been so for
--- a/daemon/connbound_test.go
+++ b/daemon/connbound_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,7 +33,7 @@
 
 func newBoundedServer(t *testing.T) *boundedServer {
 	s := &boundedServer{t: t, held: make(chan struct{}), conns: newIdleConns(logr.Discard(), time.Now, func() time.Duration { return 0 })}
-	s.conns.maxOpen = connBound
+	s.conns.maxOpen = func() int { return connBound }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = l.Addr().String()
@@ -151,6 +152,38 @@
 	return err
 }
 
+// TestCallersLeaveDescriptorsForEndpoints guards against callers that take the descriptors of connections
+// to endpoints, of which an instance before many endpoints has more than a quarter, and against callers
+// who are left without any.
+func TestCallersLeaveDescriptorsForEndpoints(t *testing.T) {
+	const descriptors = 4100
+	require.Equal(t, 3075, maxCallerConns(descriptors, 0))
+	require.Equal(t, 3075, maxCallerConns(descriptors, 600))
+	require.Equal(t, 1232, maxCallerConns(descriptors, 2458))
+	require.Equal(t, 1025, maxCallerConns(descriptors, 4000))
+	require.Zero(t, maxCallerConns(0, 100), "the number is unknown")
+}
+
+// TestOpenConnectionsToEndpointsAreCounted guards against a count that misses a connection, or takes one
+// off twice.
+func TestOpenConnectionsToEndpointsAreCounted(t *testing.T) {
+	open := func(context.Context, string, string) (net.Conn, error) {
+		conn, _ := net.Pipe()
+		return conn, nil
+	}
+	p := newEndpointPath(t.Context(), open, nil, logr.Discard(), time.Now)
+	var conns []net.Conn
+	for range 3 {
+		conn, err := p.DialContext(t.Context(), "tcp", "")
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	require.Equal(t, 3, p.openConns())
+	require.NoError(t, conns[0].Close())
+	_ = conns[0].Close()
+	require.Equal(t, 2, p.openConns())
+}
+
 // TestCallersWaitWhileAllConnectionsAreBusy guards against a request that is cut as all connections
 // are busy and another caller comes.
 func TestCallersWaitWhileAllConnectionsAreBusy(t *testing.T) {
--- a/daemon/endpointpath.go
+++ b/daemon/endpointpath.go
@@ -44,6 +44,8 @@
 	cutOff, doubtful atomic.Bool
 	// opened and failed count connections, suspicions and cutOffs how often the state was entered.
 	opened, failed, suspicions, cutOffs atomic.Int64
+	// closed counts the connections of opened that were closed since.
+	closed atomic.Int64
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -86,6 +88,9 @@
 	p.step(reach.OpenFailed{Address: address})
 }
 
+// openConns returns the number of connections to endpoints.
+func (p *endpointPath) openConns() int { return int(p.opened.Load() - p.closed.Load()) }
+
 // markHeard records that an endpoint has sent something or accepted a connection.
 func (p *endpointPath) markHeard() {
 	if p.unansweredSince.Load() != 0 {
@@ -286,7 +291,9 @@
 	State reach.State `json:"state"`
 	// Opened and Failed count connections to endpoints, Suspicions and CutOffs how often the
 	// path was suspected and found to be lost.
-	Opened     int64 `json:"opened"`
+	Opened int64 `json:"opened"`
+	// Open is how many of them are open.
+	Open       int   `json:"open"`
 	Failed     int64 `json:"failed"`
 	Suspicions int64 `json:"suspicions"`
 	CutOffs    int64 `json:"cut_offs"`
@@ -296,7 +303,7 @@
 
 func (p *endpointPath) stats() endpointPathStats {
 	return endpointPathStats{
-		State: p.state(), Opened: p.opened.Load(), Failed: p.failed.Load(), Suspicions: p.suspicions.Load(), CutOffs: p.cutOffs.Load(),
+		State: p.state(), Opened: p.opened.Load(), Open: p.openConns(), Failed: p.failed.Load(), Suspicions: p.suspicions.Load(), CutOffs: p.cutOffs.Load(),
 		CutOffMS: p.cutOffFor().Milliseconds(),
 	}
 }
@@ -304,7 +311,8 @@
 // watchedConn is a connection to an endpoint that tells endpointPath what is sent and received.
 type watchedConn struct {
 	net.Conn
-	path *endpointPath
+	path   *endpointPath
+	closed atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -316,6 +324,14 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.path.closed.Add(1)
+	}
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *watchedConn) Write(b []byte) (int, error) {
 	c.path.markSent()
--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -22,8 +22,8 @@
 	// limit returns how long a connection may be idle; 0 sets no bound.
 	limit func() time.Duration
 
-	// maxOpen bounds the open connections; 0 sets no bound.
-	maxOpen int
+	// maxOpen returns how many connections may be open; 0 sets no bound.
+	maxOpen func() int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -39,7 +39,7 @@
 }
 
 func newIdleConns(log logr.Logger, now func() time.Time, limit func() time.Duration) *idleConns {
-	return &idleConns{log: log, now: now, limit: limit, open: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}}
+	return &idleConns{log: log, now: now, limit: limit, maxOpen: func() int { return 0 }, open: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}}
 }
 
 // serve runs the callers' server on l and tracks its connections.
--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -252,7 +252,8 @@
 	i.cancelOverdue = handler.CancelOverdue
 	i.callers = i.newServer(i.closeWhileDraining(i.admit(dialect, dialect.WithModels(handler))))
 	i.idle = newIdleConns(i.log, i.deps.Now, func() time.Duration { return milliseconds(i.cfg.Limits.IdleMS) })
-	i.idle.maxOpen = maxCallerConns(0)
+	descriptors := descriptorLimit(0)
+	i.idle.maxOpen = func() int { return maxCallerConns(descriptors, 0) }
 	i.operators = i.newServer(i.operatorHandler())
 	i.startTasks(objects, platform)
 }
@@ -301,10 +302,11 @@
 	})
 }
 
-// closeWhileDraining closes connections after their responses once the instance drains.
+// closeWhileDraining closes connections after their responses once the instance drains, or while
+// callers have opened too many.
 func (i *Instance) closeWhileDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&closingWriter{ResponseWriter: w, ends: i.draining.Load}, r)
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, ends: func() bool { return i.draining.Load() || i.idle.crowded() }}, r)
 	})
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -177,9 +177,10 @@
 	n.startedAt = n.now()
 	n.storeLink = &storeLink{log: log, now: n.now}
 	n.idle = newIdleConns(log, n.now, n.idleLimit)
-	n.idle.maxOpen = maxCallerConns(cfg.Limits.Descriptors)
 	n.gates = pipeline.NewGates(admission.Limits{MaxWaiters: cfg.Limits.QueueRequests, MaxBytes: cfg.Limits.QueueBytes}, n.now)
 	n.path = n.newPath(platform.DialEndpoint)
+	descriptors := descriptorLimit(cfg.Limits.Descriptors)
+	n.idle.maxOpen = func() int { return maxCallerConns(descriptors, n.path.openConns()) }
 	said := &statements{router: n.router, onLeaving: n.endpointSaidLeaving, vars: n.vars, log: log, now: n.now}
 	n.engine = engine.NewClient(engine.Config{Dial: n.path.DialContext, IdlePerEndpoint: idlePerEndpoint, Dialect: platform.Endpoints, Statements: said})
 	n.control = engine.NewClient(engine.Config{Dial: n.path.DialContext, Dialect: platform.Endpoints, IdlePerEndpoint: 1, Statements: said})
