Soak: many callers open connections at one instance that has few descriptors

caller-surge opens 300 connections at one instance for the time of the fault, each kept for a request every 0.4 s. Instances run with 320 descriptors, which the operating system enforces (the limit of the process that has just been started is lowered).

--- a/soak/process.go
+++ b/soak/process.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // process is a program that the testbed starts and restarts.
@@ -21,6 +24,9 @@
 	// onLine, if not nil, is called with each line of standard output, which also goes
 	// to the log.
 	onLine func([]byte)
+	// maxDescriptors is how many sockets and files the process may have open; 0 leaves the system's
+	// limit.
+	maxDescriptors uint64
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -53,11 +59,22 @@
 		logFile.Close()
 		return err
 	}
+	if err := p.limitDescriptors(cmd.Process.Pid); err != nil {
+		slog.Error("descriptors not limited", "process", p.name, "error", err.Error())
+	}
 	p.cmd, p.stopRequested, p.exited = cmd, false, make(chan struct{})
 	go p.supervise(cmd, out, logFile, p.exited)
 	return nil
 }
 
+// limitDescriptors lowers the limit of a process that has just been started.
+func (p *process) limitDescriptors(pid int) error {
+	if p.maxDescriptors == 0 {
+		return nil
+	}
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: p.maxDescriptors, Max: p.maxDescriptors}, nil)
+}
+
 // supervise reads the output to its end and waits for the process to exit.
 func (p *process) supervise(cmd *exec.Cmd, out io.Reader, logFile *os.File, exited chan struct{}) {
 	defer logFile.Close()
--- a/soak/run.go
+++ b/soak/run.go
@@ -161,6 +161,8 @@
 		r.resendCrashing(f)
 	case CrashingPart:
 		r.shareCrashing(f)
+	case CallerSurge:
+		r.surge(f)
 	case Reconfigure:
 		r.moveRoute()
 	default:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -60,6 +60,8 @@
 	// CrashingPart is a part of prompts that crashes each endpoint which begins to run a request
 	// with it. Requests that are all different share it; they go on as those of CrashingRequest.
 	CrashingPart Action = "crashing-part"
+	// CallerSurge has many callers open connections at one instance at once.
+	CallerSurge Action = "caller-surge"
 	// Reconfigure writes a new configuration, in which a route is moved, or moved back.
 	Reconfigure Action = "reconfigure"
 )
@@ -134,8 +136,11 @@
 // seventhActions adds parts of prompts that crash endpoints.
 var seventhActions = slices.Concat(sixthActions, []Action{CrashingPart, CrashingPart})
 
+// eighthActions adds surges of callers.
+var eighthActions = slices.Concat(seventhActions, []Action{CallerSurge, CallerSurge})
+
 // actions is the list that NewSchedule draws from.
-var actions = seventhActions
+var actions = eighthActions
 
 // NewSchedule generates the schedule of a seed.
 func NewSchedule(seed uint64, size Size) []Fault { return newSchedule(seed, size, actions) }
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -340,7 +340,7 @@
 		return err
 	}
 	n := &node{callerAddress: a[4], readyAddress: a[1], toStore: toStore, fromCallers: fromCallers}
-	n.name, n.logDir = "node-"+strconv.Itoa(i), t.dir
+	n.name, n.logDir, n.maxDescriptors = "node-"+strconv.Itoa(i), t.dir, nodeDescriptors
 	file, err := t.nodeConfig(n.name, a, toStore)
 	if err != nil {
 		return err
@@ -367,6 +367,7 @@
 	cfg.PeerPorts = []int{callerPort, callerPort}
 	cfg.Retries = daemon.NodeRetry{Ratio: 0.2, Slack: 20}
 	cfg.Orders.LeaseMS = int(orderLease.Milliseconds())
+	cfg.Limits.Descriptors = nodeDescriptors
 	cfg.Limits.GraceMS = int(stopGrace.Milliseconds())
 	text, err := json.MarshalIndent(cfg, "", "  ")
 	if err != nil {
