Test: one run of crashes for the soak's checks of requests and parts

The tests of the two checks built the same run, with other numbers. crashingRun serves both; every assertion stays.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -57,22 +57,27 @@
 	require.Empty(t, Check(results, records, cleanRules))
 }
 
+// crashingRun returns a run in which requests like first crash an endpoint each: some before all
+// instances know, one while the knowledge propagates, and some late.
+func crashingRun(first Result, early, late int) (results []Result, records []Record) {
+	for i := range early + 1 + late {
+		res := first
+		res.Attempt, res.Status, res.Sent = strings.Repeat("x", i+1), http.StatusBadGateway, time.Unix(1000, 0).Add(time.Duration(i)*time.Millisecond)
+		if i > early {
+			res.Sent = res.Sent.Add(4 * time.Second)
+		}
+		res.Ended = res.Sent
+		results = append(results, res)
+		records = append(records, Record{At: res.Sent, Worker: "w", Service: res.Kind.Service, WorkerEvent: fake.WorkerEvent{What: fake.EventRun, Attempt: res.Attempt}})
+	}
+	return results, records
+}
+
 // TestCheckReportsACrashingRequestThatIsNotHeldBack has a request crash three endpoints
 // before all instances know, one while the knowledge propagates, and some late.
 func TestCheckReportsACrashingRequestThatIsNotHeldBack(t *testing.T) {
-	start := time.Unix(1000, 0)
 	check := func(late int, rules Rules) []string {
-		var results []Result
-		var records []Record
-		for i := range 4 + late {
-			at := start.Add(time.Duration(i) * time.Millisecond)
-			if i >= 4 {
-				at = at.Add(4 * time.Second)
-			}
-			attempt := strings.Repeat("x", i+1)
-			results = append(results, Result{Attempt: attempt, Kind: kindUnsafe, Name: crashingPrefix + "1", Sent: at, Ended: at, Status: http.StatusBadGateway})
-			records = append(records, Record{At: at, Worker: "w", Service: fake.Plain, WorkerEvent: fake.WorkerEvent{What: fake.EventRun, Attempt: attempt}})
-		}
+		results, records := crashingRun(Result{Kind: kindUnsafe, Name: crashingPrefix + "1"}, crashThreshold, late)
 		return Check(results, records, rules)
 	}
 	rules := Rules{PropagationTime: 3 * time.Second}
@@ -88,19 +93,8 @@
 // TestCheckReportsACrashingPartThatIsNotHeldBack has a part of prompts crash five endpoints before all
 // instances know, each under another request, one while the knowledge propagates, and some late.
 func TestCheckReportsACrashingPartThatIsNotHeldBack(t *testing.T) {
-	start := time.Unix(1000, 0)
 	check := func(late int) []string {
-		var results []Result
-		var records []Record
-		for i := range 6 + late {
-			at := start.Add(time.Duration(i) * time.Millisecond)
-			if i >= 6 {
-				at = at.Add(4 * time.Second)
-			}
-			attempt := strings.Repeat("x", i+1)
-			results = append(results, Result{Attempt: attempt, Kind: kindStream, Part: crashingPrefix + "1", Sent: at, Ended: at, Status: http.StatusBadGateway})
-			records = append(records, Record{At: at, Worker: "w", Service: fake.LLM, WorkerEvent: fake.WorkerEvent{What: fake.EventRun, Attempt: attempt}})
-		}
+		results, records := crashingRun(Result{Kind: kindStream, Part: crashingPrefix + "1"}, partCrashThreshold, late)
 		return Check(results, records, Rules{PropagationTime: 3 * time.Second})
 	}
 	require.Empty(t, check(3))
