--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,8 @@
 	"stops":    runStops,
 	"repeated": runRepeated,
 	"target":   runTarget,
+	// A further finding, which is not a case.
+	"rollout": runRollout,
 }
 
 // maxTime is when a case is given up.
