--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 var cases = map[string]func(*bed) (broken bool, err error){
 	"stops":    runStops,
 	"repeated": runRepeated,
-	"target":   runTarget,
-	// A further finding, which is not a case.
+	"slow":     runSlow,
+	// Further findings, which are not cases.
+	"target":  runTarget,
 	"rollout": runRollout,
 }
 
