Signals: no signal ends a process that completes its requests

Cause: the goroutine that reloads ended with the context of the stop and gave SIGHUP its default action back. Weighed besides: a crash in the reload (the exit status is "signal: hangup"), and a second SIGTERM (the stop goes on; its tests pass on the former code). The same cause on related paths: SIGHUP at `serve` and during set-up, SIGTERM behind the run, and SIGPIPE by the log's descriptor, whose writer never saw the error that it counts.

Change: package signals takes the signals before anything is set up and never gives them back. A reload in a stop changes bounds on what endpoints get and nothing of the stop. serve logs by the LogWriter.

The soak judges the exit status of planned stops and has a series of signals in them.

--- a/cmd/eiderspring/node.go
+++ b/cmd/eiderspring/node.go
@@ -4,14 +4,13 @@
 	"context"
 	"expvar"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"github.com/eiderspring/eiderspring/daemon"
 	"github.com/eiderspring/eiderspring/platform"
+	"github.com/eiderspring/eiderspring/signals"
 )
 
 // configVariable is the environment variable with the path of a node's
@@ -28,7 +27,9 @@
 			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			cfg, err := daemon.LoadNodeConfig(c.String("config"))
+			owned := signals.Own(ctx)
+			path := c.String("config")
+			cfg, err := daemon.LoadNodeConfig(path)
 			if err != nil {
 				return err
 			}
@@ -39,27 +40,8 @@
 				return trace.Wrap(err)
 			}
 			node.Publish("log_lines_dropped", expvar.Func(func() any { return lines.Dropped() }))
-			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			go reloadOnHangup(ctx, c.String("config"), node)
-			return node.Run(ctx)
+			owned.OnHangup(func() { node.Reload(daemon.LoadNodeConfig(path)) })
+			return node.Run(owned.Stopping())
 		},
 	}
 }
-
-// reloadOnHangup reloads the configuration on each SIGHUP. An invalid
-// configuration changes nothing.
-func reloadOnHangup(ctx context.Context, path string, node *daemon.Node) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			cfg, err := daemon.LoadNodeConfig(path)
-			node.Reload(cfg, err)
-		}
-	}
-}
--- a/cmd/eiderspring/serve.go
+++ b/cmd/eiderspring/serve.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"github.com/eiderspring/eiderspring/daemon"
+	"github.com/eiderspring/eiderspring/signals"
 )
 
 func serveCommand() *cli.Command {
@@ -20,17 +19,20 @@
 			&cli.StringFlag{Name: "config", Usage: "the instance's configuration `FILE`", Required: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			owned := signals.Own(ctx)
 			cfg, err := daemon.LoadConfig(c.String("config"))
 			if err != nil {
 				return err
 			}
-			instance, err := daemon.New(cfg, daemon.Deps{Log: daemon.NewLogger(os.Stderr, cfg.LogLevel)})
+			lines := daemon.NewLogWriter(os.Stderr)
+			defer lines.Close()
+			log := daemon.NewLogger(lines, cfg.LogLevel)
+			instance, err := daemon.New(cfg, daemon.Deps{Log: log})
 			if err != nil {
 				return trace.Wrap(err)
 			}
-			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			return instance.Run(ctx)
+			owned.OnHangup(func() { log.Info("hangup ignored: the configuration file is read at the start only") })
+			return instance.Run(owned.Stopping())
 		},
 	}
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -523,7 +523,8 @@
 }
 
 // Reload applies a configuration that was read again. The retry and quarantine limits take
-// effect at once; other changes need a restart. A configuration with an error changes nothing.
+// effect at once, in a planned stop, too; other changes need a restart. So a reload neither moves the
+// bounds of a stop nor reopens what it closed. A configuration with an error changes nothing.
 func (n *Node) Reload(cfg NodeConfig, err error) {
 	if err != nil {
 		n.log.Error(err, "configuration rejected; the previous one stays in force")
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/eiderspring/eiderspring/peer"
 	"github.com/eiderspring/eiderspring/pipeline"
+	"github.com/eiderspring/eiderspring/quarantine"
 )
 
 // TestHolderKeepsTheLeaseWhenStrongerInstancesJoin lists stronger instances after this one has
@@ -98,6 +99,24 @@
 	require.Positive(t, n.retries.Limits().Burst)
 }
 
+// TestReloadReopensNothingInAStop reloads a configuration with a longer grace period behind the time at
+// which a stopping instance accepts requests.
+func TestReloadReopensNothingInAStop(t *testing.T) {
+	n := &Node{now: time.Now, log: logr.Discard(), retries: pipeline.NewRetryBudgets(pipeline.RetryLimits{})}
+	n.cfg = DefaultNodeConfig()
+	n.mesh = &mesh{now: time.Now, listed: map[string]presence{}, onInstanceCount: n.updateRetryLimits}
+	n.quarantine = quarantine.NewManager(quarantine.Config{Limits: n.cfg.Quarantine.limits(), Now: n.now, Log: n.log})
+	began := time.Now().Add(-refuseAfter)
+	n.stopping.Store(&began)
+	reloaded := DefaultNodeConfig()
+	reloaded.Limits.GraceMS = 10 * n.cfg.Limits.GraceMS
+	reloaded.Retries = NodeRetry{Ratio: 0, Slack: 0}
+	n.Reload(reloaded, nil)
+	require.True(t, n.refusesRequests())
+	require.Equal(t, DefaultNodeConfig().Limits.GraceMS, n.cfg.Limits.GraceMS, "the platform gives the process no more time")
+	require.Equal(t, reloaded.Retries.instanceLimits(0), n.retries.Limits(), "a bound on what endpoints get holds to the end")
+}
+
 func TestRetrySharesKeepToTheSlackOfAll(t *testing.T) {
 	r := NodeRetry{Ratio: 0.2, Slack: 52}
 	for _, instances := range []int{1, 6, 9, 20} {
--- a/soak/process.go
+++ b/soak/process.go
@@ -30,11 +30,14 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// stopRequested is set when the testbed sends SIGTERM or SIGKILL to the process.
-	stopRequested bool
-	exited        chan struct{}
-	// crashes counts exits without a stop request.
-	crashes int
+	// stopRequested is set when the testbed sends SIGTERM or SIGKILL to the process, killed when it
+	// sends SIGKILL.
+	stopRequested, killed bool
+	exited                chan struct{}
+	// crashes counts exits without a stop request; failedStops holds how planned stops ended that did
+	// not end with exit status 0.
+	crashes     int
+	failedStops []string
 }
 
 // start starts the program unless it is running.
@@ -62,7 +65,7 @@
 	if err := p.limitDescriptors(cmd.Process.Pid); err != nil {
 		slog.Error("descriptors not limited", "process", p.name, "error", err.Error())
 	}
-	p.cmd, p.stopRequested, p.exited = cmd, false, make(chan struct{})
+	p.cmd, p.stopRequested, p.killed, p.exited = cmd, false, false, make(chan struct{})
 	go p.supervise(cmd, out, logFile, p.exited)
 	return nil
 }
@@ -90,9 +93,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd = nil
-	if !p.stopRequested {
+	switch {
+	case !p.stopRequested:
 		p.crashes++
 		_, _ = io.WriteString(logFile, "exited unexpectedly: "+errorText(err)+"\n")
+	case err != nil && !p.killed:
+		p.failedStops = append(p.failedStops, err.Error())
 	}
 	close(exited)
 }
@@ -114,9 +120,25 @@
 	if s == syscall.SIGTERM || s == syscall.SIGKILL {
 		p.stopRequested = true
 	}
+	p.killed = p.killed || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s)
 }
 
+// signalUntilExit sends the signals in turn, one each interval, until the process has exited.
+func (p *process) signalUntilExit(interval time.Duration, signals ...syscall.Signal) {
+	p.mu.Lock()
+	running, exited := p.cmd != nil, p.exited
+	p.mu.Unlock()
+	for i := 0; running; i++ {
+		select {
+		case <-exited:
+			return
+		case <-time.After(interval):
+			p.signal(signals[i%len(signals)])
+		}
+	}
+}
+
 // stop stops the process by a signal, and kills it if it has not exited after grace. It
 // reports whether the process exited within grace.
 func (p *process) stop(s syscall.Signal, grace time.Duration) bool {
@@ -159,6 +181,13 @@
 	return p.crashes
 }
 
+// stopFailures returns how planned stops ended that did not end with exit status 0.
+func (p *process) stopFailures() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failedStops
+}
+
 // parseRecord parses a line of a worker's standard output.
 func parseRecord(line []byte) (Record, error) {
 	var r Record
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,6 +54,8 @@
 	recoveryAttempts = 10
 	// settleTime is the time for data in flight to arrive before the checks.
 	settleTime = 500 * time.Millisecond
+	// signalInterval is the time between the signals of a NodeStopSeries.
+	signalInterval = 250 * time.Millisecond
 	// loadMargin is what the load of the machine may add to the time until an endpoint
 	// that leaves receives no requests.
 	loadMargin = 300 * time.Millisecond
@@ -125,7 +127,7 @@
 func (r *run) injectFault(f Fault) {
 	t := r.testbed
 	switch f.Action {
-	case NodeTerm, NodeKill:
+	case NodeTerm, NodeKill, NodeStopSeries:
 		r.restartNode(t.nodes[f.Target], f)
 	case AllKill:
 		var all sync.WaitGroup
@@ -182,9 +184,12 @@
 // restartNode stops an instance and starts it again after the duration of the fault.
 func (r *run) restartNode(n *node, f Fault) {
 	signal := syscall.SIGKILL
-	if f.Action == NodeTerm {
+	if f.Action != NodeKill {
 		signal = syscall.SIGTERM
 	}
+	if f.Action == NodeStopSeries {
+		go n.signalUntilExit(signalInterval, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT)
+	}
 	// A paused process handles a signal only after it resumes.
 	n.signal(syscall.SIGCONT)
 	from := time.Now()
@@ -426,6 +431,9 @@
 		if crashes := n.crashCount(); crashes > 0 {
 			r.addViolation("exited unexpectedly %d times: %s", crashes, n.name)
 		}
+		for _, failure := range n.stopFailures() {
+			r.addViolation("planned stop cut short: %s: %s", n.name, failure)
+		}
 	}
 	results := r.callers.Results()
 	rules := Rules{
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -103,15 +103,29 @@
 // store is silent. All must keep serving, and serve as before when the limits end.
 func TestLimitSoak(t *testing.T) { playRegression(t, regressionLimit) }
 
+// TestStopSeriesSoak stops an instance while reloads and further requests to stop arrive. It guards
+// against a signal that ends a process which completes its requests.
+func TestStopSeriesSoak(t *testing.T) {
+	play(t, Options{Seed: 1, Schedule: []Fault{
+		{At: 700 * time.Millisecond, For: minFaultTime, Action: NodeStopSeries, Target: 0},
+		{At: 900 * time.Millisecond, For: minFaultTime, Action: NodeHangup, Target: 1},
+		{At: 1200 * time.Millisecond, For: minFaultTime, Action: NodeStopSeries, Target: 1},
+	}})
+}
+
 func playRegression(t *testing.T, k regressionCase) {
+	play(t, Options{Seed: k.seed, Schedule: newSchedule(k.seed, shortSize, k.actions)})
+}
+
+// play plays a seed and its schedule at the size of tests.
+func play(t *testing.T, o Options) {
 	programs := t.TempDir()
 	build := exec.Command("go", "build", "-o", programs, "../cmd/eiderspring", "../cmd/eiderspring-soak")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
-	report, err := Run(Options{
-		Programs: Programs{Node: filepath.Join(programs, "eiderspring"), StandIns: filepath.Join(programs, "eiderspring-soak")},
-		Seed:     k.seed, Schedule: newSchedule(k.seed, shortSize, k.actions), Size: shortSize, Callers: 2, Dir: t.TempDir(), SkipTimingChecks: true,
-	})
+	o.Programs = Programs{Node: filepath.Join(programs, "eiderspring"), StandIns: filepath.Join(programs, "eiderspring-soak")}
+	o.Size, o.Callers, o.Dir, o.SkipTimingChecks = shortSize, 2, t.TempDir(), true
+	report, err := Run(o)
 	require.NoError(t, err)
 	require.Empty(t, report.Violations, report.String())
 	require.Positive(t, report.Served)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -19,6 +19,8 @@
 	NodeKill   Action = "node-kill"
 	NodePause  Action = "node-pause"
 	NodeHangup Action = "node-hangup"
+	// NodeStopSeries is a NodeTerm during which further signals arrive: reloads and requests to stop.
+	NodeStopSeries Action = "node-stop-series"
 	// NodeStandstill is a NodePause that exceeds the idle timeout of connections.
 	NodeStandstill Action = "node-standstill"
 	// AllKill kills all instances at once.
@@ -139,8 +141,11 @@
 // eighthActions adds surges of callers.
 var eighthActions = slices.Concat(seventhActions, []Action{CallerSurge, CallerSurge})
 
+// ninthActions adds planned stops during which further signals arrive.
+var ninthActions = slices.Concat(eighthActions, []Action{NodeStopSeries, NodeStopSeries})
+
 // actions is the list that NewSchedule draws from.
-var actions = eighthActions
+var actions = ninthActions
 
 // NewSchedule generates the schedule of a seed.
 func NewSchedule(seed uint64, size Size) []Fault { return newSchedule(seed, size, actions) }
