Engine: what is read on a connection answers a send only if no earlier send could have brought it

Cause: an answer is known by the attempt's id, and a refused attempt is sent again under its id, on the connection that the pool has back last. Weighed besides: repeats by net/http (the body cannot be rewound) and two instances with one request (no hand-over); the record shows both runs at one endpoint behind an extra refusal.

Change: a connection remembers the ids sent on it (1,024 at most, then it ends). An attempt that gets one on which it was sent is not sent there and takes another; other attempts keep the connection of a refusal. A refusal without an id counts on the first send of a connection. A connection with a foreign answer is sealed, so that an attempt that has it from the pool already is not sent.

TestTransportDoesNotRepeat sent one attempt twice to meet the end of a kept connection, which is what no longer happens: it sends a second attempt, and still requires that net/http repeats neither.

--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -257,7 +257,7 @@
 func (handoverDialect) Encode(*http.Request, engine.Attempt) {}
 
 // Check implements engine.Dialect.
-func (handoverDialect) Check(resp *http.Response, _ engine.Attempt) error {
+func (handoverDialect) Check(resp *http.Response, _ engine.Attempt, _ bool) error {
 	reason := resp.Header.Get(handover.RefusedHeader)
 	if reason == "" {
 		return nil
--- a/engine/client.go
+++ b/engine/client.go
@@ -50,6 +50,9 @@
 	// Resume requests that a stream continue after the event ResumeAfter.
 	Resume      bool
 	ResumeAfter int64
+	// SingleUse requests a connection that carries nothing else. For an attempt without an id, it is
+	// what proves that a response answers it.
+	SingleUse bool
 }
 
 // Dialer opens connections, like net.Dialer.DialContext.
@@ -82,7 +85,9 @@
 
 // Client sends attempts to endpoints.
 type Client struct {
-	transport  *http.Transport
+	transport *http.Transport
+	// singleUse carries the attempts that want a connection of their own.
+	singleUse  *http.Transport
 	dialect    Dialect
 	statements Statements
 }
@@ -113,10 +118,13 @@
 		}
 		return &countingConn{Conn: conn}, nil
 	}
-	return &Client{dialect: cfg.Dialect, statements: cfg.Statements, transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: cfg.IdlePerEndpoint,
 		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
+	singleUse := transport.Clone()
+	singleUse.DisableKeepAlives = true
+	return &Client{dialect: cfg.Dialect, statements: cfg.Statements, transport: transport, singleUse: singleUse}
 }
 
 // Close closes the idle connections.
@@ -130,19 +138,37 @@
 	if err := c.statements.Check(a); err != nil {
 		return nil, &NotStartedError{Endpoint: a.Endpoint, Unsent: true, Declined: true, Err: err}
 	}
-	var sent sendTracker
+	for {
+		resp, err := c.send(ctx, a)
+		if !errors.Is(err, errUnusableConn) {
+			return resp, err
+		}
+	}
+}
+
+// errUnusableConn is returned for an attempt that was not sent, as its connection could bring an answer to
+// an earlier send of it, or brought one that nobody waited for. That connection is closed.
+var errUnusableConn = errors.New("the connection may bring another answer")
+
+// send sends the attempt on one connection.
+func (c *Client) send(ctx context.Context, a Attempt) (*http.Response, error) {
+	sent := sendTracker{attempt: a.ID}
 	req, err := c.newRequest(httptrace.WithClientTrace(ctx, sent.trace()), a)
 	if err != nil {
 		return nil, &NotStartedError{Endpoint: a.Endpoint, Unsent: true, Err: err}
 	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		if sent.sealIfUnsent() {
-			return nil, &NotStartedError{Endpoint: a.Endpoint, Unsent: true, Err: err}
+	resp, err := c.transportFor(a).RoundTrip(req)
+	if sent.unusable.Load() {
+		// The connection may bring an answer although nothing was sent.
+		if err == nil {
+			resp.Body.Close()
 		}
-		return nil, &UnknownError{Endpoint: a.Endpoint, Err: err}
+		return nil, errUnusableConn
+	}
+	if err != nil {
+		return nil, sent.failure(a.Endpoint, err)
 	}
-	err = c.dialect.Check(resp, a)
+	err = c.dialect.Check(resp, a, sent.conn.Load() != nil && sent.first)
 	c.recordStatement(resp, a, err)
 	if err != nil {
 		return nil, sent.reject(resp, a.Endpoint, err)
@@ -150,6 +176,21 @@
 	return resp, nil
 }
 
+func (c *Client) transportFor(a Attempt) *http.Transport {
+	if a.SingleUse {
+		return c.singleUse
+	}
+	return c.transport
+}
+
+// failure returns the error for an attempt without a response.
+func (s *sendTracker) failure(endpoint string, err error) error {
+	if s.sealIfUnsent() {
+		return &NotStartedError{Endpoint: endpoint, Unsent: true, Err: err}
+	}
+	return &UnknownError{Endpoint: endpoint, Err: err}
+}
+
 // recordStatement records what the endpoint says of itself with a response that passed the dialect's
 // check or is its refusal. A response of another endpoint, or to another attempt, is ignored.
 func (c *Client) recordStatement(resp *http.Response, a Attempt, checked error) {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -71,6 +71,8 @@
 			require.NoError(t, err)
 			_, _ = io.Copy(io.Discard, first.Body)
 			first.Body.Close()
+			// An attempt is sent once on a connection, so that another one meets the end of this one.
+			attempt.ID = "b"
 			_, err = c.Do(context.Background(), attempt)
 			var unknown *UnknownError
 			require.ErrorAs(t, err, &unknown)
--- a/engine/dialect.go
+++ b/engine/dialect.go
@@ -21,8 +21,10 @@
 	// Check returns nil for a response to be returned to the caller. *RefusedError means
 	// that the endpoint states that it has not run the attempt and will not; the body is
 	// consumed then. Any other error means that the response does not answer this
-	// attempt, which may have run.
-	Check(resp *http.Response, a Attempt) error
+	// attempt, which may have run. The id of an attempt is sent once on a connection, so that a
+	// response with it answers that send; one without an id can only be certain to do so if first
+	// is set: nothing was sent on the connection before.
+	Check(resp *http.Response, a Attempt, first bool) error
 	// Cancel returns the attempt that instructs an endpoint to cancel a; false means that
 	// closing the connection cancels it.
 	Cancel(a Attempt) (Attempt, bool)
@@ -87,8 +89,8 @@
 const maxRefusalBytes = 4 << 10
 
 // Check implements Dialect. The bodies of responses other than refusals stay readable in
-// full.
-func (OpenAI) Check(resp *http.Response, a Attempt) error {
+// full. A refusal by an endpoint that gives no ids back counts on a connection's first attempt only.
+func (OpenAI) Check(resp *http.Response, a Attempt, first bool) error {
 	if got := resp.Header.Get(RequestIDHeader); got != "" && got != a.ID {
 		return &ForeignAnswerError{Want: a.ID, Got: got}
 	}
@@ -102,6 +104,9 @@
 	// Decoding does not wait for the end of the response, which may never come.
 	err := json.NewDecoder(io.TeeReader(io.LimitReader(resp.Body, maxRefusalBytes), &prefix)).Decode(&body)
 	if err == nil && body.Error.Code == codeNotStarted {
+		if resp.Header.Get(RequestIDHeader) == "" && !first {
+			return &ForeignAnswerError{Want: a.ID, Got: "unknown"}
+		}
 		return &RefusedError{
 			RefusalError: RefusalError{Status: resp.StatusCode, Code: body.Error.Code, Reason: body.Error.Message},
 			Busy:         resp.StatusCode == http.StatusTooManyRequests,
--- a/engine/sendonce.go
+++ b/engine/sendonce.go
@@ -33,6 +33,9 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// sends is used by an attempt as it gets the connection, and not afterwards: another one may have
+	// it before a response has been judged.
+	sends sendHistory
 
 	// writing is held by a write; writeErr is the error of the last one that failed.
 	writing  sync.Mutex
@@ -78,20 +81,45 @@
 	return n, io.EOF
 }
 
+// accepts reports whether an attempt may be sent on the connection, whose count is n, and records that it
+// is. A connection that does not accept an attempt is sealed.
+func (c *countingConn) accepts(attempt string, n int64) bool {
+	if n == sealed {
+		return false
+	}
+	if c.sends.add(attempt) {
+		return true
+	}
+	return !c.seal(n)
+}
+
+// discard closes the connection. It may be among the idle ones already: an attempt that gets it is not
+// sent.
+func (c *countingConn) discard() {
+	c.written.Store(sealed)
+	c.Conn.Close()
+}
+
 // seal forbids all further writes if the count still is n, and reports whether it was.
 func (c *countingConn) seal(n int64) bool { return c.written.CompareAndSwap(n, sealed) }
 
-// sendTracker determines whether any byte of an attempt may have been sent. before is the
-// connection's count when the attempt got it.
+// sendTracker determines whether any byte of an attempt may have been sent, and on which connection.
 type sendTracker struct {
-	conn   atomic.Pointer[countingConn]
+	attempt string
+	conn    atomic.Pointer[countingConn]
+	// before is the connection's count when the attempt got it; first is set if nothing had been sent
+	// on it then.
 	before int64
+	first  bool
+	// unusable is set if the attempt was not sent as its connection does not accept it.
+	unusable atomic.Bool
 }
 
 func (s *sendTracker) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*countingConn); ok {
-			s.before = conn.written.Load()
+			s.before, s.first = conn.written.Load(), conn.sends.empty()
+			s.unusable.Store(!conn.accepts(s.attempt, s.before))
 			s.conn.Store(conn)
 		}
 	}}
@@ -108,6 +136,6 @@
 // closeConn closes the connection that the attempt was sent on.
 func (s *sendTracker) closeConn() {
 	if conn := s.conn.Load(); conn != nil {
-		conn.Close()
+		conn.discard()
 	}
 }
--- a/pipeline/condition_test.go
+++ b/pipeline/condition_test.go
@@ -48,11 +48,11 @@
 	return engine.Limit{Present: h.Get("X-Limit") != "", PerSecond: 1}, nil
 }
 
-func (d loadDialect) Check(resp *http.Response, a engine.Attempt) error {
+func (d loadDialect) Check(resp *http.Response, a engine.Attempt, first bool) error {
 	if resp.Header.Get("X-Refused") != "" {
 		return &engine.RefusedError{RefusalError: engine.RefusalError{Status: resp.StatusCode}, Busy: resp.StatusCode == http.StatusServiceUnavailable}
 	}
-	return d.OpenAI.Check(resp, a)
+	return d.OpenAI.Check(resp, a, first)
 }
 
 // What each way for an attempt to end says of its endpoint. A failing answer that was passed on
