Streams: a version is named in the store before a stream begins at it

What callers would have seen (a report by another system's developers): a stream that they take up behind a kill of all instances goes on at another software version, with 200.

Cause: behind a kill of all only the pool's entry in the store tells the versions. Only the holder of the lease wrote it, and there is none for seconds behind a kill of all: a version that came, began streams and was gone stood nowhere, and the entry said "complete, one version". The same where the store came back from a copy, and where a store from a copy had no settings yet and a process took that for the deployment's beginning.

The entry names the era in which a holder wrote it; of another era it is complete for nobody.

--- a/daemon/followsettings.go
+++ b/daemon/followsettings.go
@@ -43,8 +43,11 @@
 	version        atomic.Pointer[string]
 	newestRevision atomic.Int64
 	rejected       atomic.Bool
-	// foundNone is set if there were no settings when the process first asked.
+	// foundNone is set if there were no settings when the process first asked, although the store
+	// has never come back from a copy that could lack them: the deployment began afterwards.
 	foundNone atomic.Bool
+	// era returns the era of the store; nil if it has none.
+	era func() int64
 }
 
 // reportConfirmed reports that everything that the store had acknowledged when a call was made
@@ -169,7 +172,7 @@
 			d.storeLink.listReceived(d.kind, l)
 			changes.take()
 			if !listed.Swap(true) {
-				d.foundNone.Store(len(l.Items) == 0)
+				d.foundNone.Store(len(l.Items) == 0 && (d.era == nil || d.era() <= firstEra))
 			}
 			d.version.Store(&l.ResourceVersion)
 			for _, o := range l.Items {
@@ -200,6 +203,9 @@
 	r.Run(ctx)
 }
 
+// firstEra is the era of a store that has never come back from a copy.
+const firstEra = 1
+
 // timestamp returns the current time; zero if there is no clock.
 func (d *settingsWatch) timestamp() time.Time {
 	if d.now == nil {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -456,7 +456,7 @@
 	config := &settingsWatch{
 		client: objects, kind: n.platform.SettingsKind, name: n.platform.SettingsName, decode: n.platform.DecodeSettings,
 		newer: n.mesh.newerSettings, allowStale: n.allowStaleSettings, hasNewest: n.mesh.hasNewestSettings, events: n.events, storeLink: n.storeLink, log: n.log,
-		onConfirmed: n.keyAuthority.storeConfirmed, now: n.now, watchHold: n.settingsWait,
+		onConfirmed: n.keyAuthority.storeConfirmed, now: n.now, watchHold: n.settingsWait, era: n.eras.Newest,
 	}
 	entries := &entriesTask{
 		client: objects, kind: n.platform.MembersKind, decode: n.platform.DecodeMember, entries: membership.NewEntries(), parseVersion: n.platform.StoreVersion,
@@ -478,10 +478,8 @@
 	n.holds.Store(holds)
 	renew := func(ctx context.Context) { n.rewriteOnEra(ctx, entries) }
 	keys := func(ctx context.Context) { n.keyAuthority.monitor(ctx, n.cfg.Fresh.maxKeysAge(), config.checkStore) }
-	register := &versionRegister{
-		client: objects, writer: store.NewWriter(objects), holds: n.placers.holdsPool, follows: n.knowsEndpoints, first: config.foundNone.Load,
-		view: n.router.View, log: n.log, now: n.now, pools: map[string]*registeredPool{}, reads: map[string]*entryRead{},
-	}
+	register := newVersionRegister(objects, n.log, n.now)
+	register.holds, register.follows, register.first, register.era, register.view = n.placers.holdsPool, n.knowsEndpoints, config.foundNone.Load, n.eras.Newest, n.router.View
 	n.streams.register.Store(register)
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.readNewer, entries.watch, entries.run, n.idle.run, n.wakeWaiters, n.mesh.run, n.presence.run, n.presence.watch, n.handleSuspensions, holds.run, holds.write, keys, renew,
--- a/daemon/streamversions.go
+++ b/daemon/streamversions.go
@@ -72,7 +72,10 @@
 }
 
 // Began implements pipeline.StreamVersions.
-func (s *streamVersions) Began(b streamversion.Beginning) {
+func (s *streamVersions) Began(ctx context.Context, b streamversion.Beginning) {
+	if register := s.register.Load(); register != nil {
+		register.names.await(ctx, b.Pool, b.Version)
+	}
 	s.keep(b)
 	near, _ := s.owners(b.Key)
 	s.send(peer.Packet{Beginnings: []streamversion.Beginning{b}}, s.mesh.addressesOf(near))
--- a/daemon/streamversions_test.go
+++ b/daemon/streamversions_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"encoding/hex"
 	"expvar"
 	"fmt"
@@ -71,7 +72,7 @@
 // began has an instance of the fleet begin a stream.
 func began(s *streamVersions, attempt string) streamversion.Key {
 	key := streamversion.KeyOf("cascade-desk", attempt)
-	s.Began(streamversion.Beginning{Key: key, Pool: "annotateur", Version: "v1.1.3", KeepMS: 60_000})
+	s.Began(context.Background(), streamversion.Beginning{Key: key, Pool: "annotateur", Version: "v1.1.3", KeepMS: 60_000})
 	return key
 }
 
--- a/daemon/versionregister.go
+++ b/daemon/versionregister.go
@@ -33,20 +33,32 @@
 	// changed endpoints in time.
 	holds   func(pool string) bool
 	follows func() bool
-	// first reports whether this process has seen the deployment begin.
+	// first reports whether this process has seen the deployment begin, era returns the era of the store.
 	first func() bool
+	era   func() int64
 	view  func() *routing.View
 	log   logr.Logger
 	now   func() time.Time
 
 	// pools belongs to the goroutine of run.
 	pools map[string]*registeredPool
+	// names are the versions that the entries are known to name.
+	names *versionNames
 
 	// mu guards reads, the reads for requests that are waiting or under way, by pool.
 	mu    sync.Mutex
 	reads map[string]*entryRead
 }
 
+func newVersionRegister(client store.Client, log logr.Logger, now func() time.Time) *versionRegister {
+	v := &versionRegister{
+		client: client, writer: store.NewWriter(client), log: log, now: now,
+		pools: map[string]*registeredPool{}, reads: map[string]*entryRead{},
+	}
+	v.names = newVersionNames(v)
+	return v
+}
+
 // registeredPool is a pool that this instance follows.
 type registeredPool struct {
 	register *streamversion.Register
@@ -54,6 +66,8 @@
 	// entry, nil if there is none.
 	loaded bool
 	object *store.Object
+	// era is that of the store in the last step.
+	era int64
 	// retryAt is when the store is asked again after a failure.
 	retryAt time.Time
 }
@@ -77,9 +91,11 @@
 		p = &registeredPool{register: streamversion.NewRegister()}
 		v.pools[pool] = p
 	}
-	p.register.Step(v.now(), presentVersions(v.view(), pool))
-	if !v.holds(pool) {
-		p.loaded = false
+	era := v.era()
+	p.register.Step(v.now(), era, presentVersions(v.view(), pool))
+	if !v.holds(pool) || p.era != era {
+		// The store may have come back with an earlier entry.
+		p.loaded, p.era = false, era
 		return
 	}
 	if v.now().Before(p.retryAt) || !p.loaded && !v.load(ctx, pool, p) {
@@ -143,6 +159,7 @@
 	}
 	p.object = &o
 	p.register.Load(v.now(), &e)
+	v.names.add(p.era, pool, e.Versions)
 	return nil
 }
 
@@ -168,7 +185,7 @@
 	if e == nil || !v.follows() {
 		return "", false
 	}
-	return e.Only(presentVersions(v.view(), pool))
+	return e.Only(v.era(), presentVersions(v.view(), pool))
 }
 
 // entryRead is a read of an entry for all requests that came before it began.
--- a/pipeline/continuation.go
+++ b/pipeline/continuation.go
@@ -19,8 +19,9 @@
 
 // StreamVersions knows the versions of the endpoints' software at which streams began.
 type StreamVersions interface {
-	// Began keeps where a stream began. It must not block.
-	Began(b streamversion.Beginning)
+	// Began keeps where a stream began, before its first event is passed on. It may wait for a moment
+	// at a version that is new.
+	Began(ctx context.Context, b streamversion.Beginning)
 	// Find returns where a stream began.
 	Find(ctx context.Context, key streamversion.Key) (streamversion.Beginning, streamversion.State)
 	// Only returns the version at which all streams of a pool began that callers may ask for; false
@@ -37,7 +38,7 @@
 	if versions == nil || !x.Target.Policy.Resumable || x.continues || x.Call.AttemptID == "" || x.softwareVersion == "" {
 		return
 	}
-	versions.Began(streamversion.Beginning{
+	versions.Began(x.Request.Context(), streamversion.Beginning{
 		Key: streamversion.KeyOf(x.Caller.Name, x.Call.AttemptID), Pool: x.Target.Pool, Version: x.softwareVersion,
 		KeepMS: keepFactor * max(x.Target.Policy.Deadline, x.Call.Timeout).Milliseconds(),
 	})
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -202,13 +202,32 @@
 	require.NotEqual(t, KeyOf("desk", "a"), KeyOf("", "deska"))
 }
 
+// storedEntry is an entry and when it was written.
+type storedEntry struct {
+	at    time.Time
+	entry *Entry
+}
+
+// asOf returns the last entry that was written before a time; nil for none.
+func asOf(history []storedEntry, at time.Time) *Entry {
+	var found *Entry
+	for _, s := range history {
+		if s.at.Before(at) {
+			found = s.entry
+		}
+	}
+	return found
+}
+
 // TestRegisterNamesEachVersionLongEnough guards against an entry that claims to be complete and lacks
 // a version whose streams may still be taken up, over holders of the lease that follow one another,
-// are suspended, and write.
+// are suspended, and write, and over a store that comes back from a copy.
 func TestRegisterNamesEachVersionLongEnough(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		var stored *Entry
+		var history []storedEntry
+		era := int64(1)
 		seen := map[string]time.Time{}
 		present := []string{"v1"}
 		first := rapid.Bool().Draw(t, "first")
@@ -218,7 +237,13 @@
 			seen["v0"] = now
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 10).Draw(t, "event") {
+			case 10:
+				// The store comes back; the holder reads the entry again.
+				era++
+				stored = asOf(history, now.Add(-time.Duration(rapid.IntRange(0, int(maxCopyAge.Seconds())).Draw(t, "age"))*time.Second))
+				register.Step(now, era, present)
+				register.Load(now, stored)
 			case 0:
 				register, first = NewRegister(), false
 				register.Load(now, stored)
@@ -227,8 +252,10 @@
 				now = now.Add(maxStepGap + time.Second)
 				if stored != nil {
 					seen["suspended"] = now
-					stored = &Entry{Versions: slices.Sorted(slices.Values(append(slices.Clone(stored.Versions), "suspended"))), Complete: stored.Complete}
-					stored.Versions = slices.Compact(stored.Versions)
+					e := stored.With("suspended")
+					e.Versions = slices.Compact(e.Versions)
+					stored = &e
+					history = append(history, storedEntry{now, stored})
 				}
 				register.Load(now, stored)
 			case 2:
@@ -236,7 +263,7 @@
 			case 3:
 				for range int(MaxKeep / maxStepGap) {
 					now = now.Add(maxStepGap)
-					register.Step(now, present)
+					register.Step(now, era, present)
 					for _, version := range present {
 						seen[version] = now
 					}
@@ -244,15 +271,16 @@
 			default:
 				now = now.Add(200 * time.Millisecond)
 			}
-			register.Step(now, present)
+			register.Step(now, era, present)
 			for _, version := range present {
 				seen[version] = now
 			}
 			if e, changed := register.Entry(first); changed {
 				stored = &e
+				history = append(history, storedEntry{now, stored})
 				register.Load(now, stored)
 			}
-			if stored == nil || !stored.Complete {
+			if stored == nil || !stored.Complete || stored.Era != era {
 				continue
 			}
 			for version, at := range seen {
@@ -266,6 +294,7 @@
 
 // TestOnlyVersionIsCertain guards against a version that is taken for the only one of its pool.
 func TestOnlyVersionIsCertain(t *testing.T) {
+	const era = 2
 	for name, tc := range map[string]struct {
 		entry   Entry
 		present []string
@@ -278,8 +307,12 @@
 		"not written yet":    {Entry{Versions: []string{"v1"}, Complete: true}, []string{"v1", "v2"}, ""},
 		"unknown":            {Entry{Versions: []string{""}, Complete: true}, []string{""}, ""},
 		"nothing":            {Entry{Complete: true}, []string{"v1"}, ""},
+		"from a copy":        {Entry{Versions: []string{"v1"}, Complete: true, Era: 1}, []string{"v1"}, ""},
 	} {
-		version, found := tc.entry.Only(tc.present)
+		if tc.entry.Era == 0 {
+			tc.entry.Era = era
+		}
+		version, found := tc.entry.Only(era, tc.present)
 		require.Equal(t, tc.want, version, name)
 		require.Equal(t, tc.want != "", found, name)
 	}
