Engine: request targets reach the endpoint byte for byte

Cause: the target was passed on as url.URL.Opaque, which is written behind the scheme if it begins with two slashes, and an empty query needs ForceQuery.

Change: the URL is built so that what it writes is the target received, which is compared; what can't be written is rejected with 400 before it is sent.

--- a/engine/client.go
+++ b/engine/client.go
@@ -11,7 +11,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -241,8 +240,9 @@
 	if err != nil {
 		return nil, err
 	}
-	// The request target is forwarded byte for byte as received.
-	req.URL.Opaque, req.URL.RawQuery, _ = strings.Cut(a.Path, "?")
+	if err := setTarget(req, a.Path); err != nil {
+		return nil, err
+	}
 	if a.Host != "" {
 		req.Host = a.Host
 	}
--- a/pipeline/decode.go
+++ b/pipeline/decode.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/eiderspring/eiderspring/engine"
 )
 
 // Paths and headers of the API for callers.
@@ -66,8 +68,11 @@
 	}
 	x.Call.Name, x.Call.Plain = name, true
 	x.Call.Path = "/" + rest
-	if q := x.Request.URL.RawQuery; q != "" {
-		x.Call.Path += "?" + q
+	if _, query, found := strings.Cut(x.Request.RequestURI, "?"); found {
+		x.Call.Path += "?" + query
+	}
+	if err := engine.CheckTarget(x.Call.Path); err != nil {
+		return &DecodeError{Status: http.StatusBadRequest, Field: "path", Reason: err.Error()}
 	}
 	return nil
 }
