Engine: a status below 200 is no answer

Cause: net/http's client takes statuses such as 000, its server panics when they are passed on, behind the copied header.

Change: such a response is rejected before anything of it is used; the attempt may have run.

--- a/engine/client.go
+++ b/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -167,6 +168,9 @@
 	if err != nil {
 		return nil, sent.failure(a.Endpoint, err)
 	}
+	if resp.StatusCode < http.StatusOK {
+		return nil, sent.reject(resp, a.Endpoint, &StatusError{Status: resp.StatusCode})
+	}
 	err = c.dialect.Check(resp, a, sent.conn.Load() != nil && sent.first)
 	c.recordStatement(resp, a, err)
 	if err != nil {
@@ -227,6 +231,15 @@
 	resp.Body.Close()
 }
 
+// StatusError is returned for a response whose status is none of a final response: an endpoint in trouble
+// sends bytes that are no answer.
+type StatusError struct{ Status int }
+
+// Error gives the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %03d is not that of an answer", e.Status)
+}
+
 // ForeignAnswerError is returned for an answer that belongs to another attempt.
 type ForeignAnswerError struct{ Want, Got string }
 
