Lease: the right to act ends before the release is sent

Cause: the machine stayed the holder until it had read that the release took effect; the successor's delay assumes that a lease handed over isn't used.

Change: Lost comes before the write; a release that has not taken effect is repeated.

--- a/lease/machine.go
+++ b/lease/machine.go
@@ -30,6 +30,9 @@
 	epoch      int64
 	validUntil time.Time
 	renewAt    time.Time
+	// releasing is set from the release of the lease until it is acquired again: it is not used any
+	// more, whether or not the release is known to have taken effect.
+	releasing bool
 
 	// expired reports that the last acquisition took over a lease that still had a holder.
 	expired bool
@@ -156,6 +159,8 @@
 	switch {
 	case m.held && (!mine || s.Record.Epoch != m.epoch):
 		return m.loseLease()
+	case m.releasing && s.Record.Epoch <= m.epoch:
+		return nil
 	case mine && wasUncertain && changed && s.Record.Epoch > m.eraBase():
 		return m.acquire(s.Record.Epoch, m.uncertainSince)
 	default:
@@ -195,7 +200,7 @@
 // acquire records that a write sent at sentAt made this instance the holder.
 func (m *Machine) acquire(epoch int64, sentAt time.Time) []Action {
 	alreadyHeld := m.held && m.epoch == epoch
-	m.held, m.epoch = true, epoch
+	m.held, m.epoch, m.releasing = true, epoch, false
 	m.validUntil = sentAt.Add(m.cfg.Duration - m.cfg.ClockDrift)
 	m.renewAt = sentAt.Add(m.cfg.RenewEvery)
 	if alreadyHeld {
@@ -229,8 +234,8 @@
 		return nil
 	case !m.known || m.uncertain:
 		return m.read(now, readInterval)
-	case m.held && !m.campaigning:
-		return m.write(now, Record{Epoch: m.epoch, Renewals: m.record.Renewals + 1})
+	case !m.campaigning && (m.held || m.releaseFailed()):
+		return m.release(now)
 	case m.held && !now.Before(m.renewAt):
 		return m.write(now, Record{Holder: m.cfg.Holder, Epoch: m.epoch, Renewals: m.record.Renewals + 1})
 	case m.campaigning && !m.held && m.available(now) && now.Sub(m.readAt) < m.cfg.RenewEvery:
@@ -243,6 +248,18 @@
 	}
 }
 
+// release ends the use of the lease and then gives it up in the store: its successor may acquire it as
+// soon as the write takes effect, which this instance may learn late.
+func (m *Machine) release(now time.Time) []Action {
+	m.releasing = true
+	return append(m.loseLease(), m.write(now, Record{Epoch: m.epoch, Renewals: m.record.Renewals + 1})...)
+}
+
+// releaseFailed reports whether a release has not taken effect.
+func (m *Machine) releaseFailed() bool {
+	return m.releasing && m.record.Holder == m.cfg.Holder && m.record.Epoch == m.epoch
+}
+
 // available reports whether the lease may be acquired.
 func (m *Machine) available(now time.Time) bool {
 	if now.Before(m.availableFrom) {
