--- a/engine/client.go
+++ b/engine/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -231,23 +230,6 @@
 	resp.Body.Close()
 }
 
-// StatusError is returned for a response whose status is none of a final response: an endpoint in trouble
-// sends bytes that are no answer.
-type StatusError struct{ Status int }
-
-// Error gives the status.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %03d is not that of an answer", e.Status)
-}
-
-// ForeignAnswerError is returned for an answer that belongs to another attempt.
-type ForeignAnswerError struct{ Want, Got string }
-
-// Error names both attempts.
-func (e *ForeignAnswerError) Error() string {
-	return "answer of attempt " + e.Got + " in place of " + e.Want
-}
-
 func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address, bytes.NewReader(a.Body))
 	if err != nil {
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -59,3 +59,20 @@
 func (e *RefusalError) Error() string {
 	return fmt.Sprintf("status %d: %s: %s", e.Status, e.Code, e.Reason)
 }
+
+// StatusError is returned for a response whose status is none of a final response: an endpoint in trouble
+// sends bytes that are no answer.
+type StatusError struct{ Status int }
+
+// Error gives the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %03d is not that of an answer", e.Status)
+}
+
+// ForeignAnswerError is returned for an answer that belongs to another attempt.
+type ForeignAnswerError struct{ Want, Got string }
+
+// Error names both attempts.
+func (e *ForeignAnswerError) Error() string {
+	return "answer of attempt " + e.Got + " in place of " + e.Want
+}
