Revert "Callers: an answer is written for as long as the request's time lasts"

An instance stood still past their time; it then settled them as not run, 4.1 s behind their sending, and could not write the refusals, as the bound on writes had passed meanwhile. Ready answers are delivered, also late.

--- a/daemon/callerconn.go
+++ b/daemon/callerconn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 
@@ -65,19 +64,6 @@
 	return c.Conn.Read(p)
 }
 
-// Write implements net.Conn. After a write that has run into its deadline, closing the connection drops
-// what is unsent and resets it: a caller that does not read would learn of an orderly end behind all of
-// that only, and the system would hold it until then.
-func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if lingerErr := c.SetLinger(0); lingerErr != nil {
-			return n, errors.Join(err, lingerErr)
-		}
-	}
-	return n, err
-}
-
 func (c *callerConn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/idleconns.go
+++ b/daemon/idleconns.go
@@ -103,9 +103,6 @@
 
 // connStateChanged is the server's ConnState hook.
 func (c *idleConns) connStateChanged(conn net.Conn, state http.ConnState) {
-	if state == http.StateActive {
-		c.unboundWrites(conn)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -122,13 +119,6 @@
 	}
 }
 
-// unboundWrites lifts the bound of the last request on a connection from the writes of the next one.
-func (c *idleConns) unboundWrites(conn net.Conn) {
-	if err := conn.SetWriteDeadline(time.Time{}); err != nil {
-		c.log.V(1).Info("writes stay bounded", "error", err.Error())
-	}
-}
-
 // idleGrace is how much longer than the limit a connection may be idle: a request may
 // be in transit, and its caller would have to send it again.
 const idleGrace = time.Second
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -172,9 +172,6 @@
 		// again.
 		ctx = context.WithoutCancel(ctx)
 	}
-	if err := x.boundWrites(p.cfg.Now()); err != nil {
-		p.cfg.Log.Info("writes not bounded", "request", x.ID, "error", err.Error())
-	}
 	ctx, cancel := context.WithTimeout(ctx, x.deadline().Sub(p.cfg.Now()))
 	defer cancel()
 	if err := p.cfg.Quarantine.Begin(ctx, &x.flight, x.suspects(), cancel); err != nil {
