Engine: a connection that does not accept an attempt is sealed in any case; names for newcomers

Read anew: where another attempt had sealed the connection between the two looks, accepts returned true for an attempt that could not be sent there, and an answer waiting on it could have been taken for its own. It now seals and says no.

The seal's wire name stands in platform/fake only (the test of signals used it). The lease's tests share newHolder.

--- a/cmd/eiderspring/signals_test.go
+++ b/cmd/eiderspring/signals_test.go
@@ -130,7 +130,7 @@
 	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
 		close(started)
 		<-released
-		rw.Header().Set("X-Server-Seal", fake.SealPrefix+w.ID)
+		w.SetSeal(rw.Header())
 		_, _ = io.WriteString(rw, endpointAnswer)
 	})
 	return started, release
--- a/daemon/nodetasks.go
+++ b/daemon/nodetasks.go
@@ -66,7 +66,9 @@
 	renew := func(ctx context.Context) { n.rewriteOnEra(ctx, entries) }
 	keys := func(ctx context.Context) { n.keyAuthority.monitor(ctx, n.cfg.Fresh.maxKeysAge(), config.checkStore) }
 	register := newVersionRegister(objects, n.log, n.now)
-	register.holds, register.follows, register.first, register.era, register.view = n.placers.holdsPool, n.knowsEndpoints, config.foundNone.Load, n.eras.Newest, n.router.View
+	register.holds, register.follows = n.placers.holdsPool, n.knowsEndpoints
+	register.first, register.era = config.foundNone.Load, n.eras.Newest
+	register.view = n.router.View
 	n.streams.register.Store(register)
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.readNewer, entries.watch, entries.run, n.idle.run, n.wakeWaiters, n.mesh.run, n.presence.run, n.presence.watch, n.handleSuspensions, holds.run, holds.write, keys, renew,
--- a/engine/sendonce.go
+++ b/engine/sendonce.go
@@ -84,13 +84,11 @@
 // accepts reports whether an attempt may be sent on the connection, whose count is n, and records that it
 // is. A connection that does not accept an attempt is sealed.
 func (c *countingConn) accepts(attempt string, n int64) bool {
-	if n == sealed {
-		return false
-	}
-	if c.sends.add(attempt) {
+	if n != sealed && c.sends.add(attempt) {
 		return true
 	}
-	return !c.seal(n)
+	c.written.Store(sealed)
+	return false
 }
 
 // discard closes the connection. It may be among the idle ones already: an attempt that gets it is not
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -198,12 +198,18 @@
 	require.Equal(t, []Action{Write{Record: Record{Holder: "b", Epoch: 2}, Version: "1"}}, takeover)
 }
 
-func TestLostAnswerOfRenewalCountsFromItsSending(t *testing.T) {
-	now := time.Unix(0, 0)
+// newHolder returns a machine that has acquired the lease at now, at version 1 of its record.
+func newHolder(now time.Time) *Machine {
 	m := NewMachine(NewConfig("a"))
 	m.Step(now, Campaign{Want: true})
 	m.Step(now, Missing{})
 	m.Step(now, Wrote{Result: commit.Done, Version: "1"})
+	return m
+}
+
+func TestLostAnswerOfRenewalCountsFromItsSending(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := newHolder(now)
 	sent := now.Add(DefaultRenewEvery)
 	renewal := m.Step(sent, Tick{})
 	require.Len(t, renewal, 1)
@@ -218,10 +224,7 @@
 
 func TestReleaseFreesTheLeaseAtOnce(t *testing.T) {
 	now := time.Unix(0, 0)
-	a := NewMachine(NewConfig("a"))
-	a.Step(now, Campaign{Want: true})
-	a.Step(now, Missing{})
-	a.Step(now, Wrote{Result: commit.Done, Version: "1"})
+	a := newHolder(now)
 	release := a.Step(now, Campaign{Want: false})
 	require.Equal(t, []Action{Lost{Epoch: 1}, Write{Record: Record{Epoch: 1, Renewals: 1}, Version: "1"}}, release)
 	require.Empty(t, a.Step(now, Wrote{Result: commit.Done, Version: "2"}))
@@ -235,10 +238,7 @@
 // lost, so that the former holder learns of its successor later than the successor acts.
 func TestLeaseIsNotUsedBehindItsRelease(t *testing.T) {
 	now := time.Unix(0, 0)
-	m := NewMachine(NewConfig("a"))
-	m.Step(now, Campaign{Want: true})
-	m.Step(now, Missing{})
-	m.Step(now, Wrote{Result: commit.Done, Version: "1"})
+	m := newHolder(now)
 	m.Step(now, Campaign{Want: false})
 	_, held := m.Held(now)
 	require.False(t, held, "the successor may hold it already")
