Log: for how long an endpoint was left out, and the trials known here

The lines could not tell 'nobody tries it' from 'its trials are not told'. Result: go test ./condition passes. Conclusion: no decision changes.

--- a/condition/decide.go
+++ b/condition/decide.go
@@ -13,6 +13,8 @@
 	Key
 	Pool     string
 	From, To State
+	// LeftOutFor is for how long the endpoint was left out, if it comes back.
+	LeftOutFor time.Duration
 	Status
 }
 
@@ -48,7 +50,11 @@
 		}
 		e.changedAt = now
 		status, _ := t.Status(k)
-		changes = append(changes, Change{Key: k, Pool: e.pool, From: e.before, To: e.state(), Status: status})
+		change := Change{Key: k, Pool: e.pool, From: e.before, To: e.state(), Status: status}
+		if e.before == LeftOut {
+			change.LeftOutFor = now.Sub(e.leftOutSince)
+		}
+		changes = append(changes, change)
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Name, b.Name) })
 	return changes
--- a/condition/tracker.go
+++ b/condition/tracker.go
@@ -238,6 +238,9 @@
 	FailureShare float64 `json:"failure_share"`
 	Attempts     float64 `json:"attempts"`
 	Speeds       float64 `json:"speeds"`
+	// GoodTrials and BadTrials are the recent trials, at all instances that report them.
+	GoodTrials float64 `json:"good_trials"`
+	BadTrials  float64 `json:"bad_trials"`
 }
 
 // Status returns the status of an endpoint; false if it is not listed.
@@ -248,6 +251,7 @@
 	}
 	return Status{
 		State: e.state(), Speed: e.speed, FailureShare: e.fleetNow.failureShare(), Attempts: e.fleetNow.attempts, Speeds: e.fleetNow.speeds,
+		GoodTrials: e.fleetNow.good, BadTrials: e.fleetNow.bad,
 	}, true
 }
 
--- a/daemon/conditions.go
+++ b/daemon/conditions.go
@@ -187,7 +187,8 @@
 		c.vars.Add("endpoints_left_out", 1)
 	}
 	c.log.Info("endpoint condition", "endpoint", change.Name, "pool", change.Pool, "state", change.To, "before", change.From, "speed", hundredths(change.Speed),
-		"failure_share", hundredths(change.FailureShare), "attempts", hundredths(change.Attempts), "speeds", hundredths(change.Speeds))
+		"failure_share", hundredths(change.FailureShare), "attempts", hundredths(change.Attempts), "speeds", hundredths(change.Speeds),
+		"good_trials", hundredths(change.GoodTrials), "bad_trials", hundredths(change.BadTrials), "left_out_ms", change.LeftOutFor.Milliseconds())
 }
 
 // hundredths rounds a value for the log.
