Routing: a left out endpoint is tried where its places are short

Cause: a trial was used up when the endpoint was rated, before the request had a place. Where places are lent the request then waited for a credit of that endpoint, and the trial was lost; so it was by each request that only repeated its want. Class: what is scarce is used up by whoever only looks at it. Change: the trial is taken when the request is sent, and needs no credit: it is one request in a time slot of the fleet.

--- a/routing/condition.go
+++ b/routing/condition.go
@@ -52,14 +52,16 @@
 // repeated may be the trial, because none that can has come.
 const anyTrialTime = 100 * time.Millisecond
 
-// takeTrial reports whether a request is the trial that AllowTrial allowed.
+// mayTry reports whether a request may be the trial that AllowTrial allowed.
+func (e *Endpoint) mayTry(r *Request) bool {
+	left := time.Duration(e.condition.trialUntil.Load() - r.Now.UnixNano())
+	return left > 0 && (r.Repeatable || left <= anyTrialTime)
+}
+
+// takeTrial makes a request the trial, unless another one has become it.
 func (e *Endpoint) takeTrial(r *Request) bool {
 	until := e.condition.trialUntil.Load()
-	left := time.Duration(until - r.Now.UnixNano())
-	if left <= 0 || !r.Repeatable && left > anyTrialTime {
-		return false
-	}
-	return e.condition.trialUntil.CompareAndSwap(until, 0)
+	return e.mayTry(r) && e.condition.trialUntil.CompareAndSwap(until, 0)
 }
 
 // atSpeed returns how long the endpoint takes for what takes an endpoint at the usual speed the
@@ -82,7 +84,7 @@
 // eligible sorts eligible endpoints by whether they are to be used.
 type eligible struct {
 	healthy, ejected, leftOut []Scored
-	// trial is an endpoint that is left out and that the request tries.
+	// trial is one of leftOut that the request may try.
 	trial *Scored
 }
 
@@ -90,9 +92,8 @@
 func (l *eligible) add(r *Request, s Scored) {
 	switch {
 	case s.Endpoint.LeftOut():
-		if l.trial == nil && s.Endpoint.takeTrial(r) {
+		if l.trial == nil && s.Endpoint.mayTry(r) {
 			l.trial = &s
-			return
 		}
 		l.leftOut = append(l.leftOut, s)
 	case s.Endpoint.Ejected(r.Now):
@@ -102,14 +103,12 @@
 	}
 }
 
-// usable returns the endpoints to choose from. Those that failed recently are used only if no
+// usable returns the endpoints to choose from without a trial. Those that failed recently are used only if no
 // other is eligible, so ejection never makes a unit unreachable. Those that are left out are used
 // only if no other is left to try: a full endpoint is worth waiting for, one that fails is not
 // worth going to instead.
 func (l *eligible) usable(r *Request, candidates []*Endpoint) []Scored {
 	switch {
-	case l.trial != nil:
-		return []Scored{*l.trial}
 	case len(l.healthy) > 0:
 		return l.healthy
 	case len(l.ejected) > 0:
--- a/routing/lending.go
+++ b/routing/lending.go
@@ -127,7 +127,8 @@
 	if !r.lending.enabled(req.Instances) {
 		return
 	}
-	_, wanted := r.score(req, view.Candidates(req.Unit, req.Pool))
+	candidates := view.Candidates(req.Unit, req.Pool)
+	_, wanted := r.splitByCredit(req, r.filter(req, candidates).usable(req, candidates))
 	r.lending.want(req, wanted)
 }
 
--- a/routing/lending_test.go
+++ b/routing/lending_test.go
@@ -168,3 +168,34 @@
 	require.False(t, d.Lent)
 	r.Release(&d)
 }
+
+// TestTrialNeedsNoLentPlace guards against an endpoint that serves again and stays without requests: where
+// places are short, a request that was to be its trial waited for a place there, and the trial was lost.
+// So it was when a request behind others asked for a place.
+func TestTrialNeedsNoLentPlace(t *testing.T) {
+	r, l := lendingRouter(20, "again", "b")
+	again := r.View().ByName["again"]
+	for _, e := range r.View().Pools["plain"] {
+		l.RecordRejection(testNow, e.CreditKey())
+	}
+	now := testNow
+	for n := range uint64(8) {
+		_, _ = r.Pick(waitingRequest(100+n, now))
+		tickFor(l, &now, 20*time.Millisecond)
+	}
+	again.SetCondition(Condition{Speed: 1, LeftOut: true})
+	again.AllowTrial(now.Add(200 * time.Millisecond))
+	req := waitingRequest(1, now)
+	req.Repeatable = true
+	require.True(t, l.Decides(now, again.CreditKey()), "its places are contended")
+	behind := waitingRequest(2, now)
+	behind.Repeatable = true
+	r.RecordWant(behind)
+	d, err := r.Pick(req)
+	require.NoError(t, err)
+	require.True(t, d.Trial)
+	require.Equal(t, "again", d.Endpoint.Name)
+	require.False(t, d.Lent)
+	require.False(t, again.takeTrial(req), "one trial")
+	r.Release(&d)
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -126,15 +126,19 @@
 	if len(candidates) == 0 {
 		return Decision{}, noCandidateError(req, view)
 	}
-	scored, wanted := r.score(req, candidates)
-	chosen, lent, found := r.choose(req, scored)
+	passed := r.filter(req, candidates)
+	ready, wanted := r.splitByCredit(req, passed.usable(req, candidates))
+	chosen, lent, found := r.try(req, passed.trial)
+	if !found {
+		chosen, lent, found = r.choose(req, ready)
+	}
 	if !found {
 		r.lending.want(req, wanted)
 		return Decision{}, pickError(req, view, candidates)
 	}
 	d := Decision{
 		Endpoint: chosen.Endpoint, Policy: r.policy.Name, Score: chosen.Score,
-		Candidates: len(candidates), Eligible: len(scored), Estimate: chosen.Endpoint.Estimate(),
+		Candidates: len(candidates), Eligible: len(ready), Estimate: chosen.Endpoint.Estimate(),
 	}
 	d.ExpectedFirstToken, d.PromptWork, d.At, d.model = chosen.Endpoint.ExpectedFirstToken(req.PromptWork), req.PromptWork, req.Now, req.model()
 	d.Late, d.Lent, d.account = req.Late, lent, req.Claimant.Account
@@ -146,7 +150,16 @@
 	return d, nil
 }
 
-// choose picks one of the endpoints. It takes a permit if the endpoint announces a limit, and a
+// try makes the request the trial of an endpoint that is left out, if there is one. It is a single
+// request in a time slot of the fleet, and needs no place that is lent: it shows whether there are any.
+func (r *Router) try(req *Request, trial *Scored) (chosen Scored, lent, found bool) {
+	if trial == nil || !trial.Endpoint.takeTrial(req) {
+		return Scored{}, false, false
+	}
+	return *trial, false, r.takePermits(req, trial.Endpoint)
+}
+
+// choose picks one of the endpoints, if any can be taken. It takes a permit if the endpoint announces a limit, and a
 // place if its places are lent.
 func (r *Router) choose(req *Request, scored []Scored) (chosen Scored, lent, found bool) {
 	left := scored
@@ -168,7 +181,7 @@
 	if !taken {
 		return false, false
 	}
-	if r.permits.Take(req.Now, e.ColdPermitKey()) && r.permits.Take(req.Now, e.PermitKey()) {
+	if r.takePermits(req, e) {
 		return lent, true
 	}
 	if lent {
@@ -177,6 +190,11 @@
 	return false, false
 }
 
+// takePermits takes the permits that the endpoint's limits require for one more request.
+func (r *Router) takePermits(req *Request, e *Endpoint) bool {
+	return r.permits.Take(req.Now, e.ColdPermitKey()) && r.permits.Take(req.Now, e.PermitKey())
+}
+
 // RateLimit returns how many requests a second are accepted in total by the endpoints that
 // could serve the request, if all of them announce limits. It returns false if one of them
 // does not, or if the unit can be loaded next to its model at an endpoint that does not.
@@ -242,10 +260,9 @@
 	r.releasePlace(d)
 }
 
-// score filters and rates the candidates. It returns those that may get the request now, and
-// those that may get it with a credit that is not held.
-func (r *Router) score(req *Request, candidates []*Endpoint) (ready, wanted []Scored) {
-	usable := r.filter(req, candidates)
+// splitByCredit returns the endpoints that may get the request now, and those that may get it with a
+// credit that is not held.
+func (r *Router) splitByCredit(req *Request, usable []Scored) (ready, wanted []Scored) {
 	if !r.lending.enabled(req.Instances) {
 		return usable, nil
 	}
@@ -259,9 +276,9 @@
 	return ready, wanted
 }
 
-// filter rates the candidates that pass all filters, and returns those to choose from.
-func (r *Router) filter(req *Request, candidates []*Endpoint) []Scored {
-	passed := eligible{healthy: make([]Scored, 0, len(candidates))}
+// filter rates the candidates that pass all filters.
+func (r *Router) filter(req *Request, candidates []*Endpoint) *eligible {
+	passed := &eligible{healthy: make([]Scored, 0, len(candidates))}
 	for _, e := range candidates {
 		if !r.keep(req, e) {
 			continue
@@ -272,7 +289,7 @@
 		}
 		passed.add(req, s)
 	}
-	return passed.usable(req, candidates)
+	return passed
 }
 
 func (r *Router) keep(req *Request, e *Endpoint) bool {
