Conditions: new trials of a left out endpoint are told first

The third good trial was sent at 16.68 s; 61 of 62 instances sent requests to the endpoint from 19.75 s on. Cause: a trial is one observation. Reports, and the coordinator's totals (about 1 KB a second for each instance from one with 10 Mbit/s), go by the number of observations; those of a hundred engines that are slow or fast left the trials no room. Class: news of few stands behind what is known of many. Change: reports of endpoints that have been tried since the last report go first, at once. They are few: one trial a slot.

--- a/condition/decide.go
+++ b/condition/decide.go
@@ -147,7 +147,7 @@
 // have brought it back already.
 func (e *endpoint) recovered(now time.Time) bool {
 	since := e.fleetNow.minus(now, e.entered)
-	tried := since.good + since.bad
+	tried := since.trials()
 	if tried < minReported && now.Sub(e.leftOutSince) >= maxUntried {
 		return true
 	}
--- a/condition/evidence.go
+++ b/condition/evidence.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// trials returns the number of trials.
+func (e evidence) trials() float64 { return e.good + e.bad }
+
 // size returns how much evidence there is, in observations.
 func (e evidence) size() float64 { return e.attempts + e.speeds + e.good + e.bad }
 
--- a/condition/report.go
+++ b/condition/report.go
@@ -118,9 +118,24 @@
 	Report
 	evidence evidence
 	sent     *sentReport
+	// tried is set if the endpoint has been tried since the last report.
+	tried    bool
 	priority float64
 }
 
+// compareTried orders reports of new trials before all others: they are few, and an endpoint that is left
+// out gets no requests until all instances know of them.
+func compareTried(a, b candidate) int {
+	switch {
+	case a.tried == b.tried:
+		return 0
+	case a.tried:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func (t *Tracker) choose(now time.Time, bytes int, of func(*endpoint) (evidence, *sentReport)) []Report {
 	var due []candidate
 	for k, e := range t.endpoints {
@@ -128,15 +143,18 @@
 		if e.unremarkable(now, known) || known.size() < minReported && sent.decayed(now).size() < minReported {
 			continue
 		}
-		age := now.Sub(sent.at)
-		failed := known.failures - sent.decayed(now).failures
-		if age < resendAfter && failed < remarkableFailures {
+		age, before := now.Sub(sent.at), sent.decayed(now)
+		failed, trials := known.failures-before.failures, known.trials()-before.trials()
+		if age < resendAfter && failed < remarkableFailures && trials < remarkableTrials {
 			continue
 		}
-		due = append(due, candidate{toReport(k, known), known, sent, min(age, time.Second).Seconds() * (1 + urgentFailures*max(failed, 0) + known.size())})
+		c := candidate{Report: toReport(k, known), evidence: known, sent: sent}
+		c.tried = trials >= remarkableTrials
+		c.priority = min(age, time.Second).Seconds() * (1 + urgentFailures*max(failed, 0) + known.size())
+		due = append(due, c)
 	}
 	slices.SortFunc(due, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(compareTried(a, b), cmp.Compare(b.priority, a.priority), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	var out []Report
 	for _, c := range due {
@@ -155,4 +173,6 @@
 	// urgentFailures is how many other observations a new failure counts as when reports
 	// compete for room.
 	urgentFailures = 10
+	// remarkableTrials is the part of a new trial, as older ones decay, that is reported.
+	remarkableTrials = 0.5
 )
