Admission: a failed attempt does not set its request back in the queue

Cause: each attempt counted as having arrived when it asked for admission, so that a second attempt, which has the least time left, waited behind all that had come while the first was made. Only rejected attempts kept their time. Class: a place in an order that is lost with each retry. Change: an attempt of which nothing has reached the caller waits since its request first asked. Evidence: TestFailedAttemptKeepsItsPlaceInTheQueue fails on the former code (admitted 'later', not 'failed').

--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -164,7 +164,7 @@
 	}
 	w := &admission.Waiter{
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.priority(),
-		Late: req.Late, Arrived: now, StartBy: startBy, Bytes: len(x.Call.Body),
+		Late: req.Late, Arrived: x.arrivedAt(now), StartBy: startBy, Bytes: len(x.Call.Body),
 	}
 	req.Now = now
 	f.claim(x, w, &req)
@@ -232,10 +232,6 @@
 	if f.numbers == nil || !f.router.LendsPlaces(req.Now, x.Target.Pool) {
 		return
 	}
-	if x.rejections() > 0 {
-		w.Arrived = x.queuedAt
-	}
-	x.queuedAt = w.Arrived
 	w.MeetBy = x.meetBy(f.router.ServiceTime(x.Target.Pool))
 	w.Number, w.Account, w.Weight = f.numbers.Add(1), x.accountHash(), x.accountWeight()
 	req.Claimant = routing.Claimant{
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -91,7 +91,8 @@
 	// counted is set once the request counts as demand.
 	counted bool
 
-	// queuedAt is when the request first asked for admission, where places are lent.
+	// queuedAt is when the request first asked for admission; later once a part of its answer has
+	// reached the caller.
 	queuedAt time.Time
 
 	// charged is what the request cost of its caller's allowance.
--- a/pipeline/lending_test.go
+++ b/pipeline/lending_test.go
@@ -1,9 +1,14 @@
 package pipeline
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eiderspring/eiderspring/admission"
@@ -70,3 +75,52 @@
 	require.Equal(t, x.Received.Add(350*time.Millisecond), x.meetBy(50*time.Millisecond))
 	require.True(t, x.meetBy(0).IsZero(), "before any request has ended")
 }
+
+// plainExchange returns a request to a plain service that arrives now.
+func plainExchange(id string) *Exchange {
+	return &Exchange{
+		ID: id, Received: time.Now(), offset: -1, Request: httptest.NewRequest(http.MethodGet, "/", nil),
+		Target: settings.Target{Pool: "p", Policy: settings.Effective{FirstToken: time.Second, Deadline: 3 * time.Second, Repeatable: true}},
+	}
+}
+
+// TestFailedAttemptKeepsItsPlaceInTheQueue guards against a request that waits behind all others again
+// after an endpoint has failed it, although it has the least time left: where places are short, requests
+// of services that fail now and then were served less than others for the same places.
+func TestFailedAttemptKeepsItsPlaceInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := []*routing.Endpoint{{Name: "a", Pool: "p", Concurrency: 1}, {Name: "b", Pool: "p", Concurrency: 1}}
+		router := routing.NewRouter(routing.Policies()[routing.PolicyTimely], func() float64 { return 0 })
+		router.SetView(&routing.View{Pools: map[string][]*routing.Endpoint{"p": endpoints}})
+		gates := NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1 << 20}, time.Now)
+		f := admit{
+			cutOff: func(*Exchange) bool { return false }, gates: gates, router: router, onNoReplica: func() {},
+			refusals: &Refusals{}, numbers: &atomic.Uint64{}, log: logr.Discard(), now: time.Now,
+		}
+		failed, holder := plainExchange("failed"), plainExchange("holder")
+		require.NoError(t, f.Process(t.Context(), failed))
+		require.NoError(t, f.Process(t.Context(), holder))
+
+		var admitted []string
+		enter := func(x *Exchange) {
+			go func() {
+				if f.Process(t.Context(), x) == nil {
+					admitted = append(admitted, x.ID)
+				}
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(50 * time.Millisecond)
+		enter(plainExchange("later"))
+		time.Sleep(50 * time.Millisecond)
+		failed.attempt().Decision.Endpoint.SetLeaving(true)
+		enter(failed)
+		require.Empty(t, admitted)
+
+		router.Release(&holder.attempt().Decision)
+		gates.Pool("p").Completed(holder.attempt().waiter)
+		synctest.Wait()
+		require.Equal(t, []string{"failed"}, admitted)
+		gates.Stop()
+	})
+}
--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -16,6 +16,16 @@
 // that retries after the given delay goes before others, because it has waited longest and
 // should not be refused twice.
 
+// arrivedAt returns since when the request counts as waiting for admission. A failed attempt does not
+// set it back behind others, which came while it was made: it has the least time left of all. The rest
+// of an answer that has begun is a wait of its own.
+func (x *Exchange) arrivedAt(now time.Time) time.Time {
+	if x.queuedAt.IsZero() || x.begun() {
+		x.queuedAt = now
+	}
+	return x.queuedAt
+}
+
 // late reports whether the request's target has already passed, as it may have after an
 // attempt that failed late.
 func (x *Exchange) late(now time.Time) bool {
