Store: one value nested too deeply does not make a whole answer undecodable

Cause: encoding/json rejects an answer as a whole beyond 10,000 levels; items were decoded apart only behind that. Class: a limit of a whole that one part uses up. Numbers of 400 digits, 1e400 and ports out of range were refused alone already.

--- a/store/call.go
+++ b/store/call.go
@@ -114,7 +114,7 @@
 	if into == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into); err != nil {
+	if err := json.NewDecoder(&nestingLimiter{from: io.LimitReader(resp.Body, maxResponseBytes)}).Decode(into); err != nil {
 		return &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
 	}
 	return nil
--- a/store/client.go
+++ b/store/client.go
@@ -175,7 +175,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
+	dec := json.NewDecoder(&nestingLimiter{from: resp.Body})
 	for {
 		var e Event
 		if err := dec.Decode(&e); err != nil {
