Lending: the issuer's figures in /debug/vars

Why: refusals with places free could not be told from refusals without; what decides is the rate of freed places and the round trip. Change: by endpoint lendable, freed_per_second and round_trip_ms at its issuer. Result: go test ./credit passes. Conclusion: no decision changes.

--- a/credit/stats.go
+++ b/credit/stats.go
@@ -19,6 +19,12 @@
 	// requests that wait here for the fleet, by account hash; empty if it is not the issuer.
 	Lent             map[string]int64 `json:"lent,omitempty"`
 	WaitingByAccount map[string]int64 `json:"waiting_by_account,omitempty"`
+	// Lendable is how many places the issuer lends now, also those beyond the endpoint's own,
+	// FreedPerSecond how many become free while all are lent, and RoundTripMS the mean time from an ask
+	// to its answer; none if this instance is not the issuer.
+	Lendable       int64   `json:"lendable,omitempty"`
+	FreedPerSecond float64 `json:"freed_per_second,omitempty"`
+	RoundTripMS    int64   `json:"round_trip_ms,omitempty"`
 }
 
 // Stats counts the decisions of this instance since its process started.
@@ -53,7 +59,7 @@
 		listed, known := s.Endpoints[d.key.Name]
 		if known || len(s.Endpoints) < maxListed {
 			listed.Issuer = l.config.Self
-			listed.Lent, listed.WaitingByAccount = d.stats()
+			d.addStats(now, &listed)
 			s.Endpoints[d.key.Name] = listed
 		}
 	}
@@ -65,14 +71,14 @@
 	return EndpointStats{Contended: true, Issuer: issuer, Running: b.running, Unused: b.available(now), Waiting: int64(len(b.wants))}
 }
 
-// stats returns the places lent by borrower, and the requests that wait by account.
-func (d *lending) stats() (lent, waiting map[string]int64) {
-	lent, waiting = map[string]int64{}, map[string]int64{}
+// addStats adds what the issuer knows of an endpoint.
+func (d *lending) addStats(now time.Time, s *EndpointStats) {
+	s.Lent, s.WaitingByAccount = map[string]int64{}, map[string]int64{}
 	for _, b := range d.list {
-		lent[b.instance] += b.reserved()
+		s.Lent[b.instance] += b.reserved()
 		for _, w := range b.ask.Wants {
-			waiting[strconv.FormatUint(uint64(w.Account), 16)]++
+			s.WaitingByAccount[strconv.FormatUint(uint64(w.Account), 16)]++
 		}
 	}
-	return lent, waiting
+	s.Lendable, s.FreedPerSecond, s.RoundTripMS = d.places.lendable(now), d.places.freedPerSecond, d.places.roundTrip.Milliseconds()
 }
