Lending: a single rejection after long is soon forgotten

Cause: the pause of an endpoint that rejects requests beyond its places doubled with each rejection, however long ago the last one was, and never went back while such requests were sent. Change: after twice the longest pause without a rejection it begins anew.

--- a/credit/places.go
+++ b/credit/places.go
@@ -98,12 +98,12 @@
 // recordExtraRejection lengthens the pause after a rejection while extra requests were sent beyond the
 // places; a long time without any ends that.
 func (p *places) recordExtraRejection(now time.Time, extra int64) {
-	switch {
-	case extra > 0:
-		p.pause = min(2*p.pause, maxExtraPause)
-	case now.Sub(p.rejectedAt) >= maxExtraPause:
+	if now.Sub(p.rejectedAt) >= 2*maxExtraPause {
 		p.pause = extraPause
 	}
+	if extra > 0 {
+		p.pause = min(2*p.pause, maxExtraPause)
+	}
 }
 
 // extra returns by how many the requests that are sent may exceed the places, so that these are not idle
