Lending: engines are sent no requests beyond their places

Cause: lets an issuer send more requests where half a place or more is in transit; an engine with short requests and a slow issuer may come to that, and in its batch each request more slows all others. Change: an endpoint knows whether it is an engine; only others may queue. Evidence: TestBrittleEndpointMayNotQueue has the case.

--- a/daemon/view.go
+++ b/daemon/view.go
@@ -368,7 +368,7 @@
 		if pool == nil {
 			continue
 		}
-		e := d.endpoint(m, cmp.Or(m.Slots, pool.Concurrency))
+		e := d.endpoint(m, pool)
 		v.ByName[m.Name] = e
 		d.residency.applyEntry(m)
 		v.Pools[m.Pool] = append(v.Pools[m.Pool], e)
@@ -392,16 +392,16 @@
 	d.router.SetView(v)
 }
 
-// endpoint returns the endpoint of a member. A new incarnation is a new endpoint: nothing
+// endpoint returns the endpoint of a member of a pool. A new incarnation is a new endpoint: nothing
 // counted for the previous one applies to it.
-func (d *viewTask) endpoint(m membership.Member, concurrency int) *routing.Endpoint {
+func (d *viewTask) endpoint(m membership.Member, pool *settings.Pool) *routing.Endpoint {
 	e := d.endpoints[m.Name]
-	previous := e
-	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency || e.SoftwareVersion != m.SoftwareVersion {
+	previous, concurrency, isEngine := e, cmp.Or(m.Slots, pool.Concurrency), pool.Kind == settings.KindEngine
+	if e == nil || e.Incarnation != m.Incarnation || e.Address != m.Address || e.Concurrency != concurrency || e.SoftwareVersion != m.SoftwareVersion || e.Engine != isEngine {
 		e = &routing.Endpoint{
 			Name: m.Name, Address: m.Address, Pool: m.Pool, FailureDomain: m.FailureDomain,
 			Region: d.resolved.Tree.Regions[m.FailureDomain], Incarnation: m.Incarnation, StartedAtMS: m.StartedAtMS, Concurrency: concurrency,
-			SoftwareVersion: m.SoftwareVersion,
+			SoftwareVersion: m.SoftwareVersion, Engine: isEngine,
 		}
 		e.AdoptStatements(previous)
 		d.logRestart(previous, e)
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -35,6 +35,8 @@
 	StartedAtMS int64
 	// Concurrency is how many requests the endpoint runs at once.
 	Concurrency int
+	// Engine is set for a model engine, which runs requests in a batch.
+	Engine bool
 
 	ownInFlight atomic.Int64
 	// answeredAt is the Unix time in nanoseconds at which this instance last had a complete answer, or
--- a/routing/lending.go
+++ b/routing/lending.go
@@ -180,10 +180,11 @@
 }
 
 // MayQueue reports whether an endpoint may be sent more requests than it runs at once, so that its places
-// are not idle between two. A brittle one may not: it bears few rejections.
+// are not idle between two. An engine may not: in its batch each request more slows all others. A brittle
+// endpoint may not, as it bears few rejections.
 func (r *Router) MayQueue(k credit.Key) bool {
 	e := r.View().ByName[k.Name]
-	if e == nil || e.StartedAtMS != k.StartedAtMS {
+	if e == nil || e.StartedAtMS != k.StartedAtMS || e.Engine {
 		return false
 	}
 	_, brittle := e.Brittle()
--- a/routing/lending_test.go
+++ b/routing/lending_test.go
@@ -212,4 +212,6 @@
 	other := e.CreditKey()
 	other.StartedAtMS++
 	require.False(t, r.MayQueue(other), "another incarnation")
+	e.Engine = true
+	require.False(t, r.MayQueue(e.CreditKey()), "an engine's batch")
 }
