Placement: a model's position in the operator's list decides nothing

What callers saw: models that nobody asked for were loaded into memory that others needed, because they stood behind a busy model in the operator's list; idle models in front of it were given up first. Where demand does not follow the list, requests for models in use were refused for it.

Cause: forecastShares gave the models after each busy one a share of the demand, swapCost protected them. platform/config.go wrote the position into Model.Rank, and the controller sorted by it, by name behind it: one model was always the first to be loaded, another always the first to be given up.

Change: Rank goes from the wire's translation, the settings, the placer and the controller, with the forecast of shares, its thresholds and the average that served it alone. What is known of future demand is a model's own demand, who waits for it and when it was last requested: models without a replica go by that, an only replica costs more to give up the likelier its model is requested again before it could be loaded back, and the least recently requested one goes first. Where nothing tells units apart, a hash decides that differs from holder to holder. Sums are in a fixed order, so that a plan depends on its inputs alone.

Tests, failing before: TestPlanIsTheSameForEveryOrderOfTheList and TestNoModelIsAlwaysFirst (with Rank set to the position, a trial on: "aaa" against "aab"; "map[busy:200]" should have 5 items), TestOrderOfModelsIsNoSetting (Rank 1 against 2), TestUnrequestedModelIsPreloaded ("spare" expected, "demand" got), TestLeastRecentlyRequestedModelIsReplaced (nothing given up). TestForecastModelIsPreloaded and one line of TestIdleModelIsReplacedAndReloaded asked for the guess: replaced by tests that ask for spare memory to be used, busy models to keep theirs, and the least recently requested model to go.

--- a/daemon/placer.go
+++ b/daemon/placer.go
@@ -400,7 +400,6 @@
 		}
 		unit := counted.Unit{Name: name, Base: u.Base, MemoryMB: u.MemoryMB}
 		if m := t.Models[name]; m != nil {
-			unit.Rank = m.Rank
 			unit.StoreLoadTime = time.Duration(m.LoadMS) * time.Millisecond
 			unit.DiskLoadTime = time.Duration(m.DiskMS) * time.Millisecond
 			unit.MemoryLoadTime = time.Duration(m.WarmMS) * time.Millisecond
--- a/placement/counted/adapters.go
+++ b/placement/counted/adapters.go
@@ -8,30 +8,46 @@
 // placeRequestedAdapters loads the adapters that requests ask for: one replica each, and
 // more according to the adapter's share of the model's demand.
 func (p *planner) placeRequestedAdapters() {
-	for _, name := range sortedNames(p.c.demand.lastRequestAt) {
-		u, known := p.c.units[name]
-		if !known || u.Base == "" || p.c.demand.idleTime(p.now, name) > recentTime {
-			continue
-		}
+	for _, name := range p.requestedAdapters() {
+		u := p.c.units[name]
 		for len(p.holders[name]) < p.wantedAdapterReplicas(u) && p.addAdapter(u) {
 		}
 	}
 }
 
+// requestedAdapters returns the adapters that were requested recently, those with the most
+// waiting requests first, then the most recently requested.
+func (p *planner) requestedAdapters() []string {
+	var requested []string
+	for name := range p.c.demand.lastRequestAt {
+		if u, known := p.c.units[name]; known && u.Base != "" && p.idleTime(name) <= recentTime {
+			requested = append(requested, name)
+		}
+	}
+	waiting := p.c.demand.waiting
+	slices.SortFunc(requested, func(a, b string) int { return cmp.Or(cmp.Compare(waiting[b], waiting[a]), p.unitOrder(a, b)) })
+	return requested
+}
+
+// adaptersWithoutReplica returns the adapters of a model without a holder, the most recently
+// requested first.
+func (p *planner) adaptersWithoutReplica(model string) []string {
+	missing := slices.DeleteFunc(slices.Clone(p.c.adapters[model]), func(name string) bool { return len(p.holders[name]) > 0 })
+	slices.SortFunc(missing, p.unitOrder)
+	return missing
+}
+
 // preloadAdapters loads adapters without a replica into free slots before they are
 // requested, those of the models with the highest demand first. While a model is
 // loading, an endpoint accepts no order for an adapter, and that may last for seconds.
 // An adapter is small and loads in milliseconds, so a superfluous one costs next to
 // nothing.
 func (p *planner) preloadAdapters() {
-	models := slices.Clone(p.c.models)
+	models := slices.Clone(p.models)
 	slices.SortStableFunc(models, func(a, b Unit) int { return cmp.Compare(p.share[b.Name], p.share[a.Name]) })
 	for _, model := range models {
-		for _, name := range p.c.adapters[model.Name] {
+		for _, name := range p.adaptersWithoutReplica(model.Name) {
 			u := p.c.units[name]
-			if len(p.holders[name]) > 0 {
-				continue
-			}
 			if e := p.endpointForAdapter(u); e != nil && p.fitsAdapter(e, u) {
 				p.loadAdapter(e, u, ReasonSpare)
 			}
@@ -110,14 +126,10 @@
 
 // idlestAdapter returns the adapter at e whose last request is the longest ago.
 func (p *planner) idlestAdapter(e *endpoint) string {
-	var idlest string
 	for _, name := range p.residentsOf(e) {
-		if p.c.units[name].Base == "" {
-			continue
-		}
-		if idlest == "" || p.c.demand.idleTime(p.now, name) > p.c.demand.idleTime(p.now, idlest) {
-			idlest = name
+		if p.c.units[name].Base != "" {
+			return name
 		}
 	}
-	return idlest
+	return ""
 }
--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -72,10 +72,11 @@
 	units    map[string]Unit
 	// largestMB is the memory of the largest unit.
 	largestMB int64
-	// models are the models in the operator's order, adapters the names of the adapters
-	// by model.
+	// models are the models, adapters the names of the adapters by model, both ordered by name.
 	models   []Unit
 	adapters map[string][]string
+	// tieBreaks are the hashes of tieOrder by unit.
+	tieBreaks map[string]uint64
 	// endpoints is keyed by name; sortedEndpoints holds the same endpoints ordered by
 	// name.
 	endpoints       map[string]*endpoint
@@ -183,7 +184,7 @@
 	c.settings = e
 	c.units = make(map[string]Unit, len(e.Units))
 	c.models, c.adapters = nil, map[string][]string{}
-	for _, u := range e.Units {
+	for _, u := range slices.SortedFunc(slices.Values(e.Units), func(a, b Unit) int { return cmp.Compare(a.Name, b.Name) }) {
 		c.units[u.Name] = u
 		if u.Base == "" {
 			c.models = append(c.models, u)
@@ -191,7 +192,7 @@
 		}
 		c.adapters[u.Base] = append(c.adapters[u.Base], u.Name)
 	}
-	slices.SortFunc(c.models, func(a, b Unit) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name)) })
+	c.computeTieBreaks()
 	c.fastLoads = LoadsAreFast(c.models)
 	c.largestMB = 0
 	for _, u := range e.Units {
@@ -243,6 +244,7 @@
 
 func (c *Controller) leaseAcquired(now time.Time, e LeaseAcquired) []Action {
 	c.holding, c.epoch, c.acquiredAt, c.ordersAllowedFrom, c.ownOrdersOnlyFrom = true, e.Epoch, now, now, time.Time{}
+	c.computeTieBreaks()
 	if e.HasPredecessor {
 		c.ownOrdersOnlyFrom = now.Add(maxOrderDelay)
 		c.ordersAllowedFrom = now.Add(e.OrderDelay)
--- a/placement/counted/demand.go
+++ b/placement/counted/demand.go
@@ -8,9 +8,7 @@
 // demand estimates the demand for each unit. An estimate rises at once and falls slowly,
 // as a superfluous replica costs less than a missing one.
 type demand struct {
-	rate map[string]float64
-	// average is the mean rate over averagingTime.
-	average map[string]float64
+	rate    map[string]float64
 	waiting map[string]int
 	// lastRequestAt is when each unit was last requested.
 	lastRequestAt map[string]time.Time
@@ -28,28 +26,15 @@
 	return !d.firstSeenAt.IsZero() && now.Sub(d.firstSeenAt) >= warmUpTime
 }
 
-// averagingTime is the time constant of the average demand.
-const averagingTime = 3 * time.Second
-
-// averageTotal returns the average demand of all units.
-func (d *demand) averageTotal() float64 {
-	total := 0.0
-	for _, rate := range d.average {
-		total += rate
-	}
-	return total
-}
-
 // fallTimeConstant is the time in which a demand that has ended falls to about a third.
 const fallTimeConstant = 4 * time.Second
 
 func newDemand() demand {
-	return demand{rate: map[string]float64{}, average: map[string]float64{}, waiting: map[string]int{}, lastRequestAt: map[string]time.Time{}}
+	return demand{rate: map[string]float64{}, waiting: map[string]int{}, lastRequestAt: map[string]time.Time{}}
 }
 
 func (d *demand) observe(now time.Time, e DemandReport) {
 	elapsed := now.Sub(d.updatedAt).Seconds()
-	d.updateAverage(math.Exp(-elapsed/averagingTime.Seconds()), e.Rate)
 	kept := math.Exp(-elapsed / fallTimeConstant.Seconds())
 	d.updatedAt = now
 	for unit, rate := range d.rate {
@@ -73,21 +58,6 @@
 	d.waiting = e.Waiting
 }
 
-// updateAverage adds the rates to the average demand, of which the fraction kept
-// remains.
-func (d *demand) updateAverage(kept float64, rates map[string]float64) {
-	for unit, rate := range d.average {
-		if rate *= kept; rate < 1 {
-			delete(d.average, unit)
-			continue
-		}
-		d.average[unit] = rate
-	}
-	for unit, rate := range rates {
-		d.average[unit] += rate * (1 - kept)
-	}
-}
-
 // idleTime returns the time since the last request for the unit.
 func (d *demand) idleTime(now time.Time, unit string) time.Duration {
 	if at, requested := d.lastRequestAt[unit]; requested {
--- a/placement/counted/events.go
+++ b/placement/counted/events.go
@@ -17,8 +17,6 @@
 	// Base is the model that an adapter belongs to; empty for a model.
 	Base     string
 	MemoryMB int64
-	// Rank is the unit's place in the operator's list.
-	Rank int
 	// StoreLoadTime, DiskLoadTime and MemoryLoadTime are the durations of a load from
 	// the weight store, the endpoint's disk and its host memory; 0 if unknown.
 	StoreLoadTime, DiskLoadTime, MemoryLoadTime time.Duration
--- a/placement/counted/plan.go
+++ b/placement/counted/plan.go
@@ -14,7 +14,7 @@
 const (
 	// ReasonUnreachable loads a unit that has no replica.
 	ReasonUnreachable Reason = "unreachable"
-	// ReasonDemand adds a replica because of current demand or of the forecast.
+	// ReasonDemand adds a replica because of current demand.
 	ReasonDemand Reason = "demand"
 	// ReasonSpare loads a unit that is not requested into free memory.
 	ReasonSpare Reason = "spare"
@@ -40,21 +40,6 @@
 // multiple of the even share of one live endpoint, so that it applies to 12 endpoints as
 // well as to 720.
 const (
-	// busyThreshold is the share of the average demand from which a model is busy, in
-	// even shares.
-	busyThreshold = 0.35
-	// lookaheadPerBusy determines the lookahead, which is the number of models after
-	// each busy one in the operator's list that get a forecast: it is this factor times
-	// the number of busy models, but at least minLookahead. Demand moves along that
-	// list.
-	lookaheadPerBusy = 1.0 / 6
-	minLookahead     = 2
-	// forecastFraction is the share of the mean busy model's demand that a forecast
-	// model gets.
-	forecastFraction = 0.4
-	// forecastThreshold is the current or forecast demand, in even shares, from which a
-	// model needs a replica before it is requested.
-	forecastThreshold = 0.36
 	// minPressureRatio is the minimum ratio of the pressure on the unit that gains a
 	// replica to the pressure on the unit that loses one.
 	minPressureRatio = 1.35
@@ -95,12 +80,10 @@
 	// swapMinPressure is the pressure, in even shares, from which a model may replace
 	// the only replica of another.
 	swapMinPressure = 1.2
-	// swapBaseCost is the cost of unloading an only replica, in even shares.
-	// swapNearCost is added for a model that demand may reach soon because it is one of
-	// the next in the operator's list, within swapNearLookaheads times the lookahead.
-	swapBaseCost       = 0.36
-	swapNearCost       = 1.2
-	swapNearLookaheads = 3
+	// swapBaseCost is the cost of unloading an only replica, in even shares, if its model is
+	// certain not to be requested before it could be loaded again. It is twice that if the
+	// model is certain to be.
+	swapBaseCost = 0.36
 	// slowLoadTime is the duration from which a load blocks the adapters of an endpoint
 	// for too long.
 	slowLoadTime = 3 * time.Second
@@ -112,14 +95,15 @@
 type planner struct {
 	c   *Controller
 	now time.Time
-	// share is each model's share of all demand, including its adapters and the
-	// forecast.
+	// share is each model's share of all demand, including its adapters.
 	share map[string]float64
 	// holders are the endpoints that serve or load each unit.
 	holders map[string][]*endpoint
 	// serving is the number of holders of each unit that serve it now.
 	serving map[string]int
-	// idleTimes caches the idle times of models.
+	// models are all models in the order of unitOrder.
+	models []Unit
+	// idleTimes caches the idle times of units.
 	idleTimes map[string]time.Duration
 	// visits is the number of endpoint checks in the current phase of the plan,
 	// totalVisits the number in all phases.
@@ -130,11 +114,8 @@
 	totalPlaces float64
 	// evenShare is one live endpoint's even share of all demand.
 	evenShare float64
-	// lastBusyRank is the rank of the last busy model, -1 for none; lookahead is the
-	// number of models after each busy one that get a forecast.
-	lastBusyRank, lookahead int
-	// sortedResidents caches the sorted units of endpoints.
-	sortedResidents map[*endpoint][]string
+	// residents caches the units of endpoints in the order in which they are given up.
+	residents map[*endpoint][]string
 	// reservations counts the endpoints at which memory is being freed, by unit.
 	reservations map[string]int
 	// load is the share of demand on each endpoint.
@@ -156,10 +137,11 @@
 	p := &planner{
 		c: c, now: now, holders: map[string][]*endpoint{}, load: map[*endpoint]float64{},
 		reservations: map[string]int{}, hasMove: map[*endpoint]bool{}, storeLoadBudget: c.window.remaining(now, c.unresolvedStoreLoads(now)),
-		sortedResidents: map[*endpoint][]string{}, serving: map[string]int{}, idleTimes: map[string]time.Duration{}, placesCount: c.placesCount(),
+		residents: map[*endpoint][]string{}, serving: map[string]int{}, idleTimes: map[string]time.Duration{}, placesCount: c.placesCount(),
 	}
 	p.computeEvenShare()
 	p.computeShares()
+	p.orderModels()
 	p.findHolders()
 	p.useFreedMemory()
 	p.loadMissingModels()
@@ -170,16 +152,6 @@
 	return p
 }
 
-// residentsOf returns the units that an endpoint holds in sorted order.
-func (p *planner) residentsOf(e *endpoint) []string {
-	units, known := p.sortedResidents[e]
-	if !known {
-		units = sortedNames(e.resident)
-		p.sortedResidents[e] = units
-	}
-	return units
-}
-
 // startPhase starts a phase of the plan.
 func (p *planner) startPhase() { p.visits = 0 }
 
@@ -223,7 +195,9 @@
 			p.reservations[unit]++
 		}
 	}
-	for unit, holders := range p.holders {
+	// The order of the sums is fixed, so that a plan depends on its inputs alone.
+	for _, unit := range sortedNames(p.holders) {
+		holders := p.holders[unit]
 		for _, e := range holders {
 			p.load[e] += p.share[unit] / float64(len(holders))
 		}
@@ -242,10 +216,10 @@
 }
 
 // modelsWithoutReplica returns the models without a holder, those with the most waiting
-// requests first.
+// requests first, then those with the highest demand, then the most recently requested.
 func (p *planner) modelsWithoutReplica() []Unit {
 	var missing []Unit
-	for _, u := range p.c.models {
+	for _, u := range p.models {
 		if len(p.holders[u.Name]) == 0 {
 			missing = append(missing, u)
 		}
@@ -296,7 +270,7 @@
 
 // requested reports whether the model is being requested now.
 func (p *planner) requested(model string) bool {
-	return p.waiting(model) > 0 || p.modelIdleTime(model) < swapMinIdle
+	return p.waiting(model) > 0 || p.idleTime(model) < swapMinIdle
 }
 
 // waiting returns the number of requests that are waiting for a model or one of its
@@ -335,9 +309,9 @@
 // none.
 func (p *planner) mostPressed(excluded map[string]bool) *Unit {
 	var most *Unit
-	for i := range p.c.models {
-		u := &p.c.models[i]
-		if excluded[u.Name] || len(p.holders[u.Name]) == 0 && p.share[u.Name] < forecastThreshold*p.evenShare {
+	for i := range p.models {
+		u := &p.models[i]
+		if excluded[u.Name] {
 			continue
 		}
 		if most == nil || p.pressure(u.Name) > p.pressure(most.Name) {
--- a/placement/counted/room.go
+++ b/placement/counted/room.go
@@ -58,7 +58,7 @@
 				continue
 			}
 			cost += p.load[e]*loadWeight + p.delay(e, v, u).Seconds()*p.delayCost(u)
-			if best == nil || cost < least {
+			if best == nil || cost < least || cost == least && p.unitOrder(v, unit) > 0 {
 				best, unit, least = e, v, cost
 			}
 		}
@@ -80,7 +80,7 @@
 		return p.unloadDelay(v) + p.c.duration(e, Order{Op: OpLoad, Unit: u.Name})
 	}
 	unload := unloadTime
-	if p.modelIdleTime(v) < recentTime {
+	if p.idleTime(v) < recentTime {
 		// The unload waits for running requests.
 		unload = busyUnloadTime
 	}
@@ -95,7 +95,7 @@
 		return 0, false
 	}
 	if p.servingElsewhere(v, e) == 0 {
-		return p.swapCost(v), p.swappable(e, v) && (reason == ReasonUnreachable || p.overloaded(u))
+		return p.swapCost(e, v), p.swappable(e, v) && (reason == ReasonUnreachable || p.overloaded(u))
 	}
 	cost := p.share[v] / float64(max(p.replicaCount(v)-1, 1))
 	if p.placesCount {
@@ -111,13 +111,17 @@
 	return !p.requested(model) && p.share[model] < swapMaxDemand*p.evenShare && !e.needsStore(model)
 }
 
-// swapCost returns the cost of unloading the only replica of a model.
-func (p *planner) swapCost(model string) float64 {
-	cost := swapBaseCost*p.evenShare + p.share[model]
-	if rankDistance := p.c.units[model].Rank - p.lastBusyRank; p.lastBusyRank >= 0 && rankDistance > 0 && rankDistance <= swapNearLookaheads*p.lookahead {
-		cost += swapNearCost * p.evenShare
-	}
-	return cost
+// swapCost returns the cost of unloading the only replica of a model at e: its next caller has
+// to wait until the model is loaded again.
+func (p *planner) swapCost(e *endpoint, model string) float64 {
+	return (1+p.requestLikelihood(e, model))*swapBaseCost*p.evenShare + p.share[model]
+}
+
+// requestLikelihood estimates how likely a model is to be requested within the time in which e
+// could load it again. What has been idle for long is expected to stay idle for as long again.
+func (p *planner) requestLikelihood(e *endpoint, model string) float64 {
+	reload := p.c.duration(e, Order{Op: OpLoad, Unit: model}).Seconds()
+	return reload / (reload + p.idleTime(model).Seconds())
 }
 
 // overloaded reports whether the pressure on a model exceeds swapMinPressure.
@@ -125,18 +129,18 @@
 	return p.pressure(u.Name) > swapMinPressure*p.evenShare
 }
 
-// modelIdleTime returns the time since the last request for a model or one of its
+// idleTime returns the time since the last request for a unit, which for a model includes its
 // adapters.
-func (p *planner) modelIdleTime(model string) time.Duration {
-	least, known := p.idleTimes[model]
+func (p *planner) idleTime(unit string) time.Duration {
+	least, known := p.idleTimes[unit]
 	if known {
 		return least
 	}
-	least = p.c.demand.idleTime(p.now, model)
-	for _, adapter := range p.c.adapters[model] {
+	least = p.c.demand.idleTime(p.now, unit)
+	for _, adapter := range p.c.adapters[unit] {
 		least = min(least, p.c.demand.idleTime(p.now, adapter))
 	}
-	p.idleTimes[model] = least
+	p.idleTimes[unit] = least
 	return least
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -108,8 +108,6 @@
 	WeightsMB int64 `json:"weightsMB"`
 	// KVMB is the size of the KV cache reserved for each replica in MiB.
 	KVMB int64 `json:"kvMB"`
-	// Rank is the model's position in the operator's list.
-	Rank int `json:"rank,omitempty"`
 	// LoadMS, DiskMS and WarmMS are the durations of a load from the weight store, from
 	// the endpoint's disk and from its host memory, in milliseconds; 0 means unknown.
 	LoadMS int64 `json:"loadMS,omitempty"`
