Admission: a repeat goes by its place in the queue, as a first try does

What callers saw: who was refused before and came back, early or late, was put a whole level of priority, five seconds, ahead of callers that came first and waited in line. Who did not wait as told gained by it. "The caller" was a hash of the last part of its prompt, so the next request of a session inherited the head start of the one before.

Cause: refusedPriority, and a memory of refusals with packets of its own. Its reason was that a second refusal costs more, a price.

Change: the memory of refusals, its packets (key 15), their forwarding and the head start go. What has a reason of the caller's stays: Retry-After is a promise. Who was told a time and comes at it takes the place in the queue that it had, by its time of arrival, without a level; the promise carries that time to the other instances (keys 64 and 65 in place of 53 and 55, as the messages are longer). It is for one request, by its path, unit, prompt and lengths, and is kept once. Who is early or late comes as anyone.

Tests, failing before: TestRepeatsAndFirstTriesAreAlike (trial on: expected "first", got "repeat"); TestPromiseIsKeptOnce has no counterpart there (a promise held for all of a session and as often as it came). TestPoliteCallerGoesFirst keeps what was right. Replaced with others as strict: the line of TestWaitingTimeByTarget that asked for the head start, TestReturnInItsSlot (now TestReturnAtItsTime: the place instead of the level), TestRefusalsAreRememberedForAWhile and -Bounded (TestPromiseIsKeptOnce, TestPromisesAreBounded), packets with refusals (now with promises). Packet size tests lose the field that is gone.

Tests of pipeline, outlook, peer, credit, daemon pass; platform in part.

--- a/daemon/mesh.go
+++ b/daemon/mesh.go
@@ -25,11 +25,10 @@
 	// self is this instance's own entry.
 	self presence
 	// regions maps each failure domain to its region.
-	regions  map[string]string
-	router   *routing.Router
-	gates    *pipeline.Gates
-	demand   *pipeline.Demand
-	refusals *pipeline.Refusals
+	regions map[string]string
+	router  *routing.Router
+	gates   *pipeline.Gates
+	demand  *pipeline.Demand
 	// outlooks receives and makes the forecasts of when requests can start; nil if they are off.
 	outlooks *outlooks
 	// quarantine receives the reports of other instances on requests that end endpoints.
@@ -159,9 +158,6 @@
 	// recipients caches where the other instances receive packets; nil if it is to be
 	// computed.
 	recipients []string
-	// refusalsToForward holds refusals of other instances for the coordinator's next
-	// announcement.
-	refusalsToForward []uint32
 	// withdrawn holds when endpoints began to leave, by this instance's list.
 	withdrawn map[string]withdrawal
 	// saidLeaving holds when endpoints said to this instance that they leave.
@@ -196,8 +192,8 @@
 	// smallFleetSize is the largest number of instances at which every instance sends to every
 	// other.
 	smallFleetSize = 16
-	// maxForwardedRefusals bounds the refusals in one announcement of the coordinator.
-	maxForwardedRefusals = 40
+	// maxForwardedReturns bounds the returns in one announcement of the coordinator.
+	maxForwardedReturns = 40
 	// maxWithdrawn bounds the withdrawn endpoints in one packet.
 	maxWithdrawn = 16
 	// minHolderTimeout is the minimum time without an attestation of the lease holder after
@@ -354,10 +350,6 @@
 		m.updateRoutingFor(p.Totals)
 		m.pools.receiveModes(m.now(), p.PoolModes)
 	}
-	if len(p.Refused) > 0 && p.From != m.instance {
-		m.refusals.RecordRemote(m.now(), p.Refused)
-		m.forwardRefusals(p.Refused)
-	}
 	if p.From != m.instance && len(p.Placements) == 0 {
 		// In a large fleet only the coordinator reaches all instances.
 		m.quarantine.ReceiveReports(p.Endings, m.isSmallFleet() || m.isHolder())
--- a/daemon/meshannounce.go
+++ b/daemon/meshannounce.go
@@ -39,27 +39,6 @@
 	}
 }
 
-// forwardRefusals keeps refusals for the coordinator's next announcement, as in a large fleet
-// the other instances have not received them.
-func (m *mesh) forwardRefusals(refused []uint32) {
-	if !m.isHolder() || m.isSmallFleet() {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	free := max(maxForwardedRefusals-len(m.refusalsToForward), 0)
-	m.refusalsToForward = append(m.refusalsToForward, refused[:min(len(refused), free)]...)
-}
-
-// takeForwardedRefusals returns and clears what forwardRefusals has kept.
-func (m *mesh) takeForwardedRefusals() []uint32 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	refusals := m.refusalsToForward
-	m.refusalsToForward = nil
-	return refusals
-}
-
 // sendRate returns how many bytes per second this instance can send, given its link and its
 // processor.
 func (m *mesh) sendRate() float64 {
@@ -92,9 +71,9 @@
 func (m *mesh) announceTotals() {
 	all, n := m.currentTotals()
 	loads := m.outgoingTotals.Next(m.now(), all, m.totalsBudget())
-	withdrawn, refusals, replaced := m.recentlyWithdrawn(), m.takeForwardedRefusals(), m.replacedEndpoints()
+	withdrawn, replaced := m.recentlyWithdrawn(), m.replacedEndpoints()
 	for first := true; first || len(loads)+len(withdrawn)+len(replaced) > 0; first = false {
-		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), Refused: refusals, EndingsDigest: m.quarantine.Digest()})
+		p := m.stamp(peer.Packet{Instances: max(n, 1), Revision: m.revision(), EndingsDigest: m.quarantine.Digest()})
 		p.StoreCurrent = m.storeCurrent() && m.evacuations.addTo(&p)
 		if p.StoreCurrent {
 			p.EndpointsDigest = m.endpointsDigest.Load()
@@ -113,7 +92,6 @@
 			p.Totals, loads = cutLoads(loads, remainingBytes(p))
 		}
 		m.send(p, m.addresses())
-		refusals = nil
 	}
 }
 
--- a/daemon/meshsend.go
+++ b/daemon/meshsend.go
@@ -99,7 +99,7 @@
 // recipients already have the same from the last one. Otherwise it records the summary as
 // sent.
 func (m *mesh) summaryUnchanged(p peer.Packet, to []string) bool {
-	news := len(p.Promises) + len(p.Refused) + len(p.Endings) + len(p.Limits) + len(p.Conditions) + len(p.Withheld) + len(p.SaidLeaving) + len(p.PoolSamples)
+	news := len(p.Promises) + len(p.Endings) + len(p.Limits) + len(p.Conditions) + len(p.Withheld) + len(p.SaidLeaving) + len(p.PoolSamples)
 	urgent := news > 0 || p.ConfirmRequest != 0
 	last := m.lastSummary
 	last.Seq, last.EndingsDigest = p.Seq, p.EndingsDigest
@@ -223,7 +223,7 @@
 
 // summary returns what this instance has in flight, and the demand for units that it receives.
 func (m *mesh) summary() peer.Packet {
-	p := peer.Packet{Leaving: m.leaving(), Revision: m.revision(), Refused: m.refusals.TakeLocal()}
+	p := peer.Packet{Leaving: m.leaving(), Revision: m.revision()}
 	replaced := m.replacedEndpoints()
 	p.Replaced, p.ReplacedStarts = splitIncarnations(replaced[:min(len(replaced), maxReplaced)])
 	for _, pool := range m.router.View().Pools {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -106,6 +106,8 @@
 	holds atomic.Pointer[holdsTask]
 	// outlooks forecasts when requests can start; nil if that is off.
 	outlooks *outlooks
+	// promises remembers when refused callers were told to come back.
+	promises *pipeline.Promises
 	// control carries reports and orders, separately from callers' requests.
 	control *engine.Client
 	// path opens the connections to endpoints and tells whether any can be reached from here.
@@ -271,12 +273,12 @@
 		send: func(p peer.Packet, to []string) { n.mesh.send(n.mesh.stamp(p), to) }, log: n.log,
 	}
 	n.allowances = newAllowances(n.cfg.Allowances, process, holds, func() int { return n.mesh.listedCount() }, n.now)
-	refusals := &pipeline.Refusals{}
-	n.outlooks = newOutlooks(n.cfg.Outlook, refusals, n.now, n.vars)
+	n.promises = &pipeline.Promises{}
+	n.outlooks = newOutlooks(n.cfg.Outlook, n.promises, n.now, n.vars)
 	m := &mesh{
 		keyAuthority: n.keyAuthority, allowances: n.allowances, permits: n.permits, conditions: n.conditions, outlooks: n.outlooks, evacuations: n.newEvacuations(), eras: n.eras,
 		instance: n.cfg.Instance, process: process, address: address,
-		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, refusals: refusals, quarantine: n.quarantine, log: n.log, now: n.now,
+		router: n.router, gates: n.gates, demand: &pipeline.Demand{}, quarantine: n.quarantine, log: n.log, now: n.now,
 		onPlacements:   func(p []peer.Placement) { _ = n.events.Put(n.runCtx, placementsReceived{p}) },
 		onDemand:       func(d map[string]peer.Demand) { n.placers.demandReported(d) },
 		onSuspects:     func(endpoints []string) { n.placers.requestsFailed(endpoints) },
@@ -344,7 +346,7 @@
 		Handover: n.handovers,
 		Outlook:  n.outlooks.forPipeline(),
 		Dialect:  dialect, Catalog: n.catalog.Load, Router: n.router, Gates: n.gates, Engine: n.engine, Retries: n.retries,
-		Demand: n.mesh.demand, Refusals: n.mesh.refusals, OnNoReplica: n.mesh.sendSoon,
+		Demand: n.mesh.demand, Promises: n.promises, OnNoReplica: n.mesh.sendSoon,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
 		SettingsOutdated: n.mesh.outdated, Revisions: n.revisions, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.limiter, Permits: n.permits.limiter,
 		Conditions: n.conditions, StreamVersions: n.streams,
--- a/daemon/outlooks.go
+++ b/daemon/outlooks.go
@@ -51,7 +51,7 @@
 	// active reports whether the fleet is large enough for forecasts.
 	active   func() bool
 	isHolder func() bool
-	refusals *pipeline.Refusals
+	returns  *pipeline.Promises
 	now      func() time.Time
 	vars     *expvar.Map
 	// promised holds the times after which refused callers were told to come back.
@@ -67,26 +67,26 @@
 	loadsAt    time.Time
 	// started counts the requests sent to endpoints since the process began, by unit.
 	started map[string]int64
-	// promises are those still to be reported, returns those still to be forwarded.
-	promises []pendingPromise
-	returns  []pendingPromise
+	// promises are those still to be reported, toForward those still to be forwarded.
+	promises  []pendingPromise
+	toForward []pendingPromise
 	// refusedAt is when requests for units without a replica were refused.
 	refusedAt map[string][]time.Time
 }
 
 // pendingPromise is a promise with its time on this instance's clock.
 type pendingPromise struct {
-	unit   string
-	caller uint32
-	at     time.Time
+	unit string
+	who  outlook.Caller
+	at   time.Time
 }
 
-func newOutlooks(cfg NodeOutlook, refusals *pipeline.Refusals, now func() time.Time, vars *expvar.Map) *outlooks {
+func newOutlooks(cfg NodeOutlook, returns *pipeline.Promises, now func() time.Time, vars *expvar.Map) *outlooks {
 	if !cfg.Enabled {
 		return nil
 	}
 	o := &outlooks{
-		cfg: cfg, refusals: refusals, now: now, vars: vars, promised: pipeline.NewLatencies(),
+		cfg: cfg, returns: returns, now: now, vars: vars, promised: pipeline.NewLatencies(),
 		loads: map[string]map[string]counted.LoadForecast{}, started: map[string]int64{}, refusedAt: map[string][]time.Time{},
 	}
 	vars.Set("promised_return_us", o.promised)
@@ -125,14 +125,14 @@
 }
 
 // Reserve implements pipeline.Outlook.
-func (o *outlooks) Reserve(now time.Time, unit string, session uint32, latest time.Time) (time.Time, bool) {
+func (o *outlooks) Reserve(now time.Time, unit string, who outlook.Caller, latest time.Time) (time.Time, bool) {
 	shift := time.Duration(rand.Float64() * float64(returnSpread))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at, ok := o.board.Reserve(now, unit, shift, latest)
 	switch {
 	case ok:
-		o.addPromise(now, unit, session, at)
+		o.addPromise(now, unit, who, at)
 	case !at.IsZero():
 		o.vars.Add("returns_without_slot", 1)
 	}
@@ -140,17 +140,17 @@
 }
 
 // Promise implements pipeline.Outlook.
-func (o *outlooks) Promise(now time.Time, unit string, session uint32, at time.Time) {
+func (o *outlooks) Promise(now time.Time, unit string, who outlook.Caller, at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.addPromise(now, unit, session, at)
+	o.addPromise(now, unit, who, at)
 }
 
 // addPromise counts a promise and keeps it for the next report; mu must be held.
-func (o *outlooks) addPromise(now time.Time, unit string, session uint32, at time.Time) {
+func (o *outlooks) addPromise(now time.Time, unit string, who outlook.Caller, at time.Time) {
 	o.promised.Record(at.Sub(now))
 	o.vars.Add("returns_promised", 1)
-	o.promises = appendBounded(o.promises, pendingPromise{unit: unit, caller: session, at: at})
+	o.promises = appendBounded(o.promises, pendingPromise{unit: unit, who: who, at: at})
 }
 
 // CountStart implements pipeline.Outlook.
@@ -250,7 +250,19 @@
 }
 
 func (p pendingPromise) message(now time.Time) outlook.Promise {
-	return outlook.Promise{Unit: p.unit, Caller: p.caller, InMS: max(p.at.Sub(now).Milliseconds(), 0)}
+	r := p.forwarded(now)
+	return outlook.Promise{Unit: p.unit, Request: r.Request, InMS: r.InMS, WaitedMS: r.WaitedMS}
+}
+
+// forwarded returns the promise as the holder forwards it.
+func (p pendingPromise) forwarded(now time.Time) outlook.Return {
+	return outlook.Return{Request: p.who.Request, InMS: max(p.at.Sub(now).Milliseconds(), 0), WaitedMS: max(now.Sub(p.who.Since).Milliseconds(), 0)}
+}
+
+// received returns the promise that a message states.
+func received(now time.Time, m outlook.Return) pendingPromise {
+	since := now.Add(-time.Duration(m.WaitedMS) * time.Millisecond)
+	return pendingPromise{who: outlook.Caller{Request: m.Request, Since: since}, at: now.Add(time.Duration(m.InMS) * time.Millisecond)}
 }
 
 // receive takes the forecasts and reports in a packet.
@@ -264,7 +276,8 @@
 	if !own {
 		o.board.Receive(now, p.Outlook)
 		for _, r := range p.Returns {
-			o.refusals.RecordReturn(r.Caller, now.Add(time.Duration(r.InMS)*time.Millisecond))
+			promise := received(now, r)
+			o.returns.Record(now, promise.who, promise.at)
 		}
 	}
 	if !o.isHolder() || p.Instances > 0 || len(p.Placements) > 0 || p.Aggregator != 0 {
@@ -273,9 +286,9 @@
 	o.forecaster.ReceiveStarts(now, p.From, p.Process, p.Starts)
 	o.forecaster.ReceivePromises(now, p.Promises)
 	for _, promise := range p.Promises {
-		at := now.Add(time.Duration(promise.InMS) * time.Millisecond)
-		o.refusals.RecordReturn(promise.Caller, at)
-		o.returns = appendBounded(o.returns, pendingPromise{caller: promise.Caller, at: at})
+		made := received(now, outlook.Return{Request: promise.Request, InMS: promise.InMS, WaitedMS: promise.WaitedMS})
+		o.returns.Record(now, made.who, made.at)
+		o.toForward = appendBounded(o.toForward, made)
 	}
 }
 
@@ -291,18 +304,18 @@
 	defer o.mu.Unlock()
 	entries := o.forecaster.Forecast(now, o.currentLoads(now))
 	o.board.Receive(now, entries)
-	if len(entries)+len(o.returns) == 0 {
+	if len(entries)+len(o.toForward) == 0 {
 		return false
 	}
 	room := remainingBytes(*p) - fieldOverhead
-	for _, r := range o.returns {
-		m := outlook.Return{Caller: r.caller, InMS: max(r.at.Sub(now).Milliseconds(), 0)}
-		if size := m.EncodedSize(); size <= room && len(p.Returns) < maxForwardedRefusals {
+	for _, r := range o.toForward {
+		m := r.forwarded(now)
+		if size := m.EncodedSize(); size <= room && len(p.Returns) < maxForwardedReturns {
 			room -= size
 			p.Returns = append(p.Returns, m)
 		}
 	}
-	o.returns = o.returns[len(p.Returns):]
+	o.toForward = o.toForward[len(p.Returns):]
 	for _, e := range entries {
 		if room -= e.EncodedSize(); room < 0 {
 			break
--- a/outlook/messages.go
+++ b/outlook/messages.go
@@ -13,23 +13,32 @@
 	Waiting map[int]int
 }
 
+// Caller is a refused caller that may come back.
+type Caller struct {
+	// Request is the hash by which the request is known across its attempts; 0 if it is not.
+	Request uint32
+	// Since is when it joined the queue.
+	Since time.Time
+}
+
 // Promise is a return that an instance has promised to a refused caller.
 type Promise struct {
 	_    struct{} `cbor:",toarray"`
 	Unit string
-	// Caller is the hash by which the request is known across its attempts; 0 if it is not.
-	Caller uint32
-	// InMS is in how many milliseconds the caller may come back, as of the message.
-	InMS int64
+	// Request, InMS and WaitedMS are as in Return.
+	Request        uint32
+	InMS, WaitedMS int64
 }
 
 // Return is when a refused caller may come back.
 type Return struct {
 	_ struct{} `cbor:",toarray"`
-	// Caller is the hash by which the request is known across its attempts.
-	Caller uint32
-	// InMS is in how many milliseconds, as of the message.
+	// Request is the hash by which the request is known across its attempts; 0 if it is not.
+	Request uint32
+	// InMS is in how many milliseconds the caller may come back, as of the message.
 	InMS int64
+	// WaitedMS is for how many milliseconds it has waited, as of the message.
+	WaitedMS int64
 }
 
 // Level is the forecast for requests of at most the given priority and above that of the next
--- a/outlook/size.go
+++ b/outlook/size.go
@@ -15,10 +15,10 @@
 }
 
 // EncodedSize returns an upper bound of the message's size in a packet in bytes.
-func (p Promise) EncodedSize() int { return arrayBytes + textBytes(p.Unit) + 2*itemBytes }
+func (p Promise) EncodedSize() int { return arrayBytes + textBytes(p.Unit) + 3*itemBytes }
 
 // EncodedSize returns an upper bound of the message's size in a packet in bytes.
-func (r Return) EncodedSize() int { return arrayBytes + 2*itemBytes }
+func (r Return) EncodedSize() int { return arrayBytes + 3*itemBytes }
 
 // EncodedSize returns an upper bound of the message's size in a packet in bytes.
 func (e Entry) EncodedSize() int {
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -59,9 +59,6 @@
 	// SaidLeavingStarts are their start times, as PlacedStarts.
 	SaidLeaving       []string `cbor:"57,keyasint,omitempty"`
 	SaidLeavingStarts []int64  `cbor:"58,keyasint,omitempty"`
-	// Refused are the session hashes of requests that the sender, or in a large fleet
-	// any instance, has refused since the sender's last packet.
-	Refused []uint32 `cbor:"15,keyasint,omitempty"`
 	// StoreCurrent, sent with Instances, is set when the store has answered the sender
 	// recently, so that the sender knows of newer settings and leaving endpoints.
 	StoreCurrent bool `cbor:"16,keyasint,omitempty"`
@@ -126,11 +123,11 @@
 	Withheld []condition.WithheldReport `cbor:"50,keyasint,omitempty"`
 	// Starts and Promises report to the instance that places units what its forecasts need.
 	Starts   []outlook.Starts  `cbor:"52,keyasint,omitempty"`
-	Promises []outlook.Promise `cbor:"53,keyasint,omitempty"`
+	Promises []outlook.Promise `cbor:"64,keyasint,omitempty"`
 	// Outlook, sent with Instances, is when new requests can start, for units for which that is
 	// not at once; Returns are when refused callers come back.
 	Outlook []outlook.Entry  `cbor:"54,keyasint,omitempty"`
-	Returns []outlook.Return `cbor:"55,keyasint,omitempty"`
+	Returns []outlook.Return `cbor:"65,keyasint,omitempty"`
 	// Beginnings are where streams began, StreamQuestions ask for one and StreamAnswers answer
 	// that. A packet with any of them carries nothing else but a ConfirmReply, as one with
 	// permits.
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -117,7 +117,7 @@
 	router        *routing.Router
 	failureDomain string
 	onNoReplica   func()
-	refusals      *Refusals
+	promises      *Promises
 	// numbers numbers the requests that wait for a place that is lent.
 	numbers *atomic.Uint64
 	demand  *Demand
@@ -129,9 +129,8 @@
 // Process implements Filter. It adds an attempt with its reserved slot.
 func (f admit) Process(ctx context.Context, x *Exchange) error {
 	now := f.now()
-	x.wasRefused = f.refusals.contains(now, x.Call.SessionHash)
 	if len(x.Attempts) == 0 {
-		x.wasPromised, x.inSlot = f.refusals.ReturnOf(now, x.Call.SessionHash)
+		x.returned = f.promises.Take(now, x.Call.RequestHash)
 	}
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Model: x.Target.Model, Pool: x.Target.Pool,
@@ -163,7 +162,7 @@
 			errors.Is(pickErr, routing.ErrNoSoftwareVersion)
 	}
 	w := &admission.Waiter{
-		ID: x.ID, Unit: x.Target.Unit, Priority: x.priority(),
+		ID: x.ID, Unit: x.Target.Unit, Priority: x.Target.Policy.Priority,
 		Late: req.Late, Arrived: x.arrivedAt(now), StartBy: startBy, Bytes: len(x.Call.Body),
 	}
 	req.Now = now
@@ -180,7 +179,6 @@
 	err := f.gates.Pool(x.Target.Pool).Enter(ctx, w, take)
 	x.askedForPlace = req.Wanted
 	if err != nil {
-		f.refusals.record(f.now(), x.Call.SessionHash)
 		refusal := newAdmitError(err, pickErr)
 		if limited {
 			refusal.RetryAfter = addJitter(max(refusal.RetryAfter, permitRetryAfter(perSecond)))
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -35,9 +35,9 @@
 	Continuation Continuation
 	// Regions are the regions in which what is requested may be served; empty means all.
 	Regions []string
-	// SessionHash identifies the request across its attempts, as computed by the function
-	// SessionHash; 0 if the caller sends no session.
-	SessionHash uint32
+	// RequestHash identifies the request across its attempts, as computed by the function
+	// RequestHash; 0 if too little is known of it.
+	RequestHash uint32
 	// PromptParts identifies the parts of the prompt that other requests may share, in order; of a
 	// long prompt only the first and the last ones (SelectPromptParts).
 	PromptParts []quarantine.Fingerprint
@@ -106,10 +106,8 @@
 	answerStarted bool
 	// askedForPlace is set if the request has asked for a place that is lent.
 	askedForPlace bool
-	// wasRefused is set if the caller retries after a refusal.
-	wasRefused bool
-	// wasPromised is set if it was told a time to come back at, inSlot if it does so.
-	wasPromised, inSlot bool
+	// returned is what is known of the request's return after a refusal.
+	returned Return
 	// offset is the offset of the last relayed event; -1 for none.
 	offset int64
 	// bound is set once the request is for the rest of a stream, softwareVersion is the version of
@@ -154,9 +152,9 @@
 // slot says for the log whether the caller came back in the slot that it was promised.
 func (x *Exchange) slot() string {
 	switch {
-	case x.inSlot:
+	case x.returned.InTime:
 		return "kept"
-	case x.wasPromised:
+	case x.returned.Promised:
 		return "missed"
 	default:
 		return "none"
--- a/pipeline/metrics.go
+++ b/pipeline/metrics.go
@@ -51,11 +51,11 @@
 
 // countReturn counts a caller that was promised a time and has come back.
 func (m *Metrics) countReturn(x *Exchange) {
-	if !x.wasPromised {
+	if !x.returned.Promised {
 		return
 	}
 	when := "late"
-	if x.inSlot {
+	if x.returned.InTime {
 		when = "in_slot"
 	}
 	switch x.Outcome {
--- a/pipeline/outlook.go
+++ b/pipeline/outlook.go
@@ -13,12 +13,12 @@
 type Outlook interface {
 	// Look returns when a request of the given priority can start; false if that is not known.
 	Look(now time.Time, unit string, priority int) (outlook.Forecast, bool)
-	// Reserve promises a caller, known by its SessionHash, a time until latest to come back at.
+	// Reserve promises a caller a time until latest to come back at.
 	// It reports false if there is none; at is then the first time with room, or zero if none
 	// is known.
-	Reserve(now time.Time, unit string, session uint32, latest time.Time) (at time.Time, ok bool)
+	Reserve(now time.Time, unit string, who outlook.Caller, latest time.Time) (at time.Time, ok bool)
 	// Promise records that a caller was promised a time by someone else.
-	Promise(now time.Time, unit string, session uint32, at time.Time)
+	Promise(now time.Time, unit string, who outlook.Caller, at time.Time)
 	// CountStart counts a request that is sent to an endpoint.
 	CountStart(unit string)
 	// CountRefusal counts a request that is refused because of a forecast.
@@ -76,9 +76,9 @@
 }
 
 // mayCheckForecast reports whether the request may be refused because of a forecast: not if it
-// may have run before, and not again in the slot that it was promised.
+// may have run before, and not at the time that it was promised.
 func (x *Exchange) mayCheckForecast() bool {
-	return x.Target.Unit != "" && !x.dispatched && !x.answerStarted && !x.inSlot
+	return x.Target.Unit != "" && !x.dispatched && !x.answerStarted && !x.returned.InTime
 }
 
 // promiseReturn gives a refused caller a time to come back at, if any is known, and reports
@@ -87,13 +87,14 @@
 	if f.outlook == nil || x.Target.Unit == "" || x.dispatched {
 		return false
 	}
+	who := outlook.Caller{Request: x.Call.RequestHash, Since: x.queuedAt}
 	if refusal.Promised {
 		at := now.Add(refusal.RetryAfter)
-		f.outlook.Promise(now, x.Target.Unit, x.Call.SessionHash, at)
-		f.refusals.RecordReturn(x.Call.SessionHash, at)
+		f.outlook.Promise(now, x.Target.Unit, who, at)
+		f.promises.Record(now, who, at)
 		return true
 	}
-	at, ok := f.outlook.Reserve(now, x.Target.Unit, x.Call.SessionHash, x.returnBy(now))
+	at, ok := f.outlook.Reserve(now, x.Target.Unit, who, x.returnBy(now))
 	if at.IsZero() {
 		return false
 	}
@@ -103,7 +104,7 @@
 		return false
 	}
 	refusal.Promised = true
-	f.refusals.RecordReturn(x.Call.SessionHash, at)
+	f.promises.Record(now, who, at)
 	return true
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -44,8 +44,8 @@
 	Dialect Dialect
 	// Demand counts the requested work; nil counts nothing.
 	Demand *Demand
-	// Refusals remembers refused requests; nil remembers none.
-	Refusals *Refusals
+	// Promises remembers when refused callers were told to come back; nil remembers nothing.
+	Promises *Promises
 	// Outlook knows when requests can start; nil knows nothing, and requests wait.
 	Outlook Outlook
 	// OnNoReplica is called when a request finds no replica of its unit.
@@ -115,7 +115,7 @@
 	p.attempt = []Filter{
 		admit{
 			cutOff: p.cutOff,
-			gates:  cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, onNoReplica: cfg.OnNoReplica, refusals: cfg.Refusals,
+			gates:  cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, onNoReplica: cfg.OnNoReplica, promises: cfg.Promises,
 			numbers: &atomic.Uint64{}, demand: cfg.Demand, outlook: cfg.Outlook, log: cfg.Log, now: cfg.Now,
 		},
 		route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS},
--- a/pipeline/settle.go
+++ b/pipeline/settle.go
@@ -96,7 +96,7 @@
 	f.metrics.countFraming(x, err)
 	values := []any{
 		"request", x.ID, "outcome", x.Outcome, "caller", x.Caller.Name, "from", x.remoteHost(), "fingerprint", x.Fingerprint.String(), "name", x.Call.Name, "unit", x.Target.Unit,
-		"revision", x.Revision, "again", x.wasRefused, "slot", x.slot(), "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
+		"revision", x.Revision, "slot", x.slot(), "attempts", len(x.Attempts), "bytes", x.Bytes, "first_ms", x.FirstToken.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
 	if len(x.Call.PromptParts) > 0 {
 		values = append(values, "parts", x.promptPartsText())
--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -12,15 +12,19 @@
 
 // The rules in this file handle load that has moved to units with too few replicas: until
 // more replicas are loaded, which takes seconds, callers request more than the engines can
-// serve. A first attempt waits until its target has passed and is then refused. A caller
-// that retries after the given delay goes before others, because it has waited longest and
-// should not be refused twice.
+// serve. A first attempt waits until its target has passed and is then refused. A caller that
+// comes back at the time that it was promised has the place that it had in the queue.
 
-// arrivedAt returns since when the request counts as waiting for admission. A failed attempt does not
-// set it back behind others, which came while it was made: it has the least time left of all. The rest
-// of an answer that has begun is a wait of its own.
+// arrivedAt returns since when the request counts as waiting for admission. Neither a failed attempt
+// nor a refusal with a promise, at whose time the caller is back, sets it back behind others that came
+// in the meantime. The rest of an answer that has begun is a wait of its own.
 func (x *Exchange) arrivedAt(now time.Time) time.Time {
-	if x.queuedAt.IsZero() || x.begun() {
+	switch {
+	case x.begun():
+		x.queuedAt = now
+	case x.queuedAt.IsZero() && x.returned.InTime && x.returned.Since.Before(now):
+		x.queuedAt = x.returned.Since
+	case x.queuedAt.IsZero():
 		x.queuedAt = now
 	}
 	return x.queuedAt
@@ -33,21 +37,6 @@
 	return x.Target.Unit != "" && !by.IsZero() && !now.Before(by)
 }
 
-// refusedPriority is the number of priority levels that a retry after a refusal gains in
-// the queue. Placing such retries after all others, at the engine too, loses 1 to 3 in 100 of
-// the value of all answers with 12 and 18 engines. Compared with no gain at all, the benefit
-// is within noise.
-const refusedPriority = 1
-
-// priority orders the request among those that wait.
-func (x *Exchange) priority() int {
-	p := x.Target.Policy.Priority
-	if x.inSlot || x.wasRefused && !x.wasPromised {
-		p += refusedPriority
-	}
-	return p
-}
-
 // lateWaitShare is the share of the time between the target and the moment at which the
 // caller gives up that a late request waits for a slot. The rest is for processing its
 // prompt, after others.
