Promises: promised callers and those in line take turns, by one order

What callers saw: of the places that become free half (lent ones) or a quarter (of units in large fleets) were set aside for "returns", the rest was "for requests that come for the first time".

Cause: Room.FirstTriesPerSecond, MinReturnShare and credit.returnFraction told first tries and repeats apart, each with a figure of its own; promises were made from now on instead of from the caller's turn.

Change: a Book knows how fast places become free. Every other one may be promised: those sent away with a promise and those in line, who gave no cause, take turns. A promise is for the moment at which the caller's turn would come, so it is a place in the same queue. Waits count those ahead and those who return in the meantime, by one function for lent places and forecasts; whose time has come is in line and is not counted twice. A request that states no time for its return gets no promise (a third of its patience before, which is less than the wait for which it is refused).

--- a/credit/messages.go
+++ b/credit/messages.go
@@ -27,7 +27,7 @@
 	// makes sense, in milliseconds.
 	AgeMS, PatienceMS int64
 	// ReturnMS is for how long from now a return of the caller would be of use to it, in
-	// milliseconds; 0 for a third of PatienceMS.
+	// milliseconds.
 	ReturnMS int64
 	// Endpoints is the number of endpoints that the request is wanted at. The Lender sets it.
 	Endpoints int64
--- a/credit/refusing.go
+++ b/credit/refusing.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/eiderspring/eiderspring/returnslot"
 )
 
 // freedRate measures how fast places become free while all are lent: it tells how long those
@@ -50,15 +48,8 @@
 	return f.count / f.seconds, true
 }
 
-const (
-	// returnRounds is how many times those who return during a wait are added to it.
-	returnRounds = 4
-	// judgeInterval is the time between two looks at which requests cannot start in time.
-	judgeInterval = 20 * time.Millisecond
-	// returnPart is the part of its patience within which a request is to return if it states
-	// nothing, as waiting longer takes from the caller what is left of its time.
-	returnPart = 3
-)
+// judgeInterval is the time between two looks at which requests cannot start in time.
+const judgeInterval = 20 * time.Millisecond
 
 // judge refuses the requests that cannot start in their time; waiting are those that get no
 // place now, in order.
@@ -70,48 +61,35 @@
 	if !observed || rate <= 0 {
 		return
 	}
-	d.slots.SetRoom(returnslot.Room{FreedPerSecond: rate, FirstTriesPerSecond: rate * (1 - returnFraction)})
+	d.slots.SetRate(rate)
 	ahead := 0.0
 	for _, c := range waiting {
 		patience := time.Duration(c.PatienceMS)*time.Millisecond - now.Sub(c.borrower.askedAt)
-		wait := d.expectedWait(now, ahead, rate)
+		wait, _ := d.slots.Wait(now, ahead+1)
+		least := wait
 		if c.borrower.accepted[c.ID] {
 			// A request that was expected to start is refused only if that is unlikely by now:
 			// places that become free at random need this much less or more.
-			wait -= time.Duration(math.Sqrt(wait.Seconds()*rate) / rate * float64(time.Second))
+			least -= time.Duration(math.Sqrt(wait.Seconds()*rate) / rate * float64(time.Second))
 		}
-		if wait <= patience || len(c.borrower.refusals) >= maxRefusals {
+		if least <= patience || len(c.borrower.refusals) >= maxRefusals {
 			c.borrower.accepted[c.ID] = true
 			// A request that is wanted at several endpoints is served by the first of them.
 			ahead += 1 / float64(c.Endpoints)
 			continue
 		}
-		l.refuse(now, d, c)
+		l.refuse(now, d, c, wait)
 	}
 }
 
-// expectedWait returns how long a request waits that others go ahead of: besides these, those who
-// return in the meantime as they were told.
-func (d *lending) expectedWait(now time.Time, ahead, rate float64) (wait time.Duration) {
-	returns := 0
-	for range returnRounds {
-		wait = time.Duration((ahead + 1 + float64(returns)) / rate * float64(time.Second))
-		more := d.slots.PromisedUntil(now, now.Add(wait))
-		if more == returns {
-			break
-		}
-		returns = more
-	}
-	return wait
-}
-
-// refuse refuses a request, which is to return in a slot of its own if there is one soon enough.
-func (l *Lender) refuse(now time.Time, d *lending, c candidate) {
+// refuse refuses a request, which is to return when its turn would come, after the given wait, if
+// a place can be promised to it then and it has so much time.
+func (l *Lender) refuse(now time.Time, d *lending, c candidate, wait time.Duration) {
 	b := c.borrower
 	at, known := b.returns[c.ID]
 	if !known {
 		var ok bool
-		at, ok = d.slots.Reserve(now, now, c.borrower.askedAt.Add(c.returnTime()))
+		at, ok = d.slots.Reserve(now, now.Add(wait), c.borrower.askedAt.Add(time.Duration(c.ReturnMS)*time.Millisecond))
 		if !ok {
 			at = time.Time{}
 		}
@@ -121,14 +99,6 @@
 	b.refusals = append(b.refusals, refusal{id: c.ID, at: at})
 }
 
-// returnTime is for how long after the ask a return would be of use.
-func (c candidate) returnTime() time.Duration {
-	if c.ReturnMS > 0 {
-		return time.Duration(c.ReturnMS) * time.Millisecond
-	}
-	return time.Duration(c.PatienceMS) * time.Millisecond / returnPart
-}
-
 // currentRefusals returns the refusals to tell a borrower.
 func (b *borrower) currentRefusals(now time.Time) (refusals []Refusal) {
 	for _, r := range b.refusals {
@@ -140,7 +110,3 @@
 	}
 	return refusals
 }
-
-// returnFraction is the part of the places that become free that is reserved for returns; the
-// rest is for requests that come for the first time.
-const returnFraction = 0.5
--- a/outlook/board.go
+++ b/outlook/board.go
@@ -94,7 +94,7 @@
 		return time.Time{}, false
 	}
 	gap := milliseconds(t.ReturnGapMS)
-	t.book.SetRoom(returnslot.Room{FreedPerSecond: 1 / gap.Seconds()})
+	t.book.SetInterval(gap)
 	earliest := t.at.Add(milliseconds(t.ReturnMS) + shift)
 	if at, ok = t.book.Reserve(now, earliest, latest); ok {
 		return at, true
--- a/outlook/forecaster.go
+++ b/outlook/forecaster.go
@@ -134,8 +134,8 @@
 	for _, n := range waiting {
 		ahead += n
 	}
-	u.book.SetRoom(returnslot.Room{FreedPerSecond: perSecond})
-	u.addReturns(now, &e, max(l.Expected.Sub(now), e.longest())+time.Duration(float64(ahead)/perSecond*float64(time.Second)), perSecond)
+	u.book.SetRate(perSecond)
+	u.addReturns(now, &e, max(l.Expected.Sub(now), e.longest())+time.Duration(float64(ahead)/perSecond*float64(time.Second)))
 	return e
 }
 
@@ -147,26 +147,27 @@
 	if !known {
 		return e
 	}
+	u.book.SetRate(rate)
 	ahead := 0
 	for _, priority := range slices.Backward(slices.Sorted(maps.Keys(waiting))) {
 		ahead += waiting[priority]
-		e.Levels = append(e.Levels, Level{Priority: priority, StartMS: int64(float64(ahead) / rate * 1000)})
+		wait, _ := u.book.Wait(now, float64(ahead))
+		e.Levels = append(e.Levels, Level{Priority: priority, StartMS: wait.Milliseconds()})
 	}
-	// First tries take all that they can get while they wait.
-	u.book.SetRoom(returnslot.Room{FreedPerSecond: rate, FirstTriesPerSecond: rate})
-	u.addReturns(now, &e, e.longest(), rate*returnslot.MinReturnShare)
+	u.addReturns(now, &e, e.longest())
 	return e
 }
 
 // addReturns adds the first time with room for a return after those that wait now have started,
 // which takes the given time.
-func (u *unit) addReturns(now time.Time, e *Entry, waiting time.Duration, perSecond float64) {
-	at, open := u.book.Next(now, now.Add(waiting))
+func (u *unit) addReturns(now time.Time, e *Entry, waiting time.Duration) {
+	at, _ := u.book.Next(now, now.Add(waiting))
+	interval, open := u.book.Interval()
 	if !open {
 		return
 	}
 	e.ReturnMS = max(at.Sub(now).Milliseconds(), 1)
-	e.ReturnGapMS = max(int64(1000/perSecond), 1)
+	e.ReturnGapMS = max(interval.Milliseconds(), 1)
 }
 
 // longest returns the longest forecast of an entry.
--- a/returnslot/book.go
+++ b/returnslot/book.go
@@ -5,40 +5,60 @@
 	"time"
 )
 
-// Room is the rate at which places become free, and what first tries are expected to take of
-// it, both in places per second.
-type Room struct{ FreedPerSecond, FirstTriesPerSecond float64 }
-
 const (
-	// MinReturnShare is the share of the freed places that returns get however many first
-	// tries there are.
-	MinReturnShare = 0.25
+	// promisedShare is the share of the freed places that may be promised: those who wait in
+	// line and those who were sent away with a promise take turns.
+	promisedShare = 0.5
 	// minLapse is how long after its time a promise holds its place at least: callers come
 	// back up to some network and scheduling delay later.
 	minLapse = 250 * time.Millisecond
 	// maxPromises bounds the promises of a book.
 	maxPromises = 1024
+	// waitRounds is how many times those who return during a wait are added to it.
+	waitRounds = 4
 )
 
-// interval returns the time between two promises; false if there is no room at all.
-func (r Room) interval() (time.Duration, bool) {
-	rate := max(r.FreedPerSecond-r.FirstTriesPerSecond, r.FreedPerSecond*MinReturnShare)
-	if rate <= 0 {
-		return 0, false
-	}
-	return time.Duration(float64(time.Second) / rate), true
-}
-
-// Book holds the promises that were made for one unit or endpoint. The zero value has no room.
+// Book holds the promises that were made for one unit or endpoint. The zero value promises nothing.
 //
 // Invariant: promises is sorted and has at most maxPromises elements.
 type Book struct {
-	room     Room
-	promises []time.Time
+	// freedPerSecond is how many places become free in a second.
+	freedPerSecond float64
+	promises       []time.Time
 }
 
-// SetRoom sets the room for the promises made from now on.
-func (b *Book) SetRoom(r Room) { b.room = r }
+// SetRate sets how many places become free in a second, for the promises made from now on.
+func (b *Book) SetRate(freedPerSecond float64) { b.freedPerSecond = freedPerSecond }
+
+// SetInterval sets the rate by the time between two promises.
+func (b *Book) SetInterval(d time.Duration) { b.SetRate(1 / (d.Seconds() * promisedShare)) }
+
+// Interval returns the time between two promises; false if no places become free.
+func (b *Book) Interval() (time.Duration, bool) {
+	if b.freedPerSecond <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(time.Second) / (b.freedPerSecond * promisedShare)), true
+}
+
+// Wait returns how long it takes until a place is free for one that the given number of others
+// go ahead of: besides these, those who return in the meantime as they were promised. It
+// returns false if no places become free.
+func (b *Book) Wait(now time.Time, ahead float64) (wait time.Duration, ok bool) {
+	if b.freedPerSecond <= 0 {
+		return 0, false
+	}
+	returns := 0
+	for range waitRounds {
+		wait = time.Duration((ahead + float64(returns)) / b.freedPerSecond * float64(time.Second))
+		more := b.promisedBetween(now, now.Add(wait))
+		if more == returns {
+			break
+		}
+		returns = more
+	}
+	return wait, true
+}
 
 // Reserve promises a place at the first time with room between earliest and latest, both
 // included. It reports false, and promises nothing, if there is none.
@@ -73,9 +93,17 @@
 	return len(b.promises)
 }
 
+// promisedBetween returns the number of promises whose time is between two times: whose time has
+// come waits in line.
+func (b *Book) promisedBetween(now, until time.Time) int {
+	from, _ := slices.BinarySearchFunc(b.promises, now, time.Time.Compare)
+	to, _ := slices.BinarySearchFunc(b.promises, until, time.Time.Compare)
+	return to - from
+}
+
 // next returns the first time from earliest on that keeps its distance from all promises.
 func (b *Book) next(earliest time.Time) (time.Time, bool) {
-	interval, open := b.room.interval()
+	interval, open := b.Interval()
 	if !open {
 		return time.Time{}, false
 	}
@@ -105,7 +133,7 @@
 // lapsed reports whether a promise no longer holds its place. One that is kept takes the place
 // for as long as it takes until the next is freed.
 func (b *Book) lapsed(now, at time.Time) bool {
-	interval, _ := b.room.interval()
+	interval, _ := b.Interval()
 	return now.Sub(at) > max(minLapse, interval)
 }
 
