Admission: a request waits for as long as its caller can still be served

What callers saw: a first attempt was sent away with 503 when its target had passed, at .4 to .8 s (.1 s at a plain service), although its caller had 5 to 15 s (1.5 s) left, was next in the queue as likely as not, and had to begin again behind others. A late one waited for two fifths of the rest.

Cause: startBy took the target, where full credit ends, for the end of the caller's time, and lateWaitShare = .4 of what lies behind it.

Change: a request waits until its caller would have left before the work until its first event, or its answer, is done: the caller's time limit, or the pause after which callers give a stream up, less the time for its prompt as learned by model, or the service's as observed. Once the work can no longer be done by the target it is late and goes a level lower; that is computed in one place for engines and plain services and follows the clock while it waits (an engine request's was fixed when it joined the queue, a plain one's unknown but at lenders).

Tests, failing before: TestWaitsForAsLongAsItsCaller (trial on: 1.9 s expected, 400 ms got) in place of TestWaitingTimeByTarget, which asked for the target; TestRequestIsLateOnceItsWorkTakesTooLong for both kinds of service in place of plain ones only. TestRefusedAtOnce and others take forecasts beyond the caller's new time; the repeat's first attempt ends with it. Tests of pipeline, admission, daemon pass; platform but the listed TestSlowReadersEndWithTheirTime, routing but TestVeryBrittleEndpointStaysUp.

--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -135,18 +135,21 @@
 	req := routing.Request{
 		ID: x.ID, Unit: x.Target.Unit, Model: x.Target.Model, Pool: x.Target.Pool,
 		FailureDomain: f.failureDomain, Excluded: x.triedEndpoints(),
-		PromptTokens: x.Call.PromptTokens, EventGapTarget: x.eventGapTarget(), FirstTokenBy: x.firstTokenBy(), Late: x.late(now), Regions: x.regions(),
+		PromptTokens: x.Call.PromptTokens, EventGapTarget: x.eventGapTarget(), FirstTokenBy: x.firstTokenBy(), Regions: x.regions(),
 		Repeatable: x.Target.Policy.Repeatable, Continues: x.bound, SoftwareVersion: x.softwareVersion,
 	}
+	work := f.router.WorkBeforeFirst(&req)
+	req.Late = x.late(now, work)
 	var decision routing.Decision
 	var pickErr error
-	notified, startBy := false, x.startBy(req.Late)
+	notified, startBy := false, x.startBy(work)
 	take := func() bool {
 		if f.cutOff(x) {
 			pickErr = errCutOff
 			return true
 		}
 		req.Now = f.now()
+		req.Late = x.late(req.Now, work)
 		decision, pickErr = f.router.Pick(&req)
 		if !notified && errors.Is(pickErr, routing.ErrNoReplica) {
 			notified = true
@@ -163,7 +166,7 @@
 	}
 	w := &admission.Waiter{
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.Target.Policy.Priority,
-		Late: req.Late, Arrived: x.arrivedAt(now), StartBy: startBy, Bytes: len(x.Call.Body),
+		Late: req.Late, MeetBy: x.meetBy(work), Arrived: x.arrivedAt(now), StartBy: startBy, Bytes: len(x.Call.Body),
 	}
 	req.Now = now
 	f.claim(x, w, &req)
@@ -184,7 +187,7 @@
 			refusal.RetryAfter = addJitter(max(refusal.RetryAfter, permitRetryAfter(perSecond)))
 		}
 		f.retryWhenReachable(&req, refusal, pickErr)
-		f.refuse(x, refusal, check.by)
+		f.refuse(x, refusal, startBy, check.by)
 		return refusal
 	}
 	if pickErr != nil {
@@ -230,7 +233,6 @@
 	if f.numbers == nil || !f.router.LendsPlaces(req.Now, x.Target.Pool) {
 		return
 	}
-	w.MeetBy = x.meetBy(f.router.ServiceTime(x.Target.Pool))
 	w.Number, w.Account, w.Weight = f.numbers.Add(1), x.accountHash(), x.accountWeight()
 	req.Claimant = routing.Claimant{
 		Number: w.Number, Account: w.Account, Weight: w.Weight, Priority: w.Priority, Since: w.Arrived, StartBy: w.StartBy, MeetBy: w.MeetBy,
--- a/pipeline/outlook.go
+++ b/pipeline/outlook.go
@@ -120,9 +120,9 @@
 	}
 }
 
-// refuse gives a refused caller a time to come back at. by is the forecast because of which it
-// is refused; nil if it has waited in vain.
-func (f admit) refuse(x *Exchange, refusal *AdmitError, by *outlook.Forecast) {
+// refuse gives a caller that could not start by startBy a time to come back at. by is the forecast
+// because of which it is refused; nil if it has waited in vain.
+func (f admit) refuse(x *Exchange, refusal *AdmitError, startBy time.Time, by *outlook.Forecast) {
 	now := f.now()
 	promised := f.promiseReturn(x, refusal, now)
 	if by == nil {
@@ -134,5 +134,5 @@
 		source = "load"
 	}
 	f.log.Info("refused at once", "request", x.ID, "unit", x.Target.Unit, "source", source, "expected_ms", by.In.Milliseconds(), "forecast_age_ms", by.Age.Milliseconds(),
-		"patience_ms", x.startBy(false).Sub(x.Received).Milliseconds(), "held_ms", now.Sub(x.Received).Milliseconds(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "slot", promised)
+		"patience_ms", startBy.Sub(x.Received).Milliseconds(), "held_ms", now.Sub(x.Received).Milliseconds(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "slot", promised)
 }
--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -12,8 +12,9 @@
 
 // The rules in this file handle load that has moved to units with too few replicas: until
 // more replicas are loaded, which takes seconds, callers request more than the engines can
-// serve. A first attempt waits until its target has passed and is then refused. A caller that
-// comes back at the time that it was promised has the place that it had in the queue.
+// serve. A request waits for as long as its caller can still be served; once it can no longer
+// meet its target it goes a level lower. A caller that comes back at the time that it was
+// promised has the place that it had in the queue.
 
 // arrivedAt returns since when the request counts as waiting for admission. Neither a failed attempt
 // nor a refusal with a promise, at whose time the caller is back, sets it back behind others that came
@@ -30,43 +31,32 @@
 	return x.queuedAt
 }
 
-// late reports whether the request's target has already passed, as it may have after an
-// attempt that failed late.
-func (x *Exchange) late(now time.Time) bool {
-	by := x.firstTokenBy()
-	return x.Target.Unit != "" && !by.IsZero() && !now.Before(by)
+// meetBy returns the latest start at which the request is expected to meet its target, if it takes the
+// given work until its first event or its answer; zero if it has no target that can still be met.
+func (x *Exchange) meetBy(work time.Duration) time.Time {
+	if x.begun() || x.Target.Policy.FirstToken == 0 {
+		return time.Time{}
+	}
+	return x.Received.Add(x.Target.Policy.FirstToken - work)
 }
 
-// lateWaitShare is the share of the time between the target and the moment at which the
-// caller gives up that a late request waits for a slot. The rest is for processing its
-// prompt, after others.
-const lateWaitShare = 0.4
-
-// startBy returns when starting the request becomes pointless.
-func (x *Exchange) startBy(late bool) time.Time {
-	p := x.Target.Policy
-	switch {
-	case p.MayWait || x.answerStarted:
-		return x.deadline()
-	case late:
-		extra := time.Duration(lateWaitShare * float64(max(x.firstEventTimeout()-p.FirstToken, 0)))
-		return x.Received.Add(min(p.FirstToken+extra, x.timeout()))
-	}
-	return x.Received.Add(min(p.FirstToken, x.timeout()))
+// late reports whether the request can no longer meet its target.
+func (x *Exchange) late(now time.Time, work time.Duration) bool {
+	by := x.meetBy(work)
+	return !by.IsZero() && now.After(by)
 }
 
-// meetBy returns the latest start at which a request to a plain service is expected to meet its
-// target, if serving it takes the given time; zero if that is not known. An engine's first token
-// is judged by routing.
-func (x *Exchange) meetBy(service time.Duration) time.Time {
-	if x.Target.Unit != "" || service == 0 || x.answerStarted || x.Target.Policy.FirstToken == 0 {
-		return time.Time{}
+// startBy returns when starting the request becomes pointless: its caller will have left before the
+// given work until its first event or its answer is done.
+func (x *Exchange) startBy(work time.Duration) time.Time {
+	if x.Target.Policy.MayWait || x.answerStarted {
+		return x.deadline()
 	}
-	return x.Received.Add(x.Target.Policy.FirstToken - service)
+	return x.Received.Add(x.firstEventTimeout() - work)
 }
 
-// returnShare is the share of the time that a caller has left within which it returns after a
-// refusal: the rest is for the wait and the answer then.
+// returnShare is the share of the time that a caller has left for which callers wait, as told,
+// before they come back.
 const returnShare = 1.0 / 3
 
 // returnBy returns until when a return is of use to the caller if the request is refused now.
--- a/routing/servicetime.go
+++ b/routing/servicetime.go
@@ -127,6 +127,15 @@
 // is not known.
 func (r *Router) ServiceTime(pool string) time.Duration { return r.serviceTimes.expected(pool) }
 
+// WorkBeforeFirst returns how long the work for a request takes at least until its first event, at an
+// engine, or its answer, at a plain service; 0 if that is not known.
+func (r *Router) WorkBeforeFirst(req *Request) time.Duration {
+	if req.Unit == "" {
+		return r.ServiceTime(req.Pool)
+	}
+	return firstTokenOverhead + r.prefill.promptWork(req.model(), req.PromptTokens)
+}
+
 // MeanServiceTime returns how long endpoints of a pool take for a request on average; 0 if it is not
 // known.
 func (r *Router) MeanServiceTime(now time.Time, pool string) time.Duration {
