Admission: what cannot be served in its time is refused once that is known

What callers saw: a request whose turn could not come was held until its time had passed, with a Retry-After of 0.6 s whatever waited ahead of it; in large fleets it was refused by a forecast, but only within an eighth of its time, because "later its caller has invested more than a return would cost".

Cause: the gate knew who was ahead and not how fast they start. The eighth (queueDecisionShare) is a price's bound.

Change: the pace at which waiters of a unit are admitted is measured while others wait (internal/pace, which lenders measured their places by already). A waiter is refused as soon as its turn does not come in its time at that pace, less what chance may bring, and is told when it would have come; so is one whose time has passed. Nothing is refused before a second was observed. A fleet's forecast of a queue is the least time that is likely, as it is named, and is for who joins the queue; its own queue knows the turn of who waits. Returns are called for the expected time.

Tests, failing before: TestKnownTooLateIsRefusedAtOnce (trial on: nothing refused). TestEarlyOnlyWhileEarly asked for the eighth; in its place TestQueueIsForecastForWhoJoins. Bounds of forecast tests follow from n less its root in place of n. Tests of admission, credit, returnslot, outlook, pipeline, daemon pass.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -175,7 +175,7 @@
 
 func (g *Gate) refuse(refusals []Refusal) {
 	for _, r := range refusals {
-		g.reply(r.Waiter, &RefusedError{Reason: r.Reason})
+		g.reply(r.Waiter, &RefusedError{Reason: r.Reason, RetryAfter: r.RetryAfter})
 	}
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/eiderspring/eiderspring/internal/pace"
 )
 
 // Limits bound a queue.
@@ -20,6 +22,8 @@
 type Queue struct {
 	limits Limits
 	units  map[string][]*Waiter
+	// paces measure by unit how fast those that wait are admitted.
+	paces  map[string]*pace.Meter
 	shares shares
 	count  int
 	bytes  int
@@ -27,7 +31,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(l Limits) *Queue {
-	return &Queue{limits: l, units: map[string][]*Waiter{}, shares: shares{units: map[string]map[uint32]accountUse{}}}
+	return &Queue{limits: l, units: map[string][]*Waiter{}, paces: map[string]*pace.Meter{}, shares: shares{units: map[string]map[uint32]accountUse{}}}
 }
 
 // Len returns the number of waiting requests.
@@ -60,7 +64,7 @@
 
 // Admit admits waiters in order as long as take reserves a slot for them: by level, then those of
 // the account that uses least for its weight, then by rank. It also refuses waiters whose StartBy
-// has passed.
+// has passed, or passes before their turn comes at the pace at which others were admitted.
 func (q *Queue) Admit(now time.Time, take func(*Waiter) bool) (admitted []*Waiter, refused []Refusal) {
 	refused = q.expire(now)
 	q.lowerLate(now)
@@ -68,7 +72,8 @@
 	for {
 		w := q.first(now, full)
 		if w == nil {
-			return admitted, refused
+			q.measure(now, admitted)
+			return admitted, append(refused, q.refuseOutpaced(now)...)
 		}
 		if !take(w) {
 			full[w.Unit] = true
@@ -133,8 +138,9 @@
 			if now.Before(w.StartBy) {
 				continue
 			}
+			after := q.turn(w)
 			q.remove(w)
-			refused = append(refused, Refusal{Waiter: w, Reason: ReasonExpired})
+			refused = append(refused, Refusal{Waiter: w, Reason: ReasonExpired, RetryAfter: after})
 		}
 	}
 	slices.SortFunc(refused, func(a, b Refusal) int { return compare(a.Waiter, b.Waiter) })
--- /dev/null
+++ b/admission/turns.go
@@ -0,0 +1,84 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/eiderspring/eiderspring/internal/pace"
+)
+
+// measure records which waiters were admitted, and for which units others still wait: what is
+// admitted while others wait are the places that become free.
+func (q *Queue) measure(now time.Time, admitted []*Waiter) {
+	for _, w := range admitted {
+		if m := q.paces[w.Unit]; m != nil {
+			m.Add(1)
+		}
+	}
+	for unit := range q.units {
+		if q.paces[unit] == nil {
+			q.paces[unit] = &pace.Meter{}
+		}
+		q.paces[unit].Advance(now, true)
+	}
+	for unit, m := range q.paces {
+		switch {
+		case m.Forgotten(now):
+			delete(q.paces, unit)
+		case !q.Waiting(unit):
+			m.SetFull(false)
+		}
+	}
+}
+
+// turn returns after how long the turn of a waiter comes; 0 if that is not known.
+func (q *Queue) turn(w *Waiter) time.Duration {
+	m := q.paces[w.Unit]
+	if m == nil {
+		return 0
+	}
+	rate, observed := m.PerSecond()
+	if !observed || rate <= 0 {
+		return 0
+	}
+	expected, _ := pace.Wait(float64(q.countAhead(w)+1), rate)
+	return expected
+}
+
+// refuseOutpaced refuses the waiters whose turn will not come by their StartBy. It is told when it
+// would have come: a place is then expected to be free. Whoever lends places decides this for those
+// that wait for them.
+func (q *Queue) refuseOutpaced(now time.Time) []Refusal {
+	var refused []Refusal
+	for unit := range q.units {
+		refused = append(refused, q.refuseOutpacedOf(now, unit)...)
+	}
+	return refused
+}
+
+func (q *Queue) refuseOutpacedOf(now time.Time, unit string) []Refusal {
+	m := q.paces[unit]
+	if m == nil {
+		return nil
+	}
+	rate, observed := m.PerSecond()
+	if !observed || rate <= 0 {
+		return nil
+	}
+	var refused []Refusal
+	var kept []*Waiter
+	for _, w := range q.units[unit] {
+		expected, least := pace.Wait(float64(len(kept)+1), rate)
+		if w.Number != 0 || !now.Add(least).After(w.StartBy) {
+			kept = append(kept, w)
+			continue
+		}
+		q.count--
+		q.bytes -= w.Bytes
+		refused = append(refused, Refusal{Waiter: w, Reason: ReasonOutpaced, RetryAfter: expected})
+	}
+	q.units[unit] = kept
+	if len(kept) == 0 {
+		delete(q.units, unit)
+	}
+	return refused
+}
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -88,6 +88,9 @@
 	ReasonStopping  Reason = "stopping"
 	// ReasonCannotStart is for a request that is known not to start in its time.
 	ReasonCannotStart Reason = "cannot_start_in_time"
+	// ReasonOutpaced is for a request whose turn does not come in its time at the pace at which
+	// others are admitted.
+	ReasonOutpaced Reason = "turn_too_late"
 	// ReasonTooManyAhead is for a request with more others ahead of it than can be served
 	// in its time.
 	ReasonTooManyAhead Reason = "too_many_ahead"
@@ -100,4 +103,6 @@
 type Refusal struct {
 	Waiter *Waiter
 	Reason Reason
+	// RetryAfter is after how long the turn of the waiter would have come; 0 if that is not known.
+	RetryAfter time.Duration
 }
--- a/credit/granting.go
+++ b/credit/granting.go
@@ -85,8 +85,8 @@
 		return nil
 	}
 	r := d.room(now, l.ownRank(d.key), l.fleet.IssueFraction())
-	d.freed.advance(now, r.free <= 0)
-	d.places.freedPerSecond, _ = d.freed.perSecond()
+	d.freed.Advance(now, r.free <= 0)
+	d.places.freedPerSecond, _ = d.freed.PerSecond()
 	judging := r.free <= 0 && now.Sub(d.judgedAt) >= judgeInterval
 	if r.free <= 0 && !judging {
 		return nil
@@ -105,7 +105,7 @@
 		}
 		limits[c.borrower]++
 	}
-	d.freed.full = r.free <= 0
+	d.freed.SetFull(r.free <= 0)
 	if judging {
 		d.judgedAt = now
 		l.judge(now, d, waiting)
--- a/credit/lending.go
+++ b/credit/lending.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/eiderspring/eiderspring/internal/pace"
 	"github.com/eiderspring/eiderspring/issuing"
 	"github.com/eiderspring/eiderspring/returnslot"
 )
@@ -18,7 +19,7 @@
 	list      []*borrower
 	places    places
 	outsiders outsiders
-	freed     freedRate
+	freed     pace.Meter
 	slots     returnslot.Book
 	// due is set when places may be granted or an ask is to be answered, and repeatAt is when
 	// grants that are not acknowledged are next to be repeated.
@@ -118,7 +119,7 @@
 	d.places.recordReport(a.Places)
 	d.recordRejections(now, a.Rejected-b.ask.Rejected)
 	d.places.recordRoundTrip(a.RoundTripMS)
-	d.freed.returned += b.apply(now, a)
+	d.freed.Add(b.apply(now, a))
 	d.due = true
 }
 
--- a/credit/refusing.go
+++ b/credit/refusing.go
@@ -1,52 +1,6 @@
 package credit
 
-import (
-	"math"
-	"time"
-)
-
-// freedRate measures how fast places become free while all are lent: it tells how long those
-// who wait for one will wait.
-type freedRate struct {
-	// returned is the number of places that were given back since the last advance.
-	returned int64
-	// seconds and count are the time in which all places were lent and the places given back in
-	// it, with older ones counting less.
-	seconds, count float64
-	at             time.Time
-	full           bool
-}
-
-const (
-	// rateMemory is the time in which what was measured comes to count for less than half.
-	rateMemory = 2 * time.Second
-	// leastObserved is how long places must have been observed before anything is refused.
-	leastObserved = time.Second
-)
-
-// advance records that all places are lent from now on, or not.
-func (f *freedRate) advance(now time.Time, full bool) {
-	if passed := now.Sub(f.at).Seconds(); !f.at.IsZero() && passed > 0 {
-		decay := math.Exp(-passed / rateMemory.Seconds())
-		f.seconds, f.count = f.seconds*decay, f.count*decay
-		if f.full {
-			f.seconds += passed
-		}
-	}
-	if f.full {
-		f.count += float64(f.returned)
-	}
-	f.returned, f.at, f.full = 0, now, full
-}
-
-// perSecond returns how many places become free in a second, and false if that was not observed
-// for long enough.
-func (f *freedRate) perSecond() (rate float64, observed bool) {
-	if f.seconds < leastObserved.Seconds() {
-		return 0, false
-	}
-	return f.count / f.seconds, true
-}
+import "time"
 
 // judgeInterval is the time between two looks at which requests cannot start in time.
 const judgeInterval = 20 * time.Millisecond
@@ -57,7 +11,7 @@
 	for _, b := range d.list {
 		b.refusals = b.refusals[:0]
 	}
-	rate, observed := d.freed.perSecond()
+	rate, observed := d.freed.PerSecond()
 	if !observed || rate <= 0 {
 		return
 	}
@@ -65,14 +19,10 @@
 	ahead := 0.0
 	for _, c := range waiting {
 		patience := time.Duration(c.PatienceMS)*time.Millisecond - now.Sub(c.borrower.askedAt)
-		wait, _ := d.slots.Wait(now, ahead+1)
-		least := wait
-		if c.borrower.accepted[c.ID] {
-			// A request that was expected to start is refused only if that is unlikely by now:
-			// places that become free at random need this much less or more.
-			least -= time.Duration(math.Sqrt(wait.Seconds()*rate) / rate * float64(time.Second))
-		}
-		if least <= patience || len(c.borrower.refusals) >= maxRefusals {
+		wait, least := d.slots.Wait(now, ahead+1)
+		// A request that was expected to start is refused only if that is unlikely by now.
+		starts := wait <= patience || c.borrower.accepted[c.ID] && least <= patience
+		if starts || len(c.borrower.refusals) >= maxRefusals {
 			c.borrower.accepted[c.ID] = true
 			// A request that is wanted at several endpoints is served by the first of them.
 			ahead += 1 / float64(c.Endpoints)
--- a/outlook/doc.go
+++ b/outlook/doc.go
@@ -12,7 +12,8 @@
 // message delays them only.
 //
 // A forecast for a unit without a replica is a lower bound: no endpoint can serve it sooner. One
-// for a unit whose replicas are full is what waits, divided by what starts in a second; without
+// for a unit whose replicas are full is what waits, divided by what starts in a second, and less what
+// that may differ by as places become free at random; without
 // enough starts to tell a rate there is none. Entries that are older than maxAge count for
 // nothing, and an instance without any knows nothing and lets requests wait.
 //
--- a/outlook/forecaster.go
+++ b/outlook/forecaster.go
@@ -151,10 +151,11 @@
 	ahead := 0
 	for _, priority := range slices.Backward(slices.Sorted(maps.Keys(waiting))) {
 		ahead += waiting[priority]
-		wait, _ := u.book.Wait(now, float64(ahead))
-		e.Levels = append(e.Levels, Level{Priority: priority, StartMS: wait.Milliseconds()})
+		_, least := u.book.Wait(now, float64(ahead))
+		e.Levels = append(e.Levels, Level{Priority: priority, StartMS: least.Milliseconds()})
 	}
-	u.addReturns(now, &e, e.longest())
+	expected, _ := u.book.Wait(now, float64(ahead))
+	u.addReturns(now, &e, expected)
 	return e
 }
 
--- a/outlook/messages.go
+++ b/outlook/messages.go
@@ -46,7 +46,8 @@
 type Level struct {
 	_        struct{} `cbor:",toarray"`
 	Priority int
-	// StartMS is in how many milliseconds such a request can start, as of the message.
+	// StartMS is in how many milliseconds such a request can start at the earliest, as far as is
+	// likely, as of the message.
 	StartMS int64
 }
 
--- a/pipeline/outlook.go
+++ b/pipeline/outlook.go
@@ -25,10 +25,6 @@
 	CountRefusal(now time.Time, unit string, f outlook.Forecast)
 }
 
-// queueDecisionShare is the share of its time to start within which a request is refused because
-// of a queue. Later its caller has invested more than a return would cost.
-const queueDecisionShare = 1.0 / 8
-
 // errNoSlot tells a refused caller that it need not come back.
 var errNoSlot = errors.New("no place is expected in the time that the caller has")
 
@@ -40,6 +36,8 @@
 	w       *admission.Waiter
 	req     *routing.Request
 	now     func() time.Time
+	// waits is set once the request has been asked about, as it then waits.
+	waits bool
 	// by is the forecast by which the request cannot start; nil if it may.
 	by *outlook.Forecast
 }
@@ -47,8 +45,10 @@
 // cannotStart implements admission.Waiter.CannotStart.
 func (c *forecastCheck) cannotStart() bool {
 	now := c.now()
+	joining := !c.waits
+	c.waits = true
 	f, known := c.outlook.Look(now, c.x.Target.Unit, c.x.Target.Policy.Priority)
-	if !known || !cannotStart(f, now, c.w.Arrived, c.w.StartBy) {
+	if !known || !cannotStart(f, joining, now, c.w.StartBy) {
 		return false
 	}
 	// What this instance sees goes before what it was told.
@@ -64,15 +64,11 @@
 	return true
 }
 
-// cannotStart reports whether a forecast says that a request cannot start by startBy. A load's
-// end is certain; a queue's is an estimate, by which a request is refused only while that is
-// early.
-func cannotStart(f outlook.Forecast, now, arrived, startBy time.Time) bool {
-	if !now.Add(f.In).After(startBy) {
-		return false
-	}
-	decideBy := arrived.Add(time.Duration(queueDecisionShare * float64(startBy.Sub(arrived))))
-	return f.NoReplica || !now.After(decideBy)
+// cannotStart reports whether a forecast says that a request cannot start by startBy. A load ends
+// for all at the same time. A queue's forecast is for who joins it now: one that waits already is
+// ahead of those, and the queue that it is in knows its turn.
+func cannotStart(f outlook.Forecast, joining bool, now, startBy time.Time) bool {
+	return (f.NoReplica || joining) && now.Add(f.In).After(startBy)
 }
 
 // mayCheckForecast reports whether the request may be refused because of a forecast: not if it
--- a/pipeline/waiting.go
+++ b/pipeline/waiting.go
@@ -124,6 +124,9 @@
 	case refused.Reason == admission.ReasonNoPlaceInTime && refused.RetryAfter > 0:
 		// A place is kept for the request then, which a random delay would miss.
 		refusal.RetryAfter, refusal.Promised = refused.RetryAfter, true
+	case refused.RetryAfter > 0:
+		// The times of those that are refused together differ by the places ahead of them.
+		refusal.RetryAfter = refused.RetryAfter
 	case refused.Reason == admission.ReasonNoPlaceInTime:
 		refusal.RetryAfter = addJitter(noCapacityRetryAfter)
 	case refused.Reason == admission.ReasonTooManyAhead:
--- a/returnslot/book.go
+++ b/returnslot/book.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/eiderspring/eiderspring/internal/pace"
 )
 
 const (
@@ -41,23 +43,20 @@
 	return time.Duration(float64(time.Second) / (b.freedPerSecond * promisedShare)), true
 }
 
-// Wait returns how long it takes until a place is free for one that the given number of others
-// go ahead of: besides these, those who return in the meantime as they were promised. It
-// returns false if no places become free.
-func (b *Book) Wait(now time.Time, ahead float64) (wait time.Duration, ok bool) {
-	if b.freedPerSecond <= 0 {
-		return 0, false
-	}
+// Wait returns how long it takes until the given number of places has become free, besides those
+// that go to callers who return in the meantime as they were promised, and the least time that is
+// likely. There must be a rate.
+func (b *Book) Wait(now time.Time, places float64) (expected, least time.Duration) {
 	returns := 0
 	for range waitRounds {
-		wait = time.Duration((ahead + float64(returns)) / b.freedPerSecond * float64(time.Second))
-		more := b.promisedBetween(now, now.Add(wait))
+		expected, least = pace.Wait(places+float64(returns), b.freedPerSecond)
+		more := b.promisedBetween(now, now.Add(expected))
 		if more == returns {
 			break
 		}
 		returns = more
 	}
-	return wait, true
+	return expected, least
 }
 
 // Reserve promises a place at the first time with room between earliest and latest, both
