Placement: a move is not priced over a span for which demand is thought to stay

What it did: where places are scarce a replica gave way only if the other model gained by 1 plus the move's time over 8 s, as "demand stays with a model for about that long": the time between two shifts of demand of one deployment. Where demand stays for minutes, moves that take three seconds and more were put off for nothing.

Change: the least ratio of pressures decides, as it does where shares are counted. How long a move keeps both models out is in what candidates are compared by already (delayCost).

No test fails on the former code: a removal.

--- a/placement/counted/price.go
+++ b/placement/counted/price.go
@@ -8,9 +8,6 @@
 const (
 	// streamTime is the time that an average stream needs to end.
 	streamTime = 1500 * time.Millisecond
-	// moveHorizon is the time over which a replica must bring more than its move costs: demand
-	// stays with a model for about that long.
-	moveHorizon = 8 * time.Second
 	// idleReplica is the number of requests at a replica below which it counts as idle.
 	idleReplica = 0.5
 	// fullReplica is the part of an endpoint's places that the requests for one of its models
@@ -44,14 +41,14 @@
 }
 
 // worthMove reports whether u needs memory more than the replicas of v that remain would need
-// the one at e. cost is the pressure on these.
+// the one at e. cost is the pressure on these. For how long the move keeps both out is part of what
+// candidates are compared by.
 func (p *planner) worthMove(e *endpoint, v string, u Unit, cost float64, reason Reason) bool {
-	price := max(minPressureRatio, 1+p.delay(e, v, u).Seconds()/moveHorizon.Seconds())
 	if reason != ReasonUnreachable {
-		return p.pressure(u.Name) > cost*price
+		return p.pressure(u.Name) > cost*minPressureRatio
 	}
 	full := fullReplica * float64(p.c.settings.Concurrency)
-	return cost*p.totalPlaces <= full || p.share[u.Name] > cost*price || p.c.missingFor(p.now, u.Name) >= maxMissingTime
+	return cost*p.totalPlaces <= full || p.share[u.Name] > cost*minPressureRatio || p.c.missingFor(p.now, u.Name) >= maxMissingTime
 }
 
 // roomCost returns what it costs to load u at an endpoint with room, in shares of demand.
