Placement: from when on demand counts follows from the endpoints' memory

What it did: shares of demand were of 30,000 tokens a second at least, for a fleet of any size, and places per token were learned from 3,000 a second on. A cell of small endpoints that was as busy for its memory got no replica; in a large one the bound meant nothing.

Cause: minTotalDemand and minLearningRate, figures of one deployment.

Change: both follow from what was there already, the demand from which a replica is worth a load (a hundredth of an endpoint's memory for prompts and answers a second): for shares and the mean that much at each endpoint, for a unit's own places as much as one replica.

Tests of placement/counted pass.

--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -137,7 +137,7 @@
 		actions = c.orderEnded(now, e)
 	case DemandReport:
 		c.demand.observe(now, e)
-		c.placeDemand.observe(now, e, c.places())
+		c.placeDemand.observe(now, e, c.capacity())
 		c.expeditePlan(now, e)
 	case LeaseAcquired:
 		actions = c.leaseAcquired(now, e)
--- a/placement/counted/places.go
+++ b/placement/counted/places.go
@@ -41,15 +41,23 @@
 
 func newPlaceDemand() placeDemand { return placeDemand{perWork: map[string]float64{}} }
 
-// observe updates the estimates. total is the number of places of all live endpoints.
-func (d *placeDemand) observe(now time.Time, e DemandReport, total int) {
+// capacity is what the live endpoints of a cell can do.
+type capacity struct {
+	endpoints, places int
+	// replicaDemand is the demand on a replica, in tokens per second, from which another one is
+	// worth a load.
+	replicaDemand float64
+}
+
+// observe updates the estimates.
+func (d *placeDemand) observe(now time.Time, e DemandReport, all capacity) {
 	if e.Running == nil {
 		*d = newPlaceDemand()
 		return
 	}
 	elapsed := now.Sub(d.updatedAt).Seconds()
 	d.updatedAt, d.running = now, e.Running
-	d.learnPerWork(elapsed, e)
+	d.learnPerWork(elapsed, e, all)
 	kept := math.Exp(-elapsed / placesFallTime.Seconds())
 	need := make(map[string]float64, len(e.Rate))
 	for unit, n := range d.need {
@@ -64,7 +72,7 @@
 		}
 	}
 	d.need = need
-	d.updateScarce(total)
+	d.updateScarce(all.places)
 }
 
 // runningAt returns the number of requests for a model and its adapters at endpoints.
@@ -80,31 +88,28 @@
 const minNeed = 0.05
 
 // learnPerWork updates the places per token per second of each unit whose requests mostly
-// run, and of all such units together.
-func (d *placeDemand) learnPerWork(elapsed float64, e DemandReport) {
+// run, and of all such units together, where they are as many as would be worth a replica, and
+// one at each endpoint.
+func (d *placeDemand) learnPerWork(elapsed float64, e DemandReport, all capacity) {
 	kept := math.Exp(-elapsed / placesPerWorkTime.Seconds())
 	running, rate := 0, 0.0
 	for _, unit := range sortedNames(e.Rate) {
 		r, n := e.Rate[unit], e.Running[unit]
-		if r < minLearningRate || n < learningRatio*e.Waiting[unit] {
+		if r < all.replicaDemand || n < learningRatio*e.Waiting[unit] {
 			continue
 		}
 		running += n
 		rate += r
 		d.perWork[unit] = average(d.perWork[unit], float64(n)/r, kept)
 	}
-	if rate >= minTotalDemand {
+	if rate >= all.replicaDemand*float64(all.endpoints) {
 		d.meanPerWork = average(d.meanPerWork, float64(running)/rate, kept)
 	}
 }
 
-const (
-	// minLearningRate is the demand in tokens per second from which a unit's places per token
-	// are learned.
-	minLearningRate = 3000
-	// learningRatio is the least ratio of running to waiting requests at which they are.
-	learningRatio = 4
-)
+// learningRatio is the least ratio of running to waiting requests at which a unit's places per token
+// are learned.
+const learningRatio = 4
 
 // average adds a sample to a moving average of which the fraction kept remains; an average of
 // 0 is one without samples.
@@ -152,17 +157,22 @@
 	return times[len(times)/2] <= maxPlacesLoadTime
 }
 
-// places returns the number of places of all live endpoints.
-func (c *Controller) places() int {
+// capacity returns what the live endpoints can do.
+func (c *Controller) capacity() capacity {
 	live := 0
 	for _, e := range c.sortedEndpoints {
 		if !e.excluded() {
 			live++
 		}
 	}
-	return live * c.settings.Concurrency
+	return capacity{endpoints: live, places: live * c.settings.Concurrency, replicaDemand: c.replicaDemand()}
 }
 
+// replicaDemand returns the demand on a replica, in tokens per second, from which another one is
+// worth a load: with thousands of endpoints a single request is many times an endpoint's even share
+// of all demand.
+func (c *Controller) replicaDemand() float64 { return minKVTurnover * float64(c.settings.KVTokens) }
+
 // placesCount reports whether demand is measured in places.
 func (c *Controller) placesCount() bool {
 	return c.cfg.ByPlaces && c.placeDemand.scarce && c.fastLoads && c.settings.Concurrency > 0
--- a/placement/counted/places_test.go
+++ b/placement/counted/places_test.go
@@ -29,7 +29,7 @@
 				require.NoError(t, err)
 				report.Rate[unit], report.Running[unit], report.Waiting[unit] = rate, running, waiting
 			}
-			d.observe(planStart.Add(time.Duration(at)*time.Millisecond), report, total)
+			d.observe(planStart.Add(time.Duration(at)*time.Millisecond), report, capacity{endpoints: 10, places: total, replicaDemand: 3000})
 			var b strings.Builder
 			for _, unit := range sortedNames(d.need) {
 				fmt.Fprintf(&b, "%s needs %.1f\n", unit, d.need[unit])
--- a/placement/counted/plan.go
+++ b/placement/counted/plan.go
@@ -47,9 +47,7 @@
 	// replica is loaded into free memory.
 	minPressureToLoad = 0.24
 	// minKVTurnover is the minimum demand per second on a replica, as a fraction of its
-	// memory for prompts and answers, for which another replica is worth a load. With
-	// thousands of endpoints a single request is many times an endpoint's even share of
-	// all demand.
+	// memory for prompts and answers, for which another replica is worth a load.
 	minKVTurnover = 0.01
 	// maxUnplacedModels is the number of models without room for another replica after
 	// which the plan stops adding replicas: the remaining models have less pressure.
@@ -302,7 +300,7 @@
 // minPressure returns the share of demand per replica of a model below which another
 // replica is not worth a load.
 func (p *planner) minPressure() float64 {
-	return max(minPressureToLoad*p.evenShare, minKVTurnover*float64(p.c.settings.KVTokens)/p.totalDemand)
+	return max(minPressureToLoad*p.evenShare, p.c.replicaDemand()/p.totalDemand)
 }
 
 // mostPressed returns the model with the highest pressure that is not excluded; nil for
--- a/placement/counted/plan_test.go
+++ b/placement/counted/plan_test.go
@@ -468,3 +468,25 @@
 	c.Step(acquired, ReportReply{Endpoint: "e", RequestedAt: acquired, Report: &Report{}})
 	require.True(t, c.endpoints["e"].stateKnown)
 }
+
+// TestSharesFollowTheEndpoints guards against a bound on total demand that fits endpoints of one
+// size: of a fleet of small endpoints that is as busy for its memory the plan is the same.
+func TestSharesFollowTheEndpoints(t *testing.T) {
+	var plans [][]Move
+	for _, tokens := range []int{2_000, 120_000} {
+		s := newCell(0, map[string][]string{"e1": {"u0", "u1"}, "e2": {"u2"}, "e3": {"u3"}}, nil)
+		cfg := CellSettings{CapacityMB: 220, AdapterSlots: 8, LoadsPerSecond: 60, KVTokens: tokens}
+		for i := range 4 {
+			cfg.Units = append(cfg.Units, Unit{Name: fmt.Sprintf("u%d", i), MemoryMB: 70, StoreLoadTime: 9 * time.Second})
+		}
+		s.step(cfg)
+		s.demand(map[string]float64{"u0": 0.2 * float64(tokens), "u1": 0.01 * float64(tokens), "u2": 0.05 * float64(tokens)}, nil)
+		plans = append(plans, s.plan())
+	}
+	require.NotNil(t, find(plans[0], OpLoad, "u0"), "%v", plans[0])
+	require.Len(t, plans[1], len(plans[0]))
+	for i, m := range plans[0] {
+		require.Equal(t, plans[1][i].Unit, m.Unit)
+		require.InDelta(t, plans[1][i].Share, m.Share, 1e-9)
+	}
+}
--- a/placement/counted/shares.go
+++ b/placement/counted/shares.go
@@ -2,10 +2,6 @@
 
 import "cmp"
 
-// minTotalDemand is the minimum of total demand for computing shares, in tokens per
-// second: a few requests say little about future demand.
-const minTotalDemand = 30_000
-
 // computeShares computes each model's share of the demand.
 func (p *planner) computeShares() {
 	p.share = map[string]float64{}
@@ -20,7 +16,7 @@
 		p.share[cmp.Or(u.Base, u.Name)] += rate
 		total += rate
 	}
-	p.totalDemand = max(total, minTotalDemand)
+	p.totalDemand = max(total, p.minTotalDemand())
 	for unit := range p.share {
 		p.share[unit] /= p.totalDemand
 	}
@@ -29,6 +25,12 @@
 	}
 }
 
+// minTotalDemand returns the minimum of total demand for computing shares, in tokens per second: a
+// few requests, for which no replica is worth a load anywhere, say little about future demand.
+func (p *planner) minTotalDemand() float64 {
+	return max(p.c.replicaDemand()/p.evenShare, 1)
+}
+
 // sharePlaces computes each model's share of all needed places.
 func (p *planner) sharePlaces() {
 	p.share = map[string]float64{}
