Forecasts: small fleets too refuse at once and call back when a load ends

What callers saw: in a fleet of up to 16 instances a request for a model that no endpoint served waited for a load that could not end in its time, and was told to come back after 1.5 s, while the lease holder knew when the load ends.

Cause: forecasts were for large fleets only; noReplicaRetryAfter is a guess.

Change: forecasts are made and told in fleets of any size. The guesses are left for what nobody knows: no holder, settings without load times.

Test, failing before: TestForecastsInFleetsOfAnySize (trial on the commit before: no announcement among 3). It takes the place of TestSmallFleetHasNoForecasts, which asked for the opposite. Tests of daemon pass.

--- a/daemon/meshannounce.go
+++ b/daemon/meshannounce.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// announceOutlook sends to all instances of a large fleet when new requests can start, and when
+// announceOutlook sends to all instances when new requests can start, and when
 // refused callers come back.
 func (m *mesh) announceOutlook(instances int) {
 	p := m.stamp(peer.Packet{Instances: instances, Revision: m.revision(), EndingsDigest: m.quarantine.Digest()})
--- a/daemon/outlooks.go
+++ b/daemon/outlooks.go
@@ -15,7 +15,7 @@
 
 // NodeOutlook configures whether requests that cannot start in their time are refused at once.
 type NodeOutlook struct {
-	// Enabled makes the lease holder of a large fleet forecast when requests can start, and all
+	// Enabled makes the lease holder forecast when requests can start, and all
 	// instances refuse at once by its forecasts.
 	Enabled bool `json:"enabled"`
 	// Queues makes instances refuse at once also by the forecast of a queue. It is an estimate:
@@ -47,9 +47,7 @@
 // instance holds the lease, and answers the pipeline. Its methods may be called on nil, which
 // knows nothing.
 type outlooks struct {
-	cfg NodeOutlook
-	// active reports whether the fleet is large enough for forecasts.
-	active   func() bool
+	cfg      NodeOutlook
 	isHolder func() bool
 	returns  *pipeline.Promises
 	now      func() time.Time
@@ -96,7 +94,7 @@
 // connect makes the forecasts use the state of a mesh.
 func (o *outlooks) connect(m *mesh) {
 	if o != nil {
-		o.active, o.isHolder = func() bool { return !m.isSmallFleet() }, m.isHolder
+		o.isHolder = m.isHolder
 	}
 }
 
@@ -209,7 +207,7 @@
 // report adds to a summary, as far as it has room, what the lease holder needs: starts of the
 // units that are contended, and new promises.
 func (o *outlooks) report(p *peer.Packet, waiting map[string]map[int]int) {
-	if o == nil || !o.active() {
+	if o == nil {
 		return
 	}
 	now := o.now()
@@ -267,7 +265,7 @@
 
 // receive takes the forecasts and reports in a packet.
 func (o *outlooks) receive(p peer.Packet, own bool) {
-	if o == nil || !o.active() {
+	if o == nil {
 		return
 	}
 	now := o.now()
@@ -295,7 +293,7 @@
 // announcement fills a packet to all instances with the forecasts, and reports whether there is
 // anything to send.
 func (o *outlooks) announcement(p *peer.Packet) (told bool) {
-	if o == nil || !o.active() || !o.isHolder() {
+	if o == nil || !o.isHolder() {
 		return false
 	}
 	defer func() { o.telling.Store(told) }()
