Admission: no pace where nobody waits or nothing serves; plans sort by keys

What callers would have seen: behind a queue that was left by all (given up, refused by a lender) the idle time counted as one in which no place became free, and whoever came next was refused as too late; and while no endpoint served a unit its callers were refused by the pace of the replica that was gone, although the next may be there at any moment. Found on reading.

Change: a unit's pace stops when its queue is empty, by whatever way, and neither counts nor decides while the first waiter has been told that no endpoint serves the unit.

Tests, failing before: TestNoPaceWithoutWaiters (three of five refused, told 7.1 s); TestNoPaceWithoutReplica.

Tests of admission, pipeline, placement/counted pass.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -125,7 +125,9 @@
 			refused = append(refused, Refusal{Waiter: w, Reason: reason})
 		}
 	}
-	clear(q.units)
+	for unit := range q.units {
+		q.emptied(unit)
+	}
 	q.count, q.bytes = 0, 0
 	return refused
 }
@@ -198,7 +200,7 @@
 	q.count--
 	q.bytes -= w.Bytes
 	if len(list) == 1 {
-		delete(q.units, w.Unit)
+		q.emptied(w.Unit)
 		return true
 	}
 	q.units[w.Unit] = slices.Delete(list, i, i+1)
--- a/admission/turns.go
+++ b/admission/turns.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"time"
 
 	"github.com/eiderspring/eiderspring/internal/pace"
@@ -18,26 +19,39 @@
 		if q.paces[unit] == nil {
 			q.paces[unit] = &pace.Meter{}
 		}
-		q.paces[unit].Advance(now, true)
+		q.paces[unit].Advance(now, !q.unserved(unit))
 	}
-	for unit, m := range q.paces {
-		switch {
-		case m.Forgotten(now):
-			delete(q.paces, unit)
-		case !q.Waiting(unit):
-			m.SetFull(false)
-		}
+	maps.DeleteFunc(q.paces, func(_ string, m *pace.Meter) bool { return m.Forgotten(now) })
+}
+
+// emptied records that nothing waits for the unit any more: no time counts from then on.
+func (q *Queue) emptied(unit string) {
+	delete(q.units, unit)
+	if m := q.paces[unit]; m != nil {
+		m.SetFull(false)
+	}
+}
+
+// unserved reports whether no endpoint serves the unit, which its first waiter has been told.
+func (q *Queue) unserved(unit string) bool {
+	list := q.units[unit]
+	return len(list) > 0 && list[0].unserved()
+}
+
+// pace returns how many waiters for the unit are admitted in a second; false if that is not known.
+func (q *Queue) pace(unit string) (perSecond float64, known bool) {
+	m := q.paces[unit]
+	if m == nil || q.unserved(unit) {
+		return 0, false
 	}
+	perSecond, observed := m.PerSecond()
+	return perSecond, observed && perSecond > 0
 }
 
 // turn returns after how long the turn of a waiter comes; 0 if that is not known.
 func (q *Queue) turn(w *Waiter) time.Duration {
-	m := q.paces[w.Unit]
-	if m == nil {
-		return 0
-	}
-	rate, observed := m.PerSecond()
-	if !observed || rate <= 0 {
+	rate, known := q.pace(w.Unit)
+	if !known {
 		return 0
 	}
 	expected, _ := pace.Wait(float64(q.countAhead(w)+1), rate)
@@ -56,12 +70,8 @@
 }
 
 func (q *Queue) refuseOutpacedOf(now time.Time, unit string) []Refusal {
-	m := q.paces[unit]
-	if m == nil {
-		return nil
-	}
-	rate, observed := m.PerSecond()
-	if !observed || rate <= 0 {
+	rate, known := q.pace(unit)
+	if !known {
 		return nil
 	}
 	var refused []Refusal
@@ -78,7 +88,7 @@
 	}
 	q.units[unit] = kept
 	if len(kept) == 0 {
-		delete(q.units, unit)
+		q.emptied(unit)
 	}
 	return refused
 }
--- a/admission/turns_test.go
+++ b/admission/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +70,40 @@
 	}
 }
 
+// TestNoPaceWithoutWaiters guards against a time in which nobody waits that counts as one in which
+// no place became free: whoever comes next would be refused.
+func TestNoPaceWithoutWaiters(t *testing.T) {
+	q, now := pacedQueue(t)
+	for _, w := range slices.Clone(q.Waiters("u")) {
+		require.True(t, q.Cancel(w))
+	}
+	now = now.Add(6 * time.Second)
+	for i := range 5 {
+		require.Empty(t, q.Enqueue(&Waiter{ID: fmt.Sprintf("new%02d", i), Unit: "u", Arrived: now, StartBy: now.Add(time.Second)}))
+	}
+	require.Empty(t, admitOne(t, q, now), "ten a second start")
+}
+
+// TestNoPaceWithoutReplica guards against refusals by the pace of a replica that is gone: the next one
+// may be there at any moment.
+func TestNoPaceWithoutReplica(t *testing.T) {
+	q, now := pacedQueue(t)
+	served := true
+	for i := range 30 {
+		require.Empty(t, q.Enqueue(&Waiter{
+			ID: fmt.Sprintf("a%02d", i), Unit: "u", Priority: 1, Arrived: now, StartBy: now.Add(4500 * time.Millisecond), Unserved: func() bool { return !served },
+		}))
+	}
+	served = false
+	for range 30 {
+		_, refused := q.Admit(now, func(*Waiter) bool { return false })
+		require.Empty(t, refused)
+		now = now.Add(100 * time.Millisecond)
+	}
+	served = true
+	require.Empty(t, admitOne(t, q, now), "nothing is known of the new one")
+}
+
 // TestPacesAreForgotten guards against a memory that grows with the units that were ever waited for.
 func TestPacesAreForgotten(t *testing.T) {
 	q, now := pacedQueue(t)
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -39,6 +39,9 @@
 	// one only if at most MaxAhead others go before it.
 	Bounded  bool
 	MaxAhead int
+	// Unserved reports whether no endpoint served the request's unit when a slot was last asked
+	// for; nil means never. The pace of the past says nothing then.
+	Unserved func() bool
 	// CannotStart reports whether it is known that the request cannot start by StartBy; nil
 	// means never. It is asked while the request has no slot.
 	CannotStart func() bool
@@ -47,6 +50,9 @@
 // hopeless reports whether waiting cannot help.
 func (w *Waiter) hopeless() bool { return w.CannotStart != nil && w.CannotStart() }
 
+// unserved reports whether no endpoint serves the request's unit, as far as is known.
+func (w *Waiter) unserved() bool { return w.Unserved != nil && w.Unserved() }
+
 // AgingStep is the head start that one level of priority gives. All waiters age at the
 // same rate, so the order of two waiters never changes, and a waiter of lower priority
 // waits at most AgingStep longer per level than one that arrives later: no waiter starves.
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -167,6 +167,7 @@
 	w := &admission.Waiter{
 		ID: x.ID, Unit: x.Target.Unit, Priority: x.Target.Policy.Priority,
 		Late: req.Late, MeetBy: x.meetBy(work), Arrived: x.arrivedAt(now), StartBy: startBy, Bytes: len(x.Call.Body),
+		Unserved: func() bool { return errors.Is(pickErr, routing.ErrNoReplica) },
 	}
 	req.Now = now
 	f.claim(x, w, &req)
--- a/placement/counted/adapters.go
+++ b/placement/counted/adapters.go
@@ -24,17 +24,24 @@
 			requested = append(requested, name)
 		}
 	}
+	requested = p.inOrder(requested)
 	waiting := p.c.demand.waiting
-	slices.SortFunc(requested, func(a, b string) int { return cmp.Or(cmp.Compare(waiting[b], waiting[a]), p.unitOrder(a, b)) })
+	if len(waiting) > 0 {
+		slices.SortStableFunc(requested, func(a, b string) int { return cmp.Compare(waiting[b], waiting[a]) })
+	}
 	return requested
 }
 
 // adaptersWithoutReplica returns the adapters of a model without a holder, the most recently
 // requested first.
 func (p *planner) adaptersWithoutReplica(model string) []string {
-	missing := slices.DeleteFunc(slices.Clone(p.c.adapters[model]), func(name string) bool { return len(p.holders[name]) > 0 })
-	slices.SortFunc(missing, p.unitOrder)
-	return missing
+	var missing []string
+	for _, name := range p.c.adapters[model] {
+		if len(p.holders[name]) == 0 {
+			missing = append(missing, name)
+		}
+	}
+	return p.inOrder(missing)
 }
 
 // preloadAdapters loads adapters without a replica into free slots before they are
--- a/placement/counted/controller.go
+++ b/placement/counted/controller.go
@@ -75,7 +75,7 @@
 	// models are the models, adapters the names of the adapters by model, both ordered by name.
 	models   []Unit
 	adapters map[string][]string
-	// tieBreaks are the hashes of tieOrder by unit.
+	// tieBreaks holds by unit a hash that orders units about which the same is known.
 	tieBreaks map[string]uint64
 	// endpoints is keyed by name; sortedEndpoints holds the same endpoints ordered by
 	// name.
--- a/placement/counted/forecast.go
+++ b/placement/counted/forecast.go
@@ -98,8 +98,8 @@
 // mostWaitingFirst returns units in the order of the requests that wait for them.
 func (c *Controller) mostWaitingFirst(units map[string]bool) []string {
 	names := sortedNames(units)
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(c.demand.waiting[b], c.demand.waiting[a]), c.tieOrder(a, b))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.demand.waiting[b], c.demand.waiting[a]), cmp.Compare(c.tieBreaks[a], c.tieBreaks[b]))
 	})
 	return names
 }
--- a/placement/counted/order.go
+++ b/placement/counted/order.go
@@ -3,25 +3,46 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// unitOrder orders units by how soon their next request is expected where nothing else tells
+// unitKey is what orders units by how soon their next request is expected where nothing else tells
 // them apart: the more recently a unit was requested, the sooner. Units that were requested at
 // the same time or never go by a hash which differs from holder to holder of the lease, so that
 // no unit always precedes another because of its name or its position in the settings.
-func (p *planner) unitOrder(a, b string) int {
-	return cmp.Or(cmp.Compare(p.idleTime(a), p.idleTime(b)), p.c.tieOrder(a, b))
+type unitKey struct {
+	name     string
+	idle     time.Duration
+	tieBreak uint64
 }
 
-// tieOrder orders units about which the same is known.
-func (c *Controller) tieOrder(a, b string) int {
-	return cmp.Or(cmp.Compare(c.tieBreaks[a], c.tieBreaks[b]), cmp.Compare(a, b))
+func (p *planner) key(unit string) unitKey {
+	return unitKey{name: unit, idle: p.idleTime(unit), tieBreak: p.c.tieBreaks[unit]}
 }
 
-// computeTieBreaks computes the hashes of tieOrder for the current settings and epoch.
+func (k unitKey) compare(other unitKey) int {
+	return cmp.Or(cmp.Compare(k.idle, other.idle), cmp.Compare(k.tieBreak, other.tieBreak), cmp.Compare(k.name, other.name))
+}
+
+// inOrder returns units in the order of their keys.
+func (p *planner) inOrder(units []string) []string {
+	keys := make([]unitKey, 0, len(units))
+	for _, unit := range units {
+		keys = append(keys, p.key(unit))
+	}
+	slices.SortFunc(keys, unitKey.compare)
+	ordered := make([]string, 0, len(keys))
+	for _, k := range keys {
+		ordered = append(ordered, k.name)
+	}
+	return ordered
+}
+
+// computeTieBreaks computes the hashes of units for the current settings and epoch.
 func (c *Controller) computeTieBreaks() {
 	c.tieBreaks = make(map[string]uint64, len(c.units))
 	seed := binary.BigEndian.AppendUint64(nil, uint64(c.epoch))
@@ -30,18 +51,23 @@
 	}
 }
 
-// orderModels puts all models into the order of unitOrder.
+// orderModels puts all models into the order of their keys.
 func (p *planner) orderModels() {
-	p.models = slices.Clone(p.c.models)
-	slices.SortFunc(p.models, func(a, b Unit) int { return p.unitOrder(a.Name, b.Name) })
+	names := make([]string, 0, len(p.c.models))
+	for _, u := range p.c.models {
+		names = append(names, u.Name)
+	}
+	for _, name := range p.inOrder(names) {
+		p.models = append(p.models, p.c.units[name])
+	}
 }
 
 // residentsOf returns the units that an endpoint holds, the first to be given up first.
 func (p *planner) residentsOf(e *endpoint) []string {
 	units, known := p.residents[e]
 	if !known {
-		units = sortedNames(e.resident)
-		slices.SortFunc(units, func(a, b string) int { return p.unitOrder(b, a) })
+		units = p.inOrder(slices.Collect(maps.Keys(e.resident)))
+		slices.Reverse(units)
 		p.residents[e] = units
 	}
 	return units
--- a/placement/counted/room.go
+++ b/placement/counted/room.go
@@ -58,7 +58,7 @@
 				continue
 			}
 			cost += p.load[e]*loadWeight + p.delay(e, v, u).Seconds()*p.delayCost(u)
-			if best == nil || cost < least || cost == least && p.unitOrder(v, unit) > 0 {
+			if best == nil || cost < least || cost == least && p.key(v).compare(p.key(unit)) > 0 {
 				best, unit, least = e, v, cost
 			}
 		}
