--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -90,7 +90,7 @@
 // Reasons for refusing.
 const (
 	ReasonQueueFull Reason = "queue_full"
-	ReasonExpired   Reason = "target_missed_in_queue"
+	ReasonExpired   Reason = "time_passed_in_queue"
 	ReasonStopping  Reason = "stopping"
 	// ReasonCannotStart is for a request that is known not to start in its time.
 	ReasonCannotStart Reason = "cannot_start_in_time"
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -44,6 +44,7 @@
 	{"queue_full", QueueFull},
 	{"no endpoint holds the unit", NoReplica},
 	{"no endpoint has room", NoRoom},
+	{"turn_too_late", NoRoom},
 	{"no endpoint is left", NoneLeft},
 	{"status 421", NotResident},
 	{"status 503", Rejected},
--- a/losses/table_test.go
+++ b/losses/table_test.go
@@ -11,7 +11,7 @@
 
 const log = `  7.05 edge-1 time=2026-12-02T10:00:01.500Z level=INFO msg=settle request=a outcome=complete unit=m first_ms=30 took_ms=400
 time=2026-12-02T10:00:01.900Z level=INFO msg=settle request=b outcome=complete unit=m first_ms=900 took_ms=1200
-time=2026-12-02T10:00:02.100Z level=INFO msg=settle request=c outcome=not_run unit=m first_ms=0 took_ms=400 error="admit: not admitted: target_missed_in_queue\nno endpoint has room"
+time=2026-12-02T10:00:02.100Z level=INFO msg=settle request=c outcome=not_run unit=m first_ms=0 took_ms=400 error="admit: not admitted: time_passed_in_queue\nno endpoint has room"
 time=2026-12-02T10:00:03.000Z level=INFO msg=place op=load unit=m endpoint=e
 time=2026-12-02T10:00:04.000Z level=INFO msg=settle request=d outcome=unknown unit=m first_ms=10 took_ms=900 error="relay: unexpected EOF"
 time=2026-12-02T10:00:04.000Z level=INFO msg=settle request=e outcome=rejected unit="" first_ms=0 took_ms=0 error="resolve: nothing is named x"
@@ -41,8 +41,9 @@
 
 func TestCauses(t *testing.T) {
 	for text, want := range map[string]Cause{
-		"admit: not admitted: target_missed_in_queue\nno endpoint holds the unit":           NoReplica,
+		"admit: not admitted: time_passed_in_queue\nno endpoint holds the unit":           NoReplica,
 		"admit: not admitted: queue_full":                                                   QueueFull,
+		"admit: not admitted: turn_too_late":                                               NoRoom,
 		"admit: not admitted: stopping\nno endpoint has room":                               Stopping,
 		"route: no endpoint is left to try":                                                 NoneLeft,
 		"dispatch: endpoint e did not start the attempt: status 421: not_executed":          NotResident,
