--- a/losses/table_test.go
+++ b/losses/table_test.go
@@ -41,9 +41,9 @@
 
 func TestCauses(t *testing.T) {
 	for text, want := range map[string]Cause{
-		"admit: not admitted: time_passed_in_queue\nno endpoint holds the unit":           NoReplica,
+		"admit: not admitted: time_passed_in_queue\nno endpoint holds the unit":             NoReplica,
 		"admit: not admitted: queue_full":                                                   QueueFull,
-		"admit: not admitted: turn_too_late":                                               NoRoom,
+		"admit: not admitted: turn_too_late":                                                NoRoom,
 		"admit: not admitted: stopping\nno endpoint has room":                               Stopping,
 		"route: no endpoint is left to try":                                                 NoneLeft,
 		"dispatch: endpoint e did not start the attempt: status 421: not_executed":          NotResident,
