--- a/pipeline/returns_test.go
+++ b/pipeline/returns_test.go
@@ -87,7 +87,7 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 		q.request(t, "impolite")
-		time.Sleep(at.Sub(time.Now()))
+		time.Sleep(time.Until(at))
 		q.request(t, "polite")
 		require.Equal(t, "polite", q.free())
 		require.Equal(t, "impolite", q.free())
