--- /dev/null
+++ b/review/bed2/node.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// node is an instance: the program of the deploy file as a process of its own.
+type node struct {
+	rec                    *recorder
+	name, callers, ready   string
+	store                  *storePort
+	program, settings, log string
+	cmd                    *exec.Cmd
+	exited                 chan struct{}
+}
+
+// nodeSettings is deploy/node.jsonc, filled in with the bounds of sites/rcgm-liege.toml.
+const nodeSettings = `{
+  "instance": %q, "failureDomain": %q, "regions": {"z1": "r1", "z2": "r1", "z3": "r1"},
+  "callers": %q, "readiness": %q, "operators": %q, "objectStore": "http://%s", "peerPorts": [%d, %d],
+  "retries": { "ratio": 0.2, "slack": 58 },
+  "orders": { "leaseMS": 3000, "rateWindowS": 5, "rateOver": 1.1 },
+  "fresh": { "leavingMS": 2000, "settingsMS": 2000, "contactMS": 3000 },
+  "lending": { "instancesAbove": 16 },
+  "limits": { "graceMS": 8000, "cpuShare": 0.4, "coreSpeed": 1, "linkMbps": 1000.0, "descriptors": 4100 },
+  "outlook": { "enabled": true },
+}
+`
+
+// newNode prepares an instance with an address of its own.
+func newNode(rec *recorder, s *store, program, dir string, i int) *node {
+	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, 10+i)
+	n := &node{rec: rec, name: "edge-" + strconv.Itoa(i), program: program, store: newStorePort(s, ip)}
+	n.callers, n.ready = freeAddress(ip), freeAddress(ip)
+	peers := freePorts(ip)
+	n.settings, n.log = filepath.Join(dir, n.name+".jsonc"), filepath.Join(dir, n.name+".log")
+	text := fmt.Sprintf(nodeSettings, n.name, "z"+strconv.Itoa(1+i%3), n.callers, n.ready, freeAddress(ip), n.store.address, peers, peers+1)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func (n *node) start() {
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(n.program, "node")
+	cmd.Env = append(os.Environ(), "EIDERSPRING_SETTINGS="+n.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		unusable("instance not started: " + err.Error())
+	}
+	n.cmd, n.exited = cmd, make(chan struct{})
+	exited := n.exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+func (n *node) kill() {
+	if n.cmd == nil {
+		return
+	}
+	_ = n.cmd.Process.Signal(syscall.SIGKILL)
+	<-n.exited
+}
+
+func (n *node) isReady() bool {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("http://" + n.ready + "/eiderspring/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func awaitReady(nodes []*node) {
+	deadline := time.Now().Add(15 * time.Second)
+	for _, n := range nodes {
+		for !n.isReady() {
+			if time.Now().After(deadline) {
+				unusable("instance " + n.name + " is not ready")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func freeAddress(ip string) string {
+	l := listen(ip)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// freePorts returns the first of two ports in a row that are free by TCP and UDP.
+func freePorts(ip string) int {
+	for range 200 {
+		_, text, _ := strings.Cut(freeAddress(ip), ":")
+		port, err := strconv.Atoi(text)
+		if err == nil && isFree(ip, port) && isFree(ip, port+1) {
+			return port
+		}
+	}
+	panic("no two ports are free")
+}
+
+func isFree(ip string, port int) bool {
+	address := net.JoinHostPort(ip, strconv.Itoa(port))
+	t, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	t.Close()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	u.Close()
+	return true
+}
