--- a/review/bed2/node.go
+++ b/review/bed2/node.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,30 @@
 	program, settings, log string
 	cmd                    *exec.Cmd
 	exited                 chan struct{}
+	// startedAt is when the process was last started or killed, in Unix nanoseconds; in is set while the
+	// platform gives the instance new channels.
+	startedAt atomic.Int64
+	in        atomic.Bool
+}
+
+// since returns when the process was last started or killed.
+func (n *node) since() time.Time { return time.Unix(0, n.startedAt.Load()) }
+
+// probe asks all instances every second whether they are ready, as the platform does: two misses take one
+// out, an answer brings it back.
+func (b *bed) probe() {
+	misses := map[*node]int{}
+	for {
+		for _, n := range b.nodes {
+			if n.isReady() {
+				misses[n] = 0
+				n.in.Store(true)
+			} else if misses[n]++; misses[n] >= 2 {
+				n.in.Store(false)
+			}
+		}
+		time.Sleep(time.Second)
+	}
 }
 
 // nodeSettings is deploy/node.jsonc, filled in with the bounds of sites/rcgm-liege.toml.
@@ -63,6 +88,7 @@
 	if err := cmd.Start(); err != nil {
 		unusable("instance not started: " + err.Error())
 	}
+	n.startedAt.Store(time.Now().UnixNano())
 	n.cmd, n.exited = cmd, make(chan struct{})
 	exited := n.exited
 	go func() {
@@ -75,6 +101,7 @@
 	if n.cmd == nil {
 		return
 	}
+	n.startedAt.Store(time.Now().UnixNano())
 	_ = n.cmd.Process.Signal(syscall.SIGKILL)
 	<-n.exited
 }
