--- a/review/bed2/config.go
+++ b/review/bed2/config.go
@@ -17,9 +17,12 @@
 }
 
 // configure writes the operator's configuration: the routes and services of sites/rcgm-liege.toml.
-func configure(s *store, version int) {
+func configure(s *store, version int) { configureModels(s, version, []string{model, otherModel}) }
+
+// configureModels is configure with other models.
+func configureModels(s *store, version int, names []string) {
 	models := []map[string]any{}
-	for _, name := range []string{model, otherModel} {
+	for _, name := range names {
 		models = append(models, map[string]any{"name": name, "weightsMb": 72700.0, "loadS": 8.6, "warmS": 0.81, "diskS": 1.7, "adapters": 0, "adapterMb": 66.0})
 	}
 	s.write("config", "main", map[string]any{
