Review: case 7, a part that crashes workers behind the first event is never held back

Tried: the bed's case 7 (nine instances as processes, six model workers; two requests a second with a part on which a worker crashes 5 ms after the first event of its answer).

--- a/review/bed2/crash.go
+++ b/review/bed2/crash.go
@@ -16,6 +16,9 @@
 	return names
 }
 
+// busyRuns is how many streams run at the worker that crashes.
+const busyRuns = 16
+
 // versionCrash lets one model worker crash while workers of two software versions serve. It is the only one of its
 // version that holds a busy model; two others of its version serve, with the memory full of other models.
 func versionCrash(b *bed) []string {
@@ -65,6 +68,13 @@
 	}
 	time.Sleep(6 * time.Second)
 	if b.trouble {
+		// It crashes while it is busy.
+		for range 300 {
+			if b.workers[0].runs() >= busyRuns {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
 		b.workers[0].crash()
 	}
 	busy.Wait()
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -60,7 +60,7 @@
 }
 
 // cases are the cases by the name of their folder. Each returns the breaches of its rule.
-var cases = map[string]func(*bed) []string{"4": inPlaceRelease, "5": allKilled, "6": versionCrash}
+var cases = map[string]func(*bed) []string{"4": inPlaceRelease, "5": allKilled, "6": versionCrash, "7": crashingPart}
 
 func init() {
 	// Children get SIGKILL when the thread that started them ends: it is the main one.
--- a/review/bed2/node.go
+++ b/review/bed2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -129,10 +130,20 @@
 	}
 }
 
+// Ports of what may start again lie below the ephemeral ones, so that no connection takes them meanwhile.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddress returns an address on which nothing listens, by TCP or UDP.
 func freeAddress(ip string) string {
-	l := listen(ip)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		if port := firstPort + rand.IntN(lastPort-firstPort); isFree(ip, port) {
+			return net.JoinHostPort(ip, strconv.Itoa(port))
+		}
+	}
+	panic("no port is free")
 }
 
 // freePorts returns the first of two ports in a row that are free by TCP and UDP.
--- a/review/bed2/worker.go
+++ b/review/bed2/worker.go
@@ -49,6 +49,10 @@
 	running int
 	// models are held, onDisk were held in any life, inMemory in this one.
 	models, onDisk, inMemory map[string]bool
+	// crashing is set once a request crashes the worker, in this life.
+	crashing bool
+	// onCrash is called when a request crashes the worker.
+	onCrash func()
 	// states are the reports that could have been made, with their times.
 	states []reportAt
 }
@@ -59,10 +63,7 @@
 }
 
 func newWorker(rec *recorder, s *store, id, zone, service string, models ...string) *worker {
-	l := listen("127.0.0.1")
-	address := l.Addr().String()
-	l.Close()
-	w := &worker{rec: rec, store: s, id: id, address: address, zone: zone, service: service, onDisk: map[string]bool{}}
+	w := &worker{rec: rec, store: s, id: id, address: freeAddress("127.0.0.1"), zone: zone, service: service, onDisk: map[string]bool{}}
 	w.models = map[string]bool{}
 	for _, m := range models {
 		w.models[m], w.onDisk[m] = true, true
@@ -87,7 +88,7 @@
 	w.ctx, w.life = context.WithCancel(context.Background())
 	ctx := w.ctx
 	w.version, w.born, w.state = version, time.Now().UnixMilli(), "ready"
-	w.seq, w.busy, w.running, w.states = 0, false, 0, nil
+	w.seq, w.busy, w.running, w.states, w.crashing = 0, false, 0, nil, false
 	w.models, w.inMemory = map[string]bool{}, map[string]bool{}
 	for _, m := range models {
 		w.models[m], w.inMemory[m], w.onDisk[m] = true, true, true
@@ -123,6 +124,13 @@
 	server.Close()
 }
 
+// runs returns how many requests the worker runs.
+func (w *worker) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
 // resetListener accepts connections that are reset when they are closed.
 type resetListener struct{ net.Listener }
 
@@ -324,7 +332,33 @@
 		if http.NewResponseController(rw).Flush() != nil {
 			return
 		}
+		if w.onCrash != nil && strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart) {
+			w.crashBy(id)
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// crashBy ends the worker's process because of a request, and starts it again after crashedFor.
+func (w *worker) crashBy(id string) {
+	w.mu.Lock()
+	ctx, version, first := w.ctx, w.version, !w.crashing
+	w.crashing = true
+	w.mu.Unlock()
+	if !first {
+		<-ctx.Done()
+		return
 	}
+	// What has been written of the answer leaves the machine.
+	time.Sleep(5 * time.Millisecond)
+	w.rec.printf("%s crashes worker %s", id, w.id)
+	w.onCrash()
+	go func() {
+		w.crash()
+		time.Sleep(crashedFor)
+		w.start(version)
+	}()
+	<-ctx.Done()
 }
 
 // eventText returns event n of a stream, which names the version and the worker that wrote it.
