Streams of a pool with several software versions go on behind an end of all instances

Cause: where a stream began was kept by four instances and nowhere else. The pool's entry in the store outlasts them, but names versions, not streams, so that it tells only while there is one. The refusals say "the software version of the stream is unknown", so neither endpoints without the version nor owners that changed were at fault.

Change: streams whose pool's entry may not tell have a record in the store. An instance that is asked for a stream that nobody knows reads the records, once for all callers that wait (sharedRead, which the entry's read uses too). Unknown stays refused; if the store can't be read the refusal says "not known yet".

Left: what began less than a batch before the end is refused.

--- a/daemon/nodetasks.go
+++ b/daemon/nodetasks.go
@@ -70,9 +70,12 @@
 	register.first, register.era = config.foundNone.Load, n.eras.Newest
 	register.view = n.router.View
 	n.streams.register.Store(register)
+	records := newStreamRecords(n.streams, register, objects)
+	n.streams.records.Store(records)
+	n.streams.recorded.Store(newRecordReader(objects, n.log))
 	for _, run := range []func(context.Context){
 		view.run, config.run, config.readNewer, entries.watch, entries.run, n.idle.run, n.wakeWaiters, n.mesh.run, n.presence.run, n.presence.watch, n.handleSuspensions, holds.run, holds.write, keys, renew,
-		n.permits.run, n.lending.run, n.conditions.run, n.path.run, register.run,
+		n.permits.run, n.lending.run, n.conditions.run, n.path.run, register.run, records.run,
 	} {
 		n.done.Go(func() { run(n.runCtx) })
 	}
--- a/daemon/streamversions.go
+++ b/daemon/streamversions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"expvar"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 
 	// register tells the version of pools that have only one; nil before the store is followed.
 	register atomic.Pointer[versionRegister]
+	// records has beginnings written to the store, recorded reads them; nil before the store is followed.
+	records  atomic.Pointer[streamRecords]
+	recorded atomic.Pointer[recordReader]
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -80,6 +84,9 @@
 	near, _ := s.owners(b.Key)
 	s.send(peer.Packet{Beginnings: []streamversion.Beginning{b}}, s.mesh.addressesOf(near))
 	s.vars.Add("stream_beginnings_sent", 1)
+	if records := s.records.Load(); records != nil {
+		records.began(b)
+	}
 }
 
 func (s *streamVersions) keep(b streamversion.Beginning) {
@@ -157,6 +164,20 @@
 	return version, found
 }
 
+// Recorded implements pipeline.StreamVersions.
+func (s *streamVersions) Recorded(ctx context.Context, key streamversion.Key) (streamversion.Beginning, streamversion.State) {
+	reader := s.recorded.Load()
+	if reader == nil {
+		return streamversion.Beginning{}, streamversion.Unread
+	}
+	b, state := reader.find(ctx, key)
+	if state == streamversion.Known {
+		s.keep(b)
+	}
+	s.vars.Add("stream_records_"+strings.ReplaceAll(state.String(), " ", "_"), 1)
+	return b, state
+}
+
 func (s *streamVersions) local(key streamversion.Key) (streamversion.Beginning, streamversion.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,9 +249,12 @@
 // receive takes what a packet of another instance says of streams. It reports whether the packet says
 // anything of them, and so nothing else. It is called on the event loop of the datagrams.
 func (s *streamVersions) receive(p peer.Packet) (consumed bool) {
-	if s == nil || len(p.Beginnings)+len(p.StreamQuestions)+len(p.StreamAnswers) == 0 {
+	if s == nil || len(p.Beginnings)+len(p.StreamQuestions)+len(p.StreamAnswers) == 0 && p.StreamRecords == nil {
 		return false
 	}
+	if records := s.records.Load(); records != nil && p.StreamRecords != nil {
+		records.receive(*p.StreamRecords)
+	}
 	for _, b := range p.Beginnings {
 		s.keep(b)
 	}
--- a/daemon/streamversions_test.go
+++ b/daemon/streamversions_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"expvar"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,8 +27,11 @@
 // lineNet delivers datagrams between streamVersions of a test, and counts their bytes.
 type lineNet struct {
 	receivers map[string]func([]byte)
-	bytes     map[string]int
 	lost      func() bool
+
+	// mu guards bytes, by receiver.
+	mu    sync.Mutex
+	bytes map[string]int
 }
 
 // lineEnd is one end of a lineNet.
@@ -35,7 +39,9 @@
 
 func (e lineEnd) Send(address string, data []byte) {
 	const headers = 28
+	e.net.mu.Lock()
 	e.net.bytes[address] += len(data) + headers
+	e.net.mu.Unlock()
 	if e.net.lost == nil || !e.net.lost() {
 		e.net.receivers[address](data)
 	}
--- a/daemon/versionregister.go
+++ b/daemon/versionregister.go
@@ -45,15 +45,20 @@
 	// names are the versions that the entries are known to name.
 	names *versionNames
 
-	// mu guards reads, the reads for requests that are waiting or under way, by pool.
-	mu    sync.Mutex
-	reads map[string]*entryRead
+	// mu guards the fields below.
+	mu sync.Mutex
+	// reads are the reads for requests, by pool.
+	reads map[string]*sharedRead[*streamversion.Entry]
+	// several holds the pools of which this instance has seen several versions lately, clear those whose
+	// entry, when it was last read, told of one version only.
+	several, clear map[string]bool
 }
 
 func newVersionRegister(client store.Client, log logr.Logger, now func() time.Time) *versionRegister {
 	v := &versionRegister{
 		client: client, writer: store.NewWriter(client), log: log, now: now,
-		pools: map[string]*registeredPool{}, reads: map[string]*entryRead{},
+		pools: map[string]*registeredPool{}, reads: map[string]*sharedRead[*streamversion.Entry]{},
+		several: map[string]bool{}, clear: map[string]bool{},
 	}
 	v.names = newVersionNames(v)
 	return v
@@ -93,6 +98,7 @@
 	}
 	era := v.era()
 	p.register.Step(v.now(), era, presentVersions(v.view(), pool))
+	v.noteVersions(pool, p.register)
 	if !v.holds(pool) || p.era != era {
 		// The store may have come back with an earlier entry.
 		p.loaded, p.era = false, era
@@ -130,6 +136,7 @@
 func (v *versionRegister) get(ctx context.Context, pool string) (*store.Object, *streamversion.Entry, error) {
 	o, err := v.client.Get(ctx, store.KindSoftwareVersions, pool)
 	if store.IsNotFound(err) {
+		v.noteEntry(pool, nil)
 		return nil, nil, nil
 	}
 	if err != nil {
@@ -139,6 +146,7 @@
 	if err := json.Unmarshal(o.Spec, &e); err != nil {
 		return nil, nil, &store.EncodeError{Kind: store.KindSoftwareVersions, Name: pool, Err: err}
 	}
+	v.noteEntry(pool, &e)
 	return &o, &e, nil
 }
 
@@ -159,6 +167,7 @@
 	}
 	p.object = &o
 	p.register.Load(v.now(), &e)
+	v.noteEntry(pool, &e)
 	v.names.add(p.era, pool, e.Versions)
 	return nil
 }
@@ -188,43 +197,53 @@
 	return e.Only(v.era(), presentVersions(v.view(), pool))
 }
 
-// entryRead is a read of an entry for all requests that came before it began.
-type entryRead struct {
-	done  chan struct{}
-	entry *streamversion.Entry
-	err   error
+// freshEntry returns the entry of a pool as of a read that begins after the call.
+func (v *versionRegister) freshEntry(ctx context.Context, pool string) (*streamversion.Entry, error) {
+	return v.readOf(pool).get(ctx)
 }
 
-// freshEntry returns the entry of a pool as of a read that begins after the call. Requests that come
-// during a read share the next one.
-func (v *versionRegister) freshEntry(ctx context.Context, pool string) (*streamversion.Entry, error) {
+// readDelay is the time in which requests come together for one read.
+const readDelay = 5 * time.Millisecond
+
+// readOf returns the read of a pool's entry that requests share.
+func (v *versionRegister) readOf(pool string) *sharedRead[*streamversion.Entry] {
 	v.mu.Lock()
-	next := v.reads[pool]
-	if next == nil {
-		next = &entryRead{done: make(chan struct{})}
-		v.reads[pool] = next
-		go v.read(context.WithoutCancel(ctx), pool, next)
-	}
-	v.mu.Unlock()
-	select {
-	case <-next.done:
-		return next.entry, next.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	defer v.mu.Unlock()
+	if v.reads[pool] == nil {
+		read := func(ctx context.Context) (*streamversion.Entry, error) {
+			_, e, err := v.get(ctx, pool)
+			return e, err
+		}
+		v.reads[pool] = &sharedRead[*streamversion.Entry]{read: read, delay: readDelay, timeout: registerReadTimeout}
 	}
+	return v.reads[pool]
 }
 
-// readDelay is the time in which requests come together for one read.
-const readDelay = 5 * time.Millisecond
+// needsRecords reports whether the entry of a pool may not tell at which version its streams began, so that
+// each beginning has to be recorded.
+func (v *versionRegister) needsRecords(pool string) bool {
+	if len(presentVersions(v.view(), pool)) > 1 {
+		return true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.several[pool] || !v.clear[pool]
+}
+
+// noteEntry keeps whether an entry tells of one version only; nil for an entry that does not exist.
+func (v *versionRegister) noteEntry(pool string, e *streamversion.Entry) {
+	only := false
+	if e != nil {
+		_, only = e.Only(v.era(), nil)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.clear[pool] = only
+}
 
-// read reads an entry. Requests that come from now on wait for another read.
-func (v *versionRegister) read(ctx context.Context, pool string, r *entryRead) {
-	defer close(r.done)
-	ctx, cancel := context.WithTimeout(ctx, registerReadTimeout)
-	defer cancel()
-	wait.For(ctx, readDelay)
+// noteVersions keeps whether this instance has seen several versions of a pool.
+func (v *versionRegister) noteVersions(pool string, r *streamversion.Register) {
 	v.mu.Lock()
-	delete(v.reads, pool)
-	v.mu.Unlock()
-	_, r.entry, r.err = v.get(ctx, pool)
+	defer v.mu.Unlock()
+	v.several[pool] = r.Several()
 }
--- a/peer/packet.go
+++ b/peer/packet.go
@@ -134,6 +134,9 @@
 	Beginnings      []streamversion.Beginning `cbor:"59,keyasint,omitempty"`
 	StreamQuestions []streamversion.Question  `cbor:"60,keyasint,omitempty"`
 	StreamAnswers   []streamversion.Answer    `cbor:"61,keyasint,omitempty"`
+	// StreamRecords are beginnings that the receiver is to write to the store. A packet with them carries
+	// nothing else but a ConfirmReply, as one with Beginnings.
+	StreamRecords *streamversion.RecordRequest `cbor:"66,keyasint,omitempty"`
 	// Era is the newest era of the store that the sender has seen.
 	Era int64 `cbor:"32,keyasint,omitempty"`
 }
--- a/pipeline/continuation.go
+++ b/pipeline/continuation.go
@@ -27,6 +27,8 @@
 	// Only returns the version at which all streams of a pool began that callers may ask for; false
 	// if it is not certain that there is only one.
 	Only(ctx context.Context, pool string) (string, bool)
+	// Recorded returns where a stream began, as the store tells; Unread if it cannot be read now.
+	Recorded(ctx context.Context, key streamversion.Key) (streamversion.Beginning, streamversion.State)
 }
 
 // keepFactor is for how many time limits of its route the beginning of a stream is kept: a caller may
@@ -82,24 +84,33 @@
 	return nil
 }
 
-// findVersion returns the software version at which the stream began that the request continues. Where
-// nobody knows, a pool that has had only one version tells.
+// findVersion returns the software version at which the stream began that the request continues. Where no
+// instance knows, a pool that has had only one version tells, or the record in the store.
 func (p *Pipeline) findVersion(ctx context.Context, x *Exchange) (string, streamversion.State) {
 	versions, attempt := p.cfg.StreamVersions, x.Call.Continuation.Attempt
 	if versions == nil {
 		return "", streamversion.Unknown
 	}
+	key, pool := streamversion.KeyOf(x.Caller.Name, attempt), x.Target.Pool
 	if attempt != "" {
-		b, state := versions.Find(ctx, streamversion.KeyOf(x.Caller.Name, attempt))
-		if state == streamversion.Known && b.Pool != x.Target.Pool {
-			state = streamversion.Conflicting
-		}
-		if state != streamversion.Unknown {
-			return b.Version, state
+		if b, state := versions.Find(ctx, key); state != streamversion.Unknown {
+			return versionIn(pool, b, state)
 		}
 	}
-	if only, found := versions.Only(ctx, x.Target.Pool); found {
+	if only, found := versions.Only(ctx, pool); found {
 		return only, streamversion.Known
 	}
-	return "", streamversion.Unknown
+	if attempt == "" {
+		return "", streamversion.Unknown
+	}
+	b, state := versions.Recorded(ctx, key)
+	return versionIn(pool, b, state)
+}
+
+// versionIn returns the version of a beginning in a pool. One in another pool conflicts.
+func versionIn(pool string, b streamversion.Beginning, state streamversion.State) (string, streamversion.State) {
+	if state == streamversion.Known && b.Pool != pool {
+		return "", streamversion.Conflicting
+	}
+	return b.Version, state
 }
--- a/store/object.go
+++ b/store/object.go
@@ -28,6 +28,8 @@
 	KindPeerKey Kind = "peerkeys"
 	// KindSoftwareVersions stores, for each pool, the software versions at which its streams began.
 	KindSoftwareVersions Kind = "softwareversions"
+	// KindStreamRecord stores where streams of pools with several software versions began.
+	KindStreamRecord Kind = "streamrecords"
 )
 
 // APIVersion is the group and version of the system's own kinds.
--- a/streamversion/messages.go
+++ b/streamversion/messages.go
@@ -42,6 +42,8 @@
 	Known
 	// Conflicting means that two beginnings differ, as of an attempt ID that was used twice.
 	Conflicting
+	// Unread means that the store could not be read, which may know the stream. No instance answers so.
+	Unread
 )
 
 // String returns the state in words.
@@ -51,6 +53,8 @@
 		return "known"
 	case Conflicting:
 		return "conflicting"
+	case Unread:
+		return "not known yet"
 	default:
 		return "unknown"
 	}
@@ -71,3 +75,13 @@
 	State         State
 	Beginning     Beginning
 }
+
+// RecordRequest asks an instance to write beginnings of a part to the store. A beginning that goes from
+// one instance to another keeps the time that is left.
+type RecordRequest struct {
+	_    struct{} `cbor:",toarray"`
+	Part Part
+	// Choice is the receiver's place among the instances that may write the part.
+	Choice     int64
+	Beginnings []Beginning
+}
--- a/streamversion/owners.go
+++ b/streamversion/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,45 @@
 	return near, far
 }
 
+// instancesPerWriter is the number of instances of a region for each one that writes records: few writers
+// make few calls to the store, many share the load.
+const instancesPerWriter = 10
+
+// WriterChoices is the number of instances that may write the records of a part.
+const WriterChoices = ownersPerRegion
+
+// Part identifies a part of the streams, whose records one instance writes.
+type Part struct {
+	_      struct{} `cbor:",toarray"`
+	Region string
+	Number uint64
+}
+
+// PartOf returns the part that a stream belongs to which an instance of the home region begins.
+func (f *Fleet) PartOf(key Key, home string) Part {
+	instances := 0
+	for _, domain := range f.region(home).domains {
+		instances += len(domain)
+	}
+	parts := max((instances+instancesPerWriter-1)/instancesPerWriter, 1)
+	return Part{Region: home, Number: xxhash.Sum64(key[:]) % uint64(parts)}
+}
+
+// Writers returns the instances that may write the records of a part, the first choice first.
+func (f *Fleet) Writers(p Part) []string {
+	return f.region(p.Region).owners(KeyOf(p.Region, fmt.Sprint("part ", p.Number)))
+}
+
+// region returns the region with a name; an empty one if it has no instance.
+func (f *Fleet) region(name string) region {
+	for _, r := range f.regions {
+		if r.name == name {
+			return r
+		}
+	}
+	return region{name: name}
+}
+
 // candidate is an instance with its weight for a key.
 type candidate struct {
 	name   string
--- a/streamversion/register.go
+++ b/streamversion/register.go
@@ -106,6 +106,9 @@
 	maps.DeleteFunc(r.lastSeen, func(_ string, at time.Time) bool { return now.Sub(at) >= MaxKeep })
 }
 
+// Several reports whether more than one version has been seen within MaxKeep.
+func (r *Register) Several() bool { return len(r.lastSeen) > 1 }
+
 // Entry returns the entry to write, if the stored one is to change. first is set if the deployment
 // began while this process ran.
 func (r *Register) Entry(first bool) (Entry, bool) {
