A planned stop refuses what nobody has sent yet, also late, and leaves no caller without an answer

What callers would have seen: a request whose head came before SIGTERM and whose body ended more than 3 s behind it was sent to an endpoint and cut without an answer at the end of the grace period, also one that may run once only.

Cause: whether a stopping instance takes a request was asked once, at its head. A body that is read later, and an attempt that its endpoint rejects as not run, took a free place at once; what was unanswered at the exit got a closed connection.

Left: how long an endpoint will take is not known, so a request of the first three seconds that outlasts the grace ends with 502.

--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -57,9 +57,9 @@
 	// of the machine that are not handled yet.
 	exactNow    func() time.Time
 	suspensions *ring.Ring[time.Duration]
-	// cancelOverdue cancels requests whose deadline has passed.
-	cancelOverdue func()
-	engine        *engine.Client
+	// cancelOverdue cancels requests whose deadline has passed, endRequests all in progress.
+	cancelOverdue, endRequests func()
+	engine                     *engine.Client
 	// control carries reports and orders, on connections apart from callers' requests.
 	control *engine.Client
 	router  *routing.Router
@@ -83,6 +83,8 @@
 	settings *settingsFetcher
 	// draining is set once a planned stop has begun.
 	draining atomic.Bool
+	// drainEnds is when a planned stop ends at the latest; nil while none has gone so far.
+	drainEnds atomic.Pointer[time.Time]
 	// process distinguishes this process from any other of the same instance.
 	process string
 
@@ -247,9 +249,9 @@
 		Catalog: i.catalog.Load, Router: i.router, Gates: i.gates,
 		Claims: claim.NewClaimer(i.claimSubmitter(i.claims), i.deps.Now),
 		Engine: i.engine, Metrics: pipeline.NewMetrics(i.vars), Log: i.log, Now: i.deps.Now,
-		FailureDomain: i.cfg.FailureDomain, Quarantine: i.quarantine, Allowances: i.allowances,
+		FailureDomain: i.cfg.FailureDomain, Quarantine: i.quarantine, Allowances: i.allowances, Refuses: i.refusesUnsent,
 	})
-	i.cancelOverdue = handler.CancelOverdue
+	i.cancelOverdue, i.endRequests = handler.CancelOverdue, handler.EndAll
 	i.callers = i.newServer(i.closeWhileDraining(i.admit(dialect, dialect.WithModels(handler))))
 	i.idle = newIdleConns(i.log, i.deps.Now, func() time.Duration { return milliseconds(i.cfg.Limits.IdleMS) })
 	descriptors := descriptorLimit(0)
@@ -398,21 +400,37 @@
 
 // drain makes a planned stop. The instance first reports not ready; callers that the balancer
 // still sends are served for DrainGraceMS, on connections that close after their response.
-// Then the listener closes, and requests in progress finish within DrainMS.
+// Then the listener closes, and requests in progress finish within DrainMS; those that nobody has
+// sent yet are refused if they may last longer.
 func (i *Instance) drain() error {
 	i.draining.Store(true)
 	_ = i.peers.events.Put(i.work, peer.Leave{})
 	i.log.Info("draining", "waiting", i.gates.Len())
 	wait.For(context.Background(), milliseconds(i.cfg.Limits.DrainGraceMS))
-	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(i.cfg.Limits.DrainMS))
-	defer cancel()
-	if err := i.idle.drain(ctx); err != nil {
-		return fmt.Errorf("drain: %w", err)
+	timeout := milliseconds(i.cfg.Limits.DrainMS)
+	ends := i.deps.Now().Add(timeout)
+	i.drainEnds.Store(&ends)
+	if err := i.awaitRequests(timeout); err != nil {
+		i.endRequests()
+		return fmt.Errorf("drain: %w", errors.Join(err, i.awaitRequests(lastAnswers)))
 	}
 	i.log.Info("drained")
 	return nil
 }
 
+// awaitRequests returns once no request is in progress, or with an error after a time.
+func (i *Instance) awaitRequests(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return i.idle.drain(ctx)
+}
+
+// refusesUnsent implements pipeline.Config.Refuses.
+func (i *Instance) refusesUnsent(deadline time.Time) bool {
+	ends := i.drainEnds.Load()
+	return ends != nil && deadline.After(*ends)
+}
+
 // Kill stops at once and closes all connections, as a crash would.
 func (i *Instance) Kill() {
 	i.stop()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -80,6 +80,8 @@
 	// deadline has passed.
 	storeTransport *interruptibleTransport
 	cancelOverdue  func()
+	// endRequests ends all requests in progress.
+	endRequests func()
 	// startedAt is when the process started.
 	startedAt time.Time
 	vars      *expvar.Map
@@ -349,9 +351,9 @@
 		Demand: n.mesh.demand, Promises: n.promises, OnNoReplica: n.mesh.sendSoon,
 		Metrics: pipeline.NewMetrics(n.vars), Log: n.log, Now: n.now, FailureDomain: n.cfg.FailureDomain,
 		SettingsOutdated: n.mesh.outdated, Revisions: n.revisions, EndpointsAgeMS: n.endpointsAgeMS, Quarantine: n.quarantine, Allowances: n.allowances.limiter, Permits: n.permits.limiter,
-		Conditions: n.conditions, StreamVersions: n.streams,
+		Conditions: n.conditions, StreamVersions: n.streams, Refuses: n.refusesUnsent,
 	})
-	n.cancelOverdue = handler.CancelOverdue
+	n.cancelOverdue, n.endRequests = handler.CancelOverdue, handler.EndAll
 	n.handovers.serve = handler.ServeHandedOver
 	for _, s := range []struct {
 		into    **nodeServer
--- a/daemon/nodecallers.go
+++ b/daemon/nodecallers.go
@@ -64,20 +64,25 @@
 	// refuseAfter is how long after its start new requests are refused: by then the platform
 	// has probed readiness twice and sends none.
 	refuseAfter = 3 * time.Second
-	// exitMargin is how long before the end of the grace period the process exits.
-	exitMargin = 300 * time.Millisecond
+	// exitMargin is how long before the end of the grace period requests in progress are ended, so that
+	// their callers get an answer within lastAnswers and the process exits in time.
+	exitMargin  = 300 * time.Millisecond
+	lastAnswers = exitMargin / 2
 )
 
-// refusesRequests reports whether a planned stop has progressed so far that a new request
-// might not be completed.
+// refusesRequests reports whether a planned stop has progressed so far that a request which
+// nobody has sent yet might not be completed.
 func (n *Node) refusesRequests() bool {
 	since := n.stopping.Load()
 	return since != nil && n.now().Sub(*since) >= refuseAfter
 }
 
+// refusesUnsent implements pipeline.Config.Refuses. Other instances can serve the request at once.
+func (n *Node) refusesUnsent(time.Time) bool { return n.refusesRequests() }
+
 // drain makes a planned stop. The node is not ready at once. For refuseAfter it still serves
-// requests, on connections that are closed after their response; then it refuses new ones and
-// completes those in progress.
+// requests, on connections that are closed after their response; then it refuses those that
+// nobody has sent yet and completes those in progress.
 func (n *Node) drain() {
 	began := n.now()
 	n.stopping.Store(&began)
@@ -86,12 +91,21 @@
 	n.log.Info("draining", "waiting", n.gates.Len())
 	wait.For(context.Background(), refuseAfter)
 	n.gates.Stop()
-	left := began.Add(milliseconds(n.cfg.Limits.GraceMS) - exitMargin).Sub(n.now())
-	ctx, cancel := context.WithTimeout(context.Background(), left)
-	defer cancel()
-	if err := errors.Join(n.idle.drain(ctx), n.handovers.drain(ctx)); err != nil {
+	end := began.Add(milliseconds(n.cfg.Limits.GraceMS) - exitMargin)
+	if err := n.awaitRequests(end.Sub(n.now())); err != nil {
 		n.log.Info("requests cut off at the end of the grace period", "error", err.Error())
+		n.endRequests()
+		if err := n.awaitRequests(lastAnswers); err != nil {
+			n.log.Info("connections cut off at the end of the grace period", "error", err.Error())
+		}
 		return
 	}
 	n.log.Info("drained", "took_ms", n.now().Sub(began).Milliseconds())
 }
+
+// awaitRequests returns once no request is in progress, or with an error after a time.
+func (n *Node) awaitRequests(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return errors.Join(n.idle.drain(ctx), n.handovers.drain(ctx))
+}
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -112,7 +112,9 @@
 // admit waits until the router has a slot for the next attempt.
 type admit struct {
 	// cutOff reports whether the request has to leave this instance.
-	cutOff        func(*Exchange) bool
+	cutOff func(*Exchange) bool
+	// refuses reports whether the instance, which stops, refuses the request.
+	refuses       func(*Exchange) bool
 	gates         *Gates
 	router        *routing.Router
 	failureDomain string
@@ -144,6 +146,10 @@
 	var pickErr error
 	notified, startBy := false, x.startBy(work)
 	take := func() bool {
+		if f.refuses(x) {
+			pickErr = errStopping
+			return true
+		}
 		if f.cutOff(x) {
 			pickErr = errCutOff
 			return true
@@ -193,6 +199,9 @@
 	}
 	if pickErr != nil {
 		f.gates.Pool(x.Target.Pool).Completed(w)
+		if errors.Is(pickErr, errStopping) {
+			return newStoppingError()
+		}
 		return &RouteError{Err: pickErr}
 	}
 	x.Attempts = append(x.Attempts, Attempt{ID: x.attemptID(), Decision: decision, waiter: w})
@@ -203,6 +212,9 @@
 	return nil
 }
 
+// errStopping ends the wait of a request that the instance refuses as it stops.
+var errStopping = errors.New("the instance is stopping")
+
 // RestError reports that all endpoints that could serve a request have asked for rest.
 type RestError struct {
 	// Left is how long the first of them still rests.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -102,6 +102,8 @@
 	flight quarantine.InFlight
 	// overdue is set if the deadline passed while the timer was suspended.
 	overdue atomic.Bool
+	// stopped is set if the instance ends before the answer has come.
+	stopped atomic.Bool
 	// answerStarted is set once any byte of an answer may have reached the caller.
 	answerStarted bool
 	// askedForPlace is set if the request has asked for a place that is lent.
@@ -254,6 +256,12 @@
 	return rand.Text()
 }
 
+// untouched reports whether no endpoint may have run any part of the request, and nothing of it was answered, here
+// or elsewhere.
+func (x *Exchange) untouched() bool {
+	return !x.dispatched && !x.answerStarted && (x.handedOver == nil || !x.continues)
+}
+
 // sent reports whether any part of an attempt was sent.
 func (x *Exchange) sent() bool {
 	return slices.ContainsFunc(x.Attempts, func(a Attempt) bool { return !a.Unsent })
--- a/pipeline/overdue.go
+++ b/pipeline/overdue.go
@@ -5,8 +5,13 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/eiderspring/eiderspring/admission"
 )
 
+// errStopped ends a request whose endpoint has not answered by the time at which the instance must exit.
+var errStopped = errors.New("the instance stops before the endpoint has answered")
+
 // errOverdue ends a request whose deadline passed while its timer was suspended.
 var errOverdue = errors.New("the deadline has passed")
 
@@ -46,6 +51,27 @@
 	}
 }
 
+// EndAll ends all requests in progress, so that each caller gets an answer before the instance exits.
+func (p *Pipeline) EndAll() {
+	d := &p.deadlines
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for x, end := range d.cancels {
+		x.stopped.Store(true)
+		end()
+	}
+}
+
+// refuses reports whether the instance, which stops, refuses a request that no endpoint may have run.
+func (p *Pipeline) refuses(x *Exchange) bool {
+	return p.cfg.Refuses != nil && x.untouched() && p.cfg.Refuses(x.deadline())
+}
+
+// newStoppingError returns the error of a request that the instance refuses as it stops.
+func newStoppingError() *AdmitError {
+	return newAdmitError(&admission.RefusedError{Reason: admission.ReasonStopping}, nil)
+}
+
 // withTimeLeft bounds an attempt by the time left until the request's deadline, which the
 // timer of ctx may miss after a suspension.
 func (p *Pipeline) withTimeLeft(ctx context.Context, x *Exchange) (context.Context, context.CancelFunc) {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -71,6 +71,9 @@
 	Conditions Conditions
 	// StreamVersions knows where streams began; nil knows none, and keeps none.
 	StreamVersions StreamVersions
+	// Refuses reports whether the instance, as it stops, has no time for a request with a deadline that no
+	// endpoint may have run; nil means never.
+	Refuses func(deadline time.Time) bool
 	// Handover hands requests over to other instances while this one reaches no endpoint; nil
 	// means that they stay.
 	Handover Handover
@@ -114,8 +117,8 @@
 	p.prepare = cfg.Dialect.PrepareFilters()
 	p.attempt = []Filter{
 		admit{
-			cutOff: p.cutOff,
-			gates:  cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, onNoReplica: cfg.OnNoReplica, promises: cfg.Promises,
+			cutOff: p.cutOff, refuses: p.refuses,
+			gates: cfg.Gates, router: cfg.Router, failureDomain: cfg.FailureDomain, onNoReplica: cfg.OnNoReplica, promises: cfg.Promises,
 			numbers: &atomic.Uint64{}, demand: cfg.Demand, outlook: cfg.Outlook, log: cfg.Log, now: cfg.Now,
 		},
 		route{log: cfg.Log, endpointsAgeMS: cfg.EndpointsAgeMS},
@@ -243,6 +246,9 @@
 
 // serveAttempt makes the next attempt, here or at another instance.
 func (p *Pipeline) serveAttempt(ctx context.Context, x *Exchange) error {
+	if p.refuses(x) {
+		return newStoppingError()
+	}
 	if p.cutOff(x) {
 		if x.handedOver != nil {
 			return &RouteError{Err: errCutOff}
@@ -266,8 +272,8 @@
 	p.cfg.Demand.add(x)
 }
 
-// finalError returns the error of a request, which may have been cancelled by quarantine
-// or by its deadline.
+// finalError returns the error of a request, which may have been cancelled by quarantine,
+// by its deadline or as the instance stops.
 func (x *Exchange) finalError(err error) error {
 	if err == nil {
 		return nil
@@ -278,6 +284,9 @@
 	if x.overdue.Load() && x.dispatched {
 		return &DispatchError{TimedOut: true, Err: errOverdue}
 	}
+	if x.stopped.Load() && x.dispatched && !x.answerStarted {
+		return &DispatchError{Err: errStopped}
+	}
 	return err
 }
 
