--- a/pipeline/lending_test.go
+++ b/pipeline/lending_test.go
@@ -97,7 +97,7 @@
 		router.SetView(&routing.View{Pools: map[string][]*routing.Endpoint{"p": endpoints}})
 		gates := NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1 << 20}, time.Now)
 		f := admit{
-			cutOff: func(*Exchange) bool { return false }, gates: gates, router: router, onNoReplica: func() {},
+			cutOff: func(*Exchange) bool { return false }, refuses: func(*Exchange) bool { return false }, gates: gates, router: router, onNoReplica: func() {},
 			promises: &Promises{}, numbers: &atomic.Uint64{}, log: logr.Discard(), now: time.Now,
 		}
 		failed, holder := plainExchange("failed"), plainExchange("holder")
--- a/pipeline/outlook_test.go
+++ b/pipeline/outlook_test.go
@@ -42,7 +42,7 @@
 	router.SetView(&routing.View{Replicas: map[string][]*routing.Endpoint{"m": endpoints}, Pools: map[string][]*routing.Endpoint{"p": endpoints}, Instances: 20})
 	now := func() time.Time { return x.Received }
 	f := admit{
-		cutOff: func(*Exchange) bool { return false },
+		cutOff: func(*Exchange) bool { return false }, refuses: func(*Exchange) bool { return false },
 		gates:  NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1000}, now), router: router, onNoReplica: func() {},
 		promises: p, outlook: o, log: logr.Discard(), now: now,
 	}
--- a/pipeline/replay_test.go
+++ b/pipeline/replay_test.go
@@ -211,7 +211,7 @@
 		Priority: 9, FirstToken: replayTarget, BetweenTokens: replayPause, Deadline: replayTimeout, GiveUp: replayGiveUp, MaxAttempts: 1,
 	}}}
 	x.Call = Call{AttemptID: id, Stream: true, PromptTokens: int64(a.tokens)}
-	f := admit{cutOff: func(*Exchange) bool { return false }, gates: gates, router: router, onNoReplica: func() {}, now: time.Now}
+	f := admit{cutOff: func(*Exchange) bool { return false }, refuses: func(*Exchange) bool { return false }, gates: gates, router: router, onNoReplica: func() {}, now: time.Now}
 	if err := f.Process(ctx, x); err != nil {
 		return false, false
 	}
--- a/pipeline/returns_test.go
+++ b/pipeline/returns_test.go
@@ -27,7 +27,7 @@
 	router.SetView(&routing.View{Replicas: map[string][]*routing.Endpoint{"m": {e}}, Pools: map[string][]*routing.Endpoint{"p": {e}}, Instances: 20})
 	return &queueOfOne{
 		admit: admit{
-			cutOff: func(*Exchange) bool { return false }, gates: NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1000}, time.Now),
+			cutOff: func(*Exchange) bool { return false }, refuses: func(*Exchange) bool { return false }, gates: NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1000}, time.Now),
 			router: router, onNoReplica: func() {}, promises: &Promises{}, log: logr.Discard(), now: time.Now,
 		},
 		endpoint: e, admitted: make(chan string, 10),
