--- a/store/call.go
+++ b/store/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -26,6 +27,8 @@
 	Hold time.Duration
 	// Era, unless nil, receives the store's era of the answer.
 	Era *int64
+	// MaxBytes bounds what is read of the answer; 0 means maxResponseBytes.
+	MaxBytes int64
 }
 
 // metricKey returns the key under which the call is counted.
@@ -114,7 +117,8 @@
 	if into == nil {
 		return nil
 	}
-	if err := json.NewDecoder(&nestingLimiter{from: io.LimitReader(resp.Body, maxResponseBytes)}).Decode(into); err != nil {
+	limited := io.LimitReader(resp.Body, cmp.Or(call.MaxBytes, maxResponseBytes))
+	if err := json.NewDecoder(&nestingLimiter{from: limited}).Decode(into); err != nil {
 		return &UnansweredError{Kind: call.Kind, Name: call.Name, Err: err}
 	}
 	return nil
@@ -170,6 +174,9 @@
 // objects is larger than one object.
 const maxResponseBytes = 64 * MaxObjectBytes
 
+// MaxObjectAnswerBytes bounds the answer to a call for one object: the object, and what is around its value.
+const MaxObjectAnswerBytes = 2 * MaxObjectBytes
+
 // maxMessageBytes is the maximum length of the text of a StatusError.
 const maxMessageBytes = 512
 
--- a/store/client.go
+++ b/store/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -175,9 +176,11 @@
 		return err
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(&nestingLimiter{from: resp.Body})
+	event := &io.LimitedReader{R: resp.Body}
+	dec := json.NewDecoder(&nestingLimiter{from: event})
 	for {
 		var e Event
+		event.N = MaxObjectAnswerBytes
 		if err := dec.Decode(&e); err != nil {
 			return &UnansweredError{Kind: kind, Err: err}
 		}
@@ -198,5 +201,5 @@
 	if name != "" {
 		target += "/" + url.PathEscape(name)
 	}
-	return c.requester.Call(ctx, Call{Verb: verb, Kind: kind, Name: name, URL: target, Body: body}, into)
+	return c.requester.Call(ctx, Call{Verb: verb, Kind: kind, Name: name, URL: target, Body: body, MaxBytes: MaxObjectAnswerBytes}, into)
 }
