An answer in another version of HTTP than 1 is none

What callers would have seen: 200 and a body where the endpoint had sent "HTTP/2.0 200 OK" (or 3.1, 0.9) on a connection of HTTP/1.1.

Cause: net/http's client reads each version of the form HTTP/d.d. Change: engine.Client takes no answer whose major version is not 1.

Requests, continuations, reports, orders and requests that are handed over all come through the one place.

--- a/engine/client.go
+++ b/engine/client.go
@@ -167,8 +167,8 @@
 	if err != nil {
 		return nil, sent.failure(a.Endpoint, err)
 	}
-	if resp.StatusCode < http.StatusOK {
-		return nil, sent.reject(resp, a.Endpoint, &StatusError{Status: resp.StatusCode})
+	if err := checkAnswer(resp); err != nil {
+		return nil, sent.reject(resp, a.Endpoint, err)
 	}
 	err = c.dialect.Check(resp, a, sent.conn.Load() != nil && sent.first)
 	c.recordStatement(resp, a, err)
@@ -178,6 +178,17 @@
 	return resp, nil
 }
 
+// checkAnswer returns an error for a response that net/http reads and that is none in HTTP/1.
+func checkAnswer(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &ProtocolError{Protocol: resp.Proto}
+	}
+	if resp.StatusCode < http.StatusOK {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	return nil
+}
+
 func (c *Client) transportFor(a Attempt) *http.Transport {
 	if a.SingleUse {
 		return c.singleUse
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -69,6 +69,14 @@
 	return fmt.Sprintf("status %03d is not that of an answer", e.Status)
 }
 
+// ProtocolError is returned for a response that names a version of HTTP which its connection does not carry.
+type ProtocolError struct{ Protocol string }
+
+// Error names the protocol.
+func (e *ProtocolError) Error() string {
+	return fmt.Sprintf("%q is not the protocol of the connection", e.Protocol)
+}
+
 // ForeignAnswerError is returned for an answer that belongs to another attempt.
 type ForeignAnswerError struct{ Want, Got string }
 
