--- a/cmd/eiderspring/node.go
+++ b/cmd/eiderspring/node.go
@@ -35,7 +35,9 @@
 			}
 			lines := daemon.NewLogWriter(os.Stdout)
 			defer lines.Close()
-			node, err := daemon.NewNode(cfg, platform.Ports(), daemon.NewLogger(lines, cfg.LogLevel))
+			log := daemon.NewLogger(lines, cfg.LogLevel)
+			daemon.LogLibraries(log)
+			node, err := daemon.NewNode(cfg, platform.Ports(), log)
 			if err != nil {
 				return trace.Wrap(err)
 			}
--- a/cmd/eiderspring/serve.go
+++ b/cmd/eiderspring/serve.go
@@ -27,6 +27,7 @@
 			lines := daemon.NewLogWriter(os.Stderr)
 			defer lines.Close()
 			log := daemon.NewLogger(lines, cfg.LogLevel)
+			daemon.LogLibraries(log)
 			instance, err := daemon.New(cfg, daemon.Deps{Log: log})
 			if err != nil {
 				return trace.Wrap(err)
--- a/pipeline/outlook_test.go
+++ b/pipeline/outlook_test.go
@@ -43,7 +43,7 @@
 	now := func() time.Time { return x.Received }
 	f := admit{
 		cutOff: func(*Exchange) bool { return false }, refuses: func(*Exchange) bool { return false },
-		gates:  NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1000}, now), router: router, onNoReplica: func() {},
+		gates: NewGates(admission.Limits{MaxWaiters: 10, MaxBytes: 1000}, now), router: router, onNoReplica: func() {},
 		promises: p, outlook: o, log: logr.Discard(), now: now,
 	}
 	x.Target.Pool = "p"
