Records: whether a pool needs them is asked once for all its streams

Read as a newcomer: each look at what is to be submitted asked it for each stream, over all endpoints. go test -race -run 'Record|Stream|Drain' ./daemon passes.

--- a/daemon/instance.go
+++ b/daemon/instance.go
@@ -83,7 +83,7 @@
 	settings *settingsFetcher
 	// draining is set once a planned stop has begun.
 	draining atomic.Bool
-	// drainEnds is when a planned stop ends at the latest; nil while none has gone so far.
+	// drainEnds is when a planned stop ends at the latest; nil until its listener closes.
 	drainEnds atomic.Pointer[time.Time]
 	// process distinguishes this process from any other of the same instance.
 	process string
--- a/daemon/streamrecords.go
+++ b/daemon/streamrecords.go
@@ -153,9 +153,12 @@
 	if fleet != r.fleet {
 		r.fleet, r.writers = fleet, map[streamversion.Part]string{}
 	}
-	era := r.register.era()
+	era, needed := r.register.era(), map[string]bool{}
 	writerOf := func(b streamversion.Beginning) (streamversion.Writer, bool) {
-		if !r.register.needsRecords(b.Pool) {
+		if _, known := needed[b.Pool]; !known {
+			needed[b.Pool] = r.register.needsRecords(b.Pool)
+		}
+		if !needed[b.Pool] {
 			return streamversion.Writer{}, false
 		}
 		part := fleet.PartOf(b.Key, region)
